feat(entry): the whole path, thin, as separate processes

Cause: there was nothing to build on. A task now goes from a caller through an entry to a worker and back, with the configuration in a log at the platform's service; platform, workers and entries are separate processes.

Ruled out: a store of our own, and a value per pool or team at the platform; one log guarded by compare-and-swap gives every entry the same order.

Limits, claims and the queue are the simplest that keep the interfaces; they hold within one entry only.

--- /dev/null
+++ b/src/http/createGateway.ts
@@ -0,0 +1,84 @@
+import type { Context, ServiceSchema } from "moleculer";
+import ApiGateway from "moleculer-web";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { createProblem, type Problem } from "../errors";
+import type { HttpMeta } from "./httpMeta";
+
+export interface GatewayOptions {
+    readonly host: string;
+    readonly port: number;
+    readonly maxBodyBytes: number;
+    /** Action by "METHOD /path", as moleculer-web names them. */
+    readonly aliases: Readonly<Record<string, string>>;
+    readonly metricsText: () => Promise<string>;
+    readonly isReady: () => boolean;
+}
+
+/** Creates the moleculer service that listens for callers and operators. */
+export function createGateway(opts: GatewayOptions): ServiceSchema {
+    const json = { limit: opts.maxBodyBytes };
+    return {
+        name: "gateway",
+        mixins: [ApiGateway as unknown as ServiceSchema],
+        settings: {
+            ip: opts.host,
+            port: opts.port,
+            routes: [
+                {
+                    path: "/",
+                    mappingPolicy: "restrict",
+                    aliases: {
+                        "GET /health": (_req: IncomingMessage, res: ServerResponse) => writeText(res, 200, "ok\n"),
+                        "GET /ready": (_req: IncomingMessage, res: ServerResponse) =>
+                            opts.isReady() ? writeText(res, 200, "ready\n") : writeText(res, 503, "not ready\n"),
+                        "GET /metrics": async (_req: IncomingMessage, res: ServerResponse) =>
+                            writeText(res, 200, await opts.metricsText()),
+                        ...opts.aliases,
+                    },
+                    bodyParsers: { json },
+                    onBeforeCall: prepareCall,
+                    onError: writeError,
+                },
+            ],
+            onError: writeError,
+        },
+    };
+}
+
+function prepareCall(
+    ctx: Context<unknown, HttpMeta>,
+    _route: unknown,
+    req: IncomingMessage,
+    res: ServerResponse,
+): void {
+    const [scheme, secret] = (req.headers.authorization ?? "").split(" ", 2);
+    if (scheme?.toLowerCase() === "bearer" && secret !== undefined) {
+        ctx.meta.secret = secret;
+    }
+    const controller = new AbortController();
+    res.on("close", () => res.writableFinished || controller.abort());
+    ctx.meta.signal = controller.signal;
+}
+
+function writeText(res: ServerResponse, status: number, text: string): void {
+    res.writeHead(status, { "content-type": "text/plain" });
+    res.end(text);
+}
+
+/** Errors before an action is reached: the body cannot be read or the path is not known. */
+function writeError(_req: IncomingMessage, res: ServerResponse, error: { code?: number; message: string; }): void {
+    const problem = toProblem(error);
+    res.writeHead(problem.status, { "content-type": "application/problem+json" });
+    res.end(JSON.stringify(problem));
+}
+
+function toProblem(error: { code?: number; message: string; }): Problem {
+    switch (error.code) {
+        case 404:
+            return createProblem("NOT_FOUND", "there is nothing at this path");
+        case 413:
+            return createProblem("BODY_TOO_LARGE", "the body is above the limit of this entry");
+        default:
+            return createProblem("INVALID_REQUEST", error.message);
+    }
+}
--- /dev/null
+++ b/src/keys/authenticateOperator.ts
@@ -0,0 +1,11 @@
+import { timingSafeEqual } from "node:crypto";
+import type { FleetState } from "../state";
+import { hashSecret } from "./createSecret";
+
+/** Gives the operator's name; `undefined` where the credential is not accepted. */
+export function authenticateOperator(state: FleetState, credential: string): string | undefined {
+    const hash = Buffer.from(hashSecret(credential), "hex");
+    const found = Object.entries(state.operators)
+        .find(([, known]) => timingSafeEqual(Buffer.from(known, "hex"), hash));
+    return found?.[0];
+}
--- /dev/null
+++ b/src/keys/index.ts
@@ -0,0 +1,4 @@
+/** Team keys and operator credentials: made at random, kept as hashes, compared in constant time. */
+export { authenticateOperator } from "./authenticateOperator";
+export { type AuthenticatedTeam, authenticateTeam } from "./authenticateTeam";
+export { createSecret, hashSecret, type Secret } from "./createSecret";
--- /dev/null
+++ b/src/limits/index.ts
@@ -0,0 +1,3 @@
+/** Each team's upper limit, divided over the entries as standing slices. */
+export { createLimits, type LimitsOptions } from "./createLimits";
+export type { Hold, Limits } from "./limits";
--- /dev/null
+++ b/src/logging/index.ts
@@ -0,0 +1,3 @@
+/** Typed log events, and the reporter that writes them as JSON lines. */
+export { createReporter, type Reporter, type ReporterOptions } from "./createReporter";
+export type { LogEvent } from "./logEvent";
--- /dev/null
+++ b/src/logging/logEvent.ts
@@ -0,0 +1,42 @@
+/** Everything that parts of the daemon may log; a key or a payload is never among the fields. */
+export type LogEvent =
+    | { readonly kind: "started"; readonly boot: string; readonly zone: string; readonly region: string; }
+    | { readonly kind: "stopping"; readonly runningTasks: number; }
+    | { readonly kind: "stopped"; }
+    | { readonly kind: "configurationApplied"; readonly revision: number; }
+    | {
+        readonly kind: "placed";
+        readonly requestId: string;
+        readonly attempt: string;
+        readonly team: string;
+        readonly pool: string;
+        readonly instance: string;
+        readonly reason: string;
+        readonly candidates: number;
+    }
+    | {
+        readonly kind: "routed";
+        readonly requestId: string;
+        readonly team: string;
+        readonly toBoot: string;
+        readonly reason: string;
+    }
+    | {
+        readonly kind: "refused";
+        readonly requestId: string;
+        readonly team: string;
+        readonly pool: string;
+        readonly code: string;
+        readonly reason: string;
+        readonly candidates: number;
+    }
+    | {
+        readonly kind: "ended";
+        readonly requestId: string;
+        readonly attempt: string;
+        readonly team: string;
+        readonly instance: string;
+        readonly result: string;
+        readonly durationMs: number;
+    }
+    | { readonly kind: "note"; readonly slice: string; readonly message: string; readonly detail?: string; };
--- /dev/null
+++ b/src/metrics/createMetrics.ts
@@ -0,0 +1,47 @@
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+const durationBucketsSeconds = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 1.5, 2.5, 5, 10, 60];
+
+/** Creates the metrics of one daemon in a registry of its own. */
+export function createMetrics() {
+    const registry = new Registry();
+    const registers = [registry];
+    return {
+        registry,
+        tasks: new Counter({
+            name: "samphirepin_tasks_total",
+            help: "Tasks that ended, by outcome and problem code",
+            labelNames: ["outcome", "code"] as const,
+            registers,
+        }),
+        taskDuration: new Histogram({
+            name: "samphirepin_task_duration_seconds",
+            help: "From a task's arrival to its end",
+            buckets: durationBucketsSeconds,
+            registers,
+        }),
+        runningTasks: new Gauge({
+            name: "samphirepin_running_tasks",
+            help: "Tasks taken and not ended",
+            registers,
+        }),
+        configurationRevision: new Gauge({
+            name: "samphirepin_configuration_revision",
+            help: "Revision of the configuration in force here",
+            registers,
+        }),
+        connectedPeers: new Gauge({
+            name: "samphirepin_connected_peers",
+            help: "Entries heard from lately",
+            registers,
+        }),
+        platformCalls: new Counter({
+            name: "samphirepin_platform_calls_total",
+            help: "Calls to the platform's service, by kind and result",
+            labelNames: ["call", "result"] as const,
+            registers,
+        }),
+    };
+}
+
+export type Metrics = ReturnType<typeof createMetrics>;
--- /dev/null
+++ b/src/settings/readSettings.ts
@@ -0,0 +1,50 @@
+import { type Either, Left, Right } from "purify-ts";
+import { type SettingOrigin, type Settings, settingSpecs } from "./settingSpecs";
+
+/** One setting that cannot be used, and why. */
+export interface SettingsProblem {
+    readonly setting: string;
+    readonly flag: string;
+    readonly variable: string;
+    readonly message: string;
+}
+
+export interface SettingsInForce {
+    readonly settings: Settings;
+    readonly origins: Readonly<Record<keyof Settings, SettingOrigin>>;
+}
+
+export function flagName(setting: string): string {
+    return setting.replace(/[A-Z]/g, (letter) => `-${letter.toLowerCase()}`);
+}
+
+export function variableName(setting: string): string {
+    return `SAMPHIREPIN_${flagName(setting).replaceAll("-", "_").toUpperCase()}`;
+}
+
+/** Reads every setting; a flag goes before the variable. Gives all problems at once. */
+export function readSettings(
+    flags: Readonly<Record<string, string | undefined>>,
+    environment: Readonly<Record<string, string | undefined>>,
+): Either<readonly SettingsProblem[], SettingsInForce> {
+    const problems: SettingsProblem[] = [];
+    const values: Record<string, unknown> = {};
+    const origins: Record<string, SettingOrigin> = {};
+    for (const [setting, spec] of Object.entries(settingSpecs)) {
+        const [flag, variable] = [flagName(setting), variableName(setting)];
+        const given = flags[flag] ?? environment[variable];
+        const parsed = spec.schema.safeParse(given);
+        origins[setting] = flags[flag] !== undefined ? "flag" : given !== undefined ? "environment" : "default";
+        if (parsed.success) {
+            values[setting] = parsed.data;
+        }
+        else {
+            const reason = given === undefined ? "has to be given" : parsed.error.issues[0]?.message ?? "is not valid";
+            const message = `${reason} (${spec.description}, such as ${spec.example})`;
+            problems.push({ setting, flag: `--${flag}`, variable, message });
+        }
+    }
+    return problems.length > 0
+        ? Left(problems)
+        : Right({ settings: values as Settings, origins: origins as SettingsInForce["origins"] });
+}
--- /dev/null
+++ b/src/settings/settingSpecs.ts
@@ -0,0 +1,42 @@
+import { z } from "zod";
+
+/** One setting: its flag is the kebab-case name, its variable SAMPHIREPIN_ and the name in capitals. */
+export interface SettingSpec<T = unknown> {
+    readonly schema: z.ZodType<T>;
+    readonly description: string;
+    readonly example: string;
+}
+
+const port = z.coerce.number().int().min(0).max(65535);
+const durationMs = z.coerce.number().int().positive().max(24 * 3600 * 1000);
+const httpUrl = z.url({ protocol: /^https?$/ });
+const name = z.string().regex(/^[\w.-]{1,128}$/, "letters, digits, dots, dashes and underscores only");
+
+function setting<T>(schema: z.ZodType<T>, description: string, example: string): SettingSpec<T> {
+    return { schema, description, example };
+}
+
+/** Every setting of `samphirepin entry`. A setting without a default has to be given. */
+export const settingSpecs = {
+    instance: setting(name, "name of this instance in the platform's list", "entry-a1"),
+    region: setting(name, "region of this instance", "north"),
+    zone: setting(name, "availability zone of this instance", "zone-a"),
+    host: setting(z.string().default("127.0.0.1"), "address to listen on, as an IP number", "127.0.0.1"),
+    port: setting(port.default(7080), "port for callers and operators", "7080"),
+    peerPort: setting(port.default(7081), "port for links between entries", "7081"),
+    platformUrl: setting(httpUrl, "address of the platform's service", "http://127.0.0.1:7000"),
+    platformTimeoutMs: setting(durationMs.default(2000), "how long one call to the platform may take", "2000"),
+    operatorHash: setting(
+        z.string().regex(/^[0-9a-f]{64}$/, "SHA-256 in hexadecimal").optional(),
+        "SHA-256 of a first operator credential, for a fleet that has none yet",
+        "9f86…0a08",
+    ),
+    taskLeaseMs: setting(durationMs.default(10_000), "lease of a task at its worker", "10000"),
+    heartbeatMs: setting(durationMs.default(1000), "how often links between entries are used", "1000"),
+    silenceMs: setting(durationMs.default(4000), "when an entry not heard from counts as silent", "4000"),
+    maxBodyBytes: setting(z.coerce.number().int().positive().default(512 * 1024), "largest request body", "524288"),
+    logLevel: setting(z.enum(["error", "warn", "info", "debug"]).default("info"), "least level that is logged", "info"),
+} as const;
+
+export type Settings = { readonly [K in keyof typeof settingSpecs]: z.infer<typeof settingSpecs[K]["schema"]>; };
+export type SettingOrigin = "flag" | "environment" | "default";
--- /dev/null
+++ b/src/state/applyChange.ts
@@ -0,0 +1,76 @@
+import { type Either, Left, Right } from "purify-ts";
+import type { Change, FleetState, Rejection } from "./state";
+
+type Applied = Either<Rejection, FleetState>;
+
+/** Applies one change of a command. */
+export function applyChange(state: FleetState, change: Change): Applied {
+    switch (change.kind) {
+        case "setPool":
+            return Right({ ...state, pools: { ...state.pools, [change.pool.name]: change.pool } });
+        case "removePool":
+            return removePool(state, change.name);
+        case "setTeam":
+            return setTeam(state, change);
+        case "removeTeam":
+            return Right({ ...state, teams: without(state.teams, change.name) });
+        case "grantKey":
+            return grantKey(state, change);
+        case "withdrawKey":
+            return withdrawKey(state, change.keyId);
+        case "addInstance":
+            return addInstance(state, change);
+        case "setOperator":
+            return Right({ ...state, operators: { ...state.operators, [change.name]: change.credentialHash } });
+    }
+}
+
+function removePool(state: FleetState, name: string): Applied {
+    const member = Object.values(state.instances).find((instance) => instance.pool === name);
+    return member === undefined
+        ? Right({ ...state, pools: without(state.pools, name) })
+        : reject(`pool ${name} still has instance ${member.name}`);
+}
+
+function setTeam(state: FleetState, { team }: Extract<Change, { kind: "setTeam"; }>): Applied {
+    const keys = state.teams[team.name]?.keys ?? {};
+    return Right({ ...state, teams: { ...state.teams, [team.name]: { ...team, keys } } });
+}
+
+function grantKey(state: FleetState, { team, keyId, key }: Extract<Change, { kind: "grantKey"; }>): Applied {
+    const known = state.teams[team];
+    if (known === undefined) {
+        return reject(`there is no team ${team}`);
+    }
+    const keys = { ...known.keys, [keyId]: key };
+    return Right({ ...state, teams: { ...state.teams, [team]: { ...known, keys } } });
+}
+
+function withdrawKey(state: FleetState, keyId: string): Applied {
+    const holder = Object.values(state.teams).find((team) => Object.hasOwn(team.keys, keyId));
+    if (holder === undefined) {
+        return reject(`there is no key ${keyId}`);
+    }
+    const keys = without(holder.keys, keyId);
+    return Right({ ...state, teams: { ...state.teams, [holder.name]: { ...holder, keys } } });
+}
+
+function addInstance(state: FleetState, { instance }: Extract<Change, { kind: "addInstance"; }>): Applied {
+    if (state.instances[instance.name] !== undefined) {
+        return reject(`instance ${instance.name} is in pool ${state.instances[instance.name]?.pool} already`);
+    }
+    if (state.pools[instance.pool] === undefined) {
+        return reject(`there is no pool ${instance.pool}`);
+    }
+    const added = { ...instance, assignmentNumber: 1, state: { kind: "serving" } as const };
+    return Right({ ...state, instances: { ...state.instances, [instance.name]: added } });
+}
+
+function reject(detail: string): Applied {
+    return Left({ kind: "rejected", detail });
+}
+
+function without<T>(record: Readonly<Record<string, T>>, name: string): Readonly<Record<string, T>> {
+    const { [name]: _removed, ...rest } = record;
+    return rest;
+}
--- /dev/null
+++ b/src/workers/createHttpWorkers.ts
@@ -0,0 +1,145 @@
+import { type Either, Left, Right } from "purify-ts";
+import { Agent, request } from "undici";
+import { z } from "zod";
+import type { LeaseRenewal, TaskOrder, TaskResult, WorkerAddress, WorkerFailure, Workers } from "./workers";
+
+export interface HttpWorkersOptions {
+    /** How long a short call (usage, renewal, notice) may take, in milliseconds. */
+    readonly timeoutMs: number;
+    /** Most connections to one worker. */
+    readonly connectionsPerWorker: number;
+}
+
+const resultSchema = z.discriminatedUnion("kind", [
+    z.object({ kind: z.literal("answered"), attempt: z.string(), body: z.string() }),
+    z.object({ kind: z.literal("failed"), attempt: z.string(), detail: z.string() }),
+    z.object({
+        kind: z.literal("stopped"),
+        attempt: z.string(),
+        reason: z.enum(["lease", "stop", "checkpoint"]),
+        checkpoint: z.string().optional(),
+    }),
+    z.object({
+        kind: z.literal("notRun"),
+        attempt: z.string(),
+        reason: z.enum(["busy", "leaving", "staleAssignment", "tooLarge"]),
+    }),
+]);
+
+const usageSchema = z.object({
+    slots: z.number().int().nonnegative(),
+    runningTasks: z.number().int().nonnegative(),
+    size: z.object({ processors: z.number(), memoryMb: z.number(), accelerators: z.number() }),
+    state: z.enum(["serving", "draining", "rebooting"]),
+    assignmentNumber: z.number().int().nonnegative(),
+    workerBoot: z.string(),
+    tasks: z.array(z.object({ attempt: z.string(), team: z.string(), pool: z.string(), holder: z.string() })),
+});
+
+const renewedSchema = z.object({ ended: z.array(z.string()) });
+
+/** Errors raised before any byte of the order has left: the connection was never made. */
+const notSentCodes = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "UND_ERR_CONNECT_TIMEOUT"]);
+
+/** Talks to workers over HTTP with JSON bodies, never retrying an order by itself. */
+export function createHttpWorkers(opts: HttpWorkersOptions): Workers {
+    const agent = new Agent({
+        connections: opts.connectionsPerWorker,
+        pipelining: 1,
+        connect: { timeout: opts.timeoutMs },
+        headersTimeout: 0,
+        bodyTimeout: 0,
+    });
+
+    async function short<T>(
+        method: "GET" | "POST",
+        url: string,
+        schema: z.ZodType<T>,
+        body?: unknown,
+    ): Promise<Either<WorkerFailure, T>> {
+        try {
+            const response = await request(url, {
+                method,
+                dispatcher: agent,
+                signal: AbortSignal.timeout(opts.timeoutMs),
+                ...body === undefined
+                    ? {}
+                    : { headers: { "content-type": "application/json" }, body: JSON.stringify(body) },
+            });
+            const json = await response.body.json();
+            if (response.statusCode !== 200) {
+                return Left({ kind: "refused", detail: `status ${response.statusCode}` });
+            }
+            return Right(schema.parse(json));
+        }
+        catch (error) {
+            return Left({ kind: "unavailable", detail: String(error) });
+        }
+    }
+
+    return {
+        runTask: (worker, order, signal) => runTask(agent, worker, order, signal),
+        async renewLeases(worker, renewal: LeaseRenewal) {
+            return (await short("POST", `${worker.url}/leases`, renewedSchema, renewal)).map(({ ended }) => ended);
+        },
+        async stopTask(worker, attempt, mode) {
+            const url = `${worker.url}/tasks/${encodeURIComponent(attempt)}/${mode}`;
+            return (await short("POST", url, z.unknown(), {})).map(() => undefined);
+        },
+        readUsage: (worker) => short("GET", `${worker.url}/usage`, usageSchema),
+        async notify(worker, notice) {
+            return (await short("POST", `${worker.url}/${notice.kind}`, z.unknown(), notice)).map(() => undefined);
+        },
+        async close() {
+            await agent.destroy();
+        },
+    };
+}
+
+async function runTask(
+    agent: Agent,
+    worker: WorkerAddress,
+    order: TaskOrder,
+    signal?: AbortSignal,
+): Promise<TaskResult> {
+    let text: string;
+    try {
+        const response = await request(`${worker.url}/tasks`, {
+            method: "POST",
+            dispatcher: agent,
+            headers: { "content-type": "application/json" },
+            body: JSON.stringify(order),
+            ...signal === undefined ? {} : { signal },
+        });
+        text = await response.body.text();
+    }
+    catch (error) {
+        return readRunError(error, signal);
+    }
+    return readRunAnswer(text, order.attempt);
+}
+
+function readRunError(error: unknown, signal?: AbortSignal): TaskResult {
+    const code = (error as { code?: unknown; }).code;
+    if (typeof code === "string" && notSentCodes.has(code)) {
+        return { kind: "notRun", reason: "unreachable" };
+    }
+    return { kind: "unknown", reason: signal?.aborted ? "timeout" : "connectionLost" };
+}
+
+/** An answer counts only when it is whole and carries the attempt that asked for it. */
+function readRunAnswer(text: string, attempt: string): TaskResult {
+    let json: unknown;
+    try {
+        json = JSON.parse(text);
+    }
+    catch {
+        return { kind: "unknown", reason: "truncated" };
+    }
+    const parsed = resultSchema.safeParse(json);
+    if (!parsed.success) {
+        return { kind: "unknown", reason: "truncated" };
+    }
+    const { attempt: answeredAttempt, ...result } = parsed.data;
+    return answeredAttempt === attempt ? result as TaskResult : { kind: "unknown", reason: "crossed" };
+}
--- /dev/null
+++ b/standins/processes/startProcess.ts
@@ -0,0 +1,63 @@
+import { spawn } from "node:child_process";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+
+/** One child process with its output, line by line. */
+export interface Process {
+    readonly pid: number;
+    readonly lines: string[];
+    /** Resolves with the first line, past or to come, that contains the text. */
+    waitForLine(text: string): Promise<string>;
+    kill(signal: NodeJS.Signals): void;
+    readonly exited: Promise<number | undefined>;
+}
+
+const startTimeoutMs = 30_000;
+
+export function startProcess(file: string, args: readonly string[]): Process {
+    const child = spawn(process.execPath, ["--import", "tsx", file, ...args], { stdio: ["ignore", "pipe", "pipe"] });
+    const lines: string[] = [];
+    const waiters = new Set<() => void>();
+    let rest = "";
+    const onData = (data: Buffer) => {
+        const parts = (rest + String(data)).split("\n");
+        rest = parts.pop() ?? "";
+        lines.push(...parts);
+        waiters.forEach((check) => check());
+    };
+    child.stdout.on("data", onData);
+    child.stderr.on("data", onData);
+    const exited = new Promise<number | undefined>((resolve) => child.on("exit", (code) => resolve(code ?? undefined)));
+    return {
+        pid: child.pid ?? 0,
+        lines,
+        exited,
+        kill: (signal) => void child.kill(signal),
+        waitForLine: (text) =>
+            new Promise((resolve, reject) => {
+                const timer = setTimeout(
+                    () => reject(new Error(`no line with ${text}:\n${lines.join("\n")}`)),
+                    startTimeoutMs,
+                );
+                const check = () => {
+                    const found = lines.find((line) => line.includes(text));
+                    if (found !== undefined) {
+                        clearTimeout(timer);
+                        waiters.delete(check);
+                        resolve(found);
+                    }
+                };
+                waiters.add(check);
+                check();
+            }),
+    };
+}
+
+/** A port that was free a moment ago. */
+export async function findFreePort(): Promise<number> {
+    const server = createServer();
+    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    const { port } = server.address() as AddressInfo;
+    await new Promise((resolve) => server.close(resolve));
+    return port;
+}
