feat(cli): the operators' commands, in one binary

Cause: operators had HTTP alone, and the program took flags without checks.

Ruled out: oclif's own discovery of commands, which looks for a folder that a one-file program does not have; its parser, flags and help are used with a table of commands.

Change: entry, settings, plan, confirm, follow, pause, resume, cancel, show, key grant, key withdraw, credential new; exit codes; intents in YAML or JSON with line and field in every error; a change whose answer is lost is told as unknown and never sent to a second entry.

--- a/scripts/buildBinary.mjs
+++ b/scripts/buildBinary.mjs
@@ -41,6 +41,8 @@
     minify: true,
     keepNames: true,
     define: { "process.env.SAMPHIREPIN_VERSION": JSON.stringify(version) },
+    // The embedded require knows built-in modules alone and warns of each optional one; this one just finds none.
+    banner: { js: "require = require(\"node:module\").createRequire(\"/nonexistent/\");" },
     external: neverLoaded,
     logLevel: "error",
 });
--- /dev/null
+++ b/src/cli/callAndPrint.ts
@@ -0,0 +1,20 @@
+import { callEntry, type EntryRequest, reportFailure } from "./callEntry";
+import type { Invocation } from "./defineCommand";
+import { ExitCode } from "./exitCode";
+import { writeAnswer } from "./output";
+
+/** Sends one request and prints its answer, as JSON or as the command renders it. */
+export async function callAndPrint<T>(
+    flags: Invocation["flags"],
+    call: EntryRequest,
+    render: (answer: T) => void,
+): Promise<ExitCode> {
+    const answer = await callEntry(flags as never, call);
+    return answer.caseOf<ExitCode>({
+        Left: (failure) => reportFailure(failure, flags["json"] === true),
+        Right: (body) => {
+            writeAnswer(body as T, flags["json"] === true, render);
+            return ExitCode.Done;
+        },
+    });
+}
--- /dev/null
+++ b/src/cli/commands/index.ts
@@ -0,0 +1,27 @@
+import type { DefinedCommand } from "../defineCommand";
+import { confirm } from "./confirm";
+import { credentialNew } from "./credentialNew";
+import { entry } from "./entry";
+import { follow } from "./follow";
+import { keyGrant } from "./keyGrant";
+import { keyWithdraw } from "./keyWithdraw";
+import { plan } from "./plan";
+import { planCancel, planPause, planResume } from "./planSteer";
+import { settings } from "./settings";
+import { show } from "./show";
+
+/** Every command of the program, in the order of its help. */
+export const commands: readonly DefinedCommand[] = [
+    entry,
+    settings,
+    plan,
+    confirm,
+    follow,
+    planPause,
+    planResume,
+    planCancel,
+    show,
+    keyGrant,
+    keyWithdraw,
+    credentialNew,
+];
--- /dev/null
+++ b/src/cli/commands/keyGrant.ts
@@ -0,0 +1,23 @@
+import { Args } from "@oclif/core";
+import { callAndPrint } from "../callAndPrint";
+import { entryFlags } from "../callEntry";
+import { defineCommand } from "../defineCommand";
+import { writeLine } from "../output";
+
+/** `samphirepin key grant`: makes a key for a team and shows it once. */
+export const keyGrant = defineCommand({
+    id: "key grant",
+    summary: "grant a new key to a team; it is shown once",
+    flags: entryFlags,
+    args: { team: Args.string({ description: "name of the team", required: true }) },
+    examples: ["key grant stables"],
+    run: ({ flags, args }) =>
+        callAndPrint(
+            flags,
+            { method: "POST", path: "/operator/keys", body: { team: args["team"] } },
+            ({ keyId, key }: { keyId: string; key: string; }) => {
+                writeLine(`key ${keyId} (withdraw it by this name):`);
+                writeLine(key);
+            },
+        ),
+});
--- a/src/cli/runCommand.ts
+++ b/src/cli/runCommand.ts
@@ -1,42 +1,103 @@
-import { readSettings } from "../settings";
-
-const usage = "usage: samphirepin entry [flags] | --version | --help\n";
-
-/** A thin dispatcher until the oclif commands stand. */
-export async function runCommand(argv: readonly string[]): Promise<number> {
-    switch (argv[0]) {
-        case "--version":
-            process.stdout.write(`samphirepin ${process.env["SAMPHIREPIN_VERSION"] ?? "development"}\n`);
-            return 0;
-        case "--help":
-            process.stdout.write(usage);
-            return 0;
-        case "entry":
-            return runEntry(argv.slice(1));
-        default:
-            process.stderr.write(usage);
-            return 2;
+import { CommandHelp, Errors } from "@oclif/core";
+import { commands } from "./commands";
+import { createConfig, version } from "./createConfig";
+import type { DefinedCommand } from "./defineCommand";
+import { ExitCode } from "./exitCode";
+import { writeError, writeLine } from "./output";
+
+const helpWidth = 100;
+
+/** Runs the command that the words name; gives the exit code. */
+export async function runCommand(argv: readonly string[]): Promise<ExitCode> {
+    if (argv[0] === "--version" || argv[0] === "-v") {
+        writeLine(`samphirepin ${version}`);
+        return ExitCode.Done;
+    }
+    const found = findCommand(argv);
+    if (found === undefined) {
+        return runWithoutCommand(argv);
     }
+    const rest = argv.slice(found.id.split(" ").length);
+    if (rest.includes("--help") || rest.includes("-h")) {
+        writeLine(formatHelp(found));
+        return ExitCode.Done;
+    }
+    return runFound(found, rest);
 }
 
-async function runEntry(argv: readonly string[]): Promise<number> {
-    const flags = Object.fromEntries(
-        argv.flatMap((arg, at, all) => arg.startsWith("--") ? [[arg.slice(2), all[at + 1]]] : []),
+async function runFound({ id, command }: DefinedCommand, argv: readonly string[]): Promise<ExitCode> {
+    try {
+        return await new command([...argv], createConfig()).run() as ExitCode;
+    }
+    catch (error) {
+        if (error instanceof Errors.CLIError) {
+            writeError(`${error.message}\nSee: samphirepin ${id} --help`);
+            return ExitCode.Usage;
+        }
+        throw error;
+    }
+}
+
+/** The command with the most words that the command line begins with. */
+function findCommand(argv: readonly string[]): DefinedCommand | undefined {
+    return commands
+        .filter(({ id }) => id.split(" ").every((word, at) => argv[at] === word))
+        .sort((a, b) => b.id.length - a.id.length)[0];
+}
+
+function runWithoutCommand(argv: readonly string[]): ExitCode {
+    const isHelp = argv.length === 0 || argv[0] === "--help" || argv[0] === "-h" || argv[0] === "help";
+    if (isHelp) {
+        writeLine(formatRootHelp());
+        return ExitCode.Done;
+    }
+    writeError(`there is no command ${argv.filter((word) => !word.startsWith("-")).join(" ")}\n\n${formatRootHelp()}`);
+    return ExitCode.Usage;
+}
+
+function formatRootHelp(): string {
+    const width = Math.max(...commands.map(({ id }) => id.length));
+    const lines = commands.map(({ id, summary }) => `  ${id.padEnd(width)}  ${summary}`);
+    return [
+        "samphirepin: fleet capacity and maintenance manager",
+        "",
+        "USAGE",
+        "  $ samphirepin COMMAND [flags]",
+        "  $ samphirepin COMMAND --help",
+        "",
+        "COMMANDS",
+        ...lines,
+        "",
+        "ENVIRONMENT",
+        "  SAMPHIREPIN_ENTRIES     addresses of entries, separated by commas; the first that answers is used",
+        "  SAMPHIREPIN_CREDENTIAL  the operator credential",
+        "",
+        "EXIT CODES",
+        "  0 done · 1 refused · 2 wrong usage, file or setting · 3 no entry answers · 4 outcome unknown",
+        "  5 accepted and not yet in force everywhere",
+    ].join("\n");
+}
+
+function formatHelp({ id, summary, description, flags, args, examples }: DefinedCommand): string {
+    // The help class takes a command as oclif caches it: its parts under their names, each flag and argument named.
+    const cached = {
+        id,
+        description,
+        flags: withNames(flags),
+        args: withNames(args),
+        examples: examples.map((example) => `<%= config.bin %> ${example}`),
+        aliases: [],
+        hiddenAliases: [],
+        strict: true,
+    };
+    const help = new CommandHelp(
+        cached as unknown as ConstructorParameters<typeof CommandHelp>[0],
+        createConfig(),
+        { maxWidth: helpWidth, stripAnsi: true } as ConstructorParameters<typeof CommandHelp>[2],
     );
-    const { createEntry } = await import("../entry");
-    return readSettings(flags, process.env).caseOf({
-        Left: (problems) => {
-            problems.forEach(({ flag, variable, message }) =>
-                process.stderr.write(`${flag} (${variable}): ${message}\n`)
-            );
-            return Promise.resolve(2);
-        },
-        Right: async ({ settings }) => {
-            const entry = createEntry(settings);
-            await entry.start();
-            await new Promise((resolve) => process.once("SIGTERM", resolve));
-            await entry.stop();
-            return 0;
-        },
-    });
+    return `${summary}\n\n${help.generate()}`;
+}
+
+function withNames<T extends object>(parts: Readonly<Record<string, T>>): Record<string, T & { name: string; }> {
+    return Object.fromEntries(Object.entries(parts).map(([name, part]) => [name, { ...part, name }]));
 }
