--- a/standins/fakes/createFakePlatform.ts
+++ b/standins/fakes/createFakePlatform.ts
@@ -22,6 +22,10 @@
     readonly cutOff: Set<string>;
     /** The answers of this many writes are lost after they took effect. */
     lostWriteAnswers: number;
+    /** Clients whose watches tell of a change only this much later. */
+    readonly lateWatches: Set<string>;
+    /** What the instance list goes on to tell, where it lags. */
+    staleInstances: ReadonlyMap<string, InstanceStatus> | undefined;
     /** Called with each write that took effect. */
     onWrite: (client: string, key: string, text: string) => void;
     /** The service as one client sees it. */
@@ -29,6 +33,7 @@
 }
 
 const maxValueBytes = 1024 * 1024;
+const lateWatchMs = 5000;
 
 export function createFakePlatform(): FakePlatform {
     const values = new Map<string, StoredValue>();
@@ -41,6 +46,8 @@
         delayMs: 1,
         cutOff: new Set(),
         lostWriteAnswers: 0,
+        lateWatches: new Set(),
+        staleInstances: undefined,
         onWrite: () => {},
         connect,
     };
@@ -99,7 +106,7 @@
                     return Left<PlatformFailure>({ kind: "unavailable", detail: "down" });
                 }
                 if (changes.size > 0 || Date.now() >= endAtMs) {
-                    await sleep(fake.delayMs);
+                    await sleep(fake.lateWatches.has(client) ? lateWatchMs : fake.delayMs);
                     return Right(changes);
                 }
                 await waitForWrite(endAtMs - Date.now());
@@ -116,7 +123,7 @@
             listInstances: () => {
                 fake.calls.list++;
                 return exchange((): readonly InstanceListing[] =>
-                    [...fake.instances].map(([instance, status]) => ({ instance, status }))
+                    [...fake.staleInstances ?? fake.instances].map(([instance, status]) => ({ instance, status }))
                 );
             },
             close: () => Promise.resolve(),
--- a/standins/fakes/createFakeWorkers.ts
+++ b/standins/fakes/createFakeWorkers.ts
@@ -11,6 +11,8 @@
     boots: number;
     failsAll: boolean;
     truncatesAnswers: boolean;
+    /** Each answer carries another attempt's name. */
+    crossesAnswers: boolean;
     /** Answers are held back for this long after the task's end, in milliseconds. */
     answerDelayMs: number;
     /** Nothing reaches the worker. */
@@ -62,6 +64,7 @@
             boots: 1,
             failsAll: false,
             truncatesAnswers: false,
+            crossesAnswers: false,
             answerDelayMs: 0,
             isDead: false,
             running: new Map(),
@@ -142,6 +145,9 @@
                 if (reach(instance) === undefined) {
                     return { kind: "unknown", reason: "connectionLost" };
                 }
+                if (worker.crossesAnswers) {
+                    return { kind: "unknown", reason: "crossed" };
+                }
                 return worker.truncatesAnswers ? { kind: "unknown", reason: "truncated" } : result;
             },
             async renewLeases({ instance }, { attempts, leaseMs }) {
