feat(members): gone by proof alone, and the instance list as last heard

Cause: the record lost a boot only when its instance came back or it stopped in one try, so that a boot whose instance was taken away stayed for good; an older record from a restored platform made running boots gone; a malformed value threw.

Change: a `listed` flag and two lists in a row without the instance; a serial number that never goes back, with the newer record written over an older one; proveGone for boots that ended before this entry started; one reader of the list in each zone, which tells the others what changed; members.instances().

Not caught by a scenario: the reader's rank left out (news alone keeps the count of reads in bounds here).

--- a/src/entry/createCore.ts
+++ b/src/entry/createCore.ts
@@ -45,7 +45,7 @@
     const { boot, zone } = peers.self;
     const watcher = createWatcher({ platform, watchMs, retryMs: platformRetryMs });
     const configuration = createConfiguration({ platform, watcher });
-    const members = createMembers({ platform, watcher, peers, retryMs: platformRetryMs });
+    const members = createMembers({ platform, watcher, peers, retryMs: platformRetryMs, report });
     const limits = createLimits({ configuration });
     const dispatch = createDispatch({
         boot,
--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -4,6 +4,15 @@
     | { readonly kind: "stopping"; readonly runningTasks: number; }
     | { readonly kind: "stopped"; }
     | { readonly kind: "configurationApplied"; readonly revision: number; }
+    /** The platform holds an older value than this entry has seen, as after a restored backup. */
+    | { readonly kind: "platformWentBack"; readonly key: string; }
+    /** A value or message that is malformed, of another version, or contradicts what is known; it was not applied. */
+    | { readonly kind: "valueRefused"; readonly key: string; readonly detail: string; }
+    /** Somebody has proved this running boot gone; it must serve no longer. */
+    | { readonly kind: "removedFromRecord"; readonly boot: string; }
+    /** Neither the platform nor any peer was heard for `isolatedAfterMs`; known keys and configuration serve on. */
+    | { readonly kind: "isolated"; readonly silentMs: number; }
+    | { readonly kind: "rejoined"; readonly silentMs: number; }
     | {
         readonly kind: "placed";
         readonly requestId: string;
--- /dev/null
+++ b/src/members/test/members.steps.ts
@@ -0,0 +1,177 @@
+import { After, Before, Given, Then, When } from "@cucumber/cucumber";
+import { type Clock, install } from "@sinonjs/fake-timers";
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { createFakeNetwork, createFakePlatform, type FakeNetwork, type FakePlatform } from "../../../standins/fakes";
+import { createWatcher, type Watcher } from "../../platform";
+import { createMembers, type Members } from "../index";
+
+interface Entry {
+    readonly boot: string;
+    readonly members: Members;
+    readonly watcher: Watcher;
+}
+
+interface World {
+    clock: Clock;
+    platform: FakePlatform;
+    network: FakeNetwork;
+    entries: Map<string, Entry>;
+}
+
+const key = "samphirepin/entries";
+
+Before(function(this: World) {
+    this.clock = install();
+    this.platform = createFakePlatform();
+    this.network = createFakeNetwork();
+    this.entries = new Map();
+});
+
+After(function(this: World) {
+    this.clock.uninstall();
+});
+
+async function startEntry(world: World, name: string, run = 1, zone = "zone-1"): Promise<Entry> {
+    const boot = `${name}-${run}`;
+    const peers = world.network.connect({ boot, instance: name, region: "north", zone, peerUrl: `ws://${name}` });
+    const platform = world.platform.connect(boot);
+    const watcher = createWatcher({ platform, watchMs: 20_000, retryMs: 100 });
+    const members = createMembers({ platform, watcher, peers, retryMs: 100, listMs: 10_000 });
+    const entry = { boot, members, watcher };
+    world.entries.set(name, entry);
+    watcher.start();
+    members.start();
+    await world.clock.tickAsync(3000);
+    return entry;
+}
+
+function entryOf(world: World, name: string): Entry {
+    return world.entries.get(name) ?? assert.fail(`no entry ${name}`);
+}
+
+function kill(world: World, name: string): void {
+    const { boot } = entryOf(world, name);
+    world.network.remove(boot);
+    world.platform.cutOff.add(boot);
+}
+
+Given("entries {string} and {string} are recorded and listed", async function(this: World, a: string, b: string) {
+    for (const name of [a, b]) {
+        this.platform.instances.set(name, "live");
+        await startEntry(this, name);
+    }
+    await this.clock.tickAsync(30_000);
+});
+
+Given("{int} entries in {int} zones", async function(this: World, count: number, zones: number) {
+    for (let at = 0; at < count; at++) {
+        this.platform.instances.set(`entry-${at}`, "live");
+    }
+    for (let at = 0; at < count; at++) {
+        await startEntry(this, `entry-${at}`, 1, `zone-${at % zones}`);
+    }
+    this.platform.calls.list = 0;
+});
+
+When("{string} is frozen for {int} s", async function(this: World, name: string, seconds: number) {
+    const { boot } = entryOf(this, name);
+    this.network.frozen.add(boot);
+    this.platform.cutOff.add(boot);
+    await this.clock.tickAsync(seconds * 1000);
+});
+
+When("{string} is killed and its instance leaves the list", function(this: World, name: string) {
+    kill(this, name);
+    this.platform.instances.delete(name);
+});
+
+When("{string} is killed and starts again at its address", async function(this: World, name: string) {
+    kill(this, name);
+    await startEntry(this, name, 2);
+});
+
+When("entry {string} starts and is not listed", async function(this: World, name: string) {
+    await startEntry(this, name);
+});
+
+When("one answer of the list lacks {string}", async function(this: World, name: string) {
+    this.platform.instances.delete(name);
+    await this.clock.tickAsync(10_500);
+    this.platform.instances.set(name, "live");
+});
+
+When("{string} stops in an orderly way while another writer races it", async function(this: World, name: string) {
+    const stored = this.platform.values.get(key)!;
+    const stopped = entryOf(this, name).members.stop();
+    this.clock.setTimeout(() => this.platform.values.set(key, { ...stored, revision: stored.revision + 1 }), 2);
+    await this.clock.tickAsync(2000);
+    await stopped;
+    kill(this, name);
+});
+
+When(
+    "entry {string} starts and the platform goes back to the record before",
+    async function(this: World, name: string) {
+        const before = this.platform.values.get(key)!;
+        await startEntry(this, name);
+        this.platform.values.set(key, before);
+    },
+);
+
+When("the record is overwritten with any of {int} malformed values", async function(this: World, count: number) {
+    const values = fc.sample(fc.oneof(fc.json(), fc.string(), fc.constant("{\"serial\":9e9,\"members\":[{}]}")), {
+        numRuns: count,
+        seed: 1,
+    });
+    for (const text of values) {
+        const revision = this.platform.values.get(key)!.revision + 1;
+        this.platform.values.set(key, { text, revision });
+        entryOf(this, "a").watcher.learn(key, { text, revision });
+    }
+    await this.clock.tickAsync(60_000);
+});
+
+When("{int} s pass", async function(this: World, seconds: number) {
+    await this.clock.tickAsync(seconds * 1000);
+});
+
+Then("{string} is gone at {string}", function(this: World, gone: string, at: string) {
+    assert.equal(entryOf(this, at).members.isGone(entryOf(this, gone).boot), true);
+});
+
+Then("{string} is not gone at {string}", function(this: World, gone: string, at: string) {
+    const { members } = entryOf(this, at);
+    assert.equal(members.isGone(entryOf(this, gone).boot), false);
+    assert.ok(members.recorded()?.some(({ instance }) => instance === gone));
+});
+
+Then("the earlier boot of {string} is gone at {string}", function(this: World, name: string, at: string) {
+    assert.equal(entryOf(this, at).members.isGone(`${name}-1`), true);
+    assert.equal(entryOf(this, at).members.isGone(`${name}-2`), false);
+});
+
+Then("the platform's record holds {string}", function(this: World, names: string) {
+    const { members } = JSON.parse(this.platform.values.get(key)!.text) as { members: { instance: string; }[]; };
+    assert.equal(members.map(({ instance }) => instance).sort().join(", "), names);
+});
+
+Then(
+    "{string} can prove {string} gone, and not {string}",
+    async function(this: World, at: string, a: string, b: string) {
+        const proving = entryOf(this, at).members.proveGone([`${a}-1`, `${b}-1`]);
+        await this.clock.tickAsync(1000);
+        assert.deepEqual([...await proving ?? []], [`${a}-1`]);
+    },
+);
+
+Then("the list was read between {int} and {int} times", function(this: World, least: number, most: number) {
+    const { list } = this.platform.calls;
+    assert.ok(list >= least && list <= most, `read ${list} times`);
+});
+
+Then("every entry knows the listed instances", function(this: World) {
+    for (const { members } of this.entries.values()) {
+        assert.deepEqual([...members.instances()!.keys()].sort(), [...this.platform.instances.keys()].sort());
+    }
+});
