test(matrix): every fault at every step, judged by the ten promises

Cause: promises were shown by single scenarios only; a fault at another step of the same request was not looked at.

--- /dev/null
+++ b/matrix/createTap.ts
@@ -0,0 +1,90 @@
+import type { Platform } from "../src/platform";
+import type { Workers } from "../src/workers";
+
+/** Something that an entry does at one of its interfaces; faults are injected before or after it. */
+export interface StepEvent {
+    readonly boot: string;
+    readonly kind:
+        | "taskTaken"
+        | "taskCancelled"
+        | "claimWrite"
+        | "limitsWrite"
+        | "membersWrite"
+        | "logWrite"
+        | "watch"
+        | "send"
+        | "answer"
+        | "renewLeases"
+        | "drain"
+        | "reboot"
+        | "serve"
+        | "readUsage"
+        | "plan"
+        | "confirm"
+        | "entryStart"
+        | "entryStop"
+        | "keyWithdrawal";
+    readonly when: "before" | "after";
+    /** The newest command's kind for a write of the log. */
+    readonly command?: string;
+}
+
+const writeKinds: readonly (readonly [string, StepEvent["kind"]])[] = [
+    ["samphirepin/claims", "claimWrite"],
+    ["samphirepin/limits", "limitsWrite"],
+    ["samphirepin/entries", "membersWrite"],
+    ["samphirepin/log", "logWrite"],
+];
+
+/** Wraps the adapters of one entry and tells each step that passes through them. */
+export function createTap(boot: string, emit: (event: StepEvent) => void) {
+    async function around<T>(event: Omit<StepEvent, "boot" | "when">, call: () => Promise<T>): Promise<T> {
+        emit({ boot, ...event, when: "before" });
+        const result = await call();
+        emit({ boot, ...event, when: "after" });
+        return result;
+    }
+
+    return {
+        platform: (platform: Platform): Platform => ({
+            ...pickMethods(platform),
+            watch: (known, waitMs) => around({ kind: "watch" }, () => platform.watch(known, waitMs)),
+            compareAndSwap(key, expectedRevision, text) {
+                const kind = writeKinds.find(([prefix]) => key.startsWith(prefix))?.[1];
+                const call = () => platform.compareAndSwap(key, expectedRevision, text);
+                const command = kind === "logWrite" ? readLastCommand(text) : undefined;
+                return kind === undefined
+                    ? call()
+                    : around({ kind, ...command === undefined ? {} : { command } }, call);
+            },
+        }),
+        workers: (workers: Workers): Workers => ({
+            ...pickMethods(workers),
+            async runTask(worker, order, signal) {
+                emit({ boot, kind: "send", when: "before" });
+                const running = workers.runTask(worker, order, signal);
+                emit({ boot, kind: "send", when: "after" });
+                const result = await running;
+                emit({ boot, kind: "answer", when: "after" });
+                return result;
+            },
+            renewLeases: (...args) => around({ kind: "renewLeases" }, () => workers.renewLeases(...args)),
+            readUsage: (...args) => around({ kind: "readUsage" }, () => workers.readUsage(...args)),
+            notify: (worker, notice) => around({ kind: notice.kind }, () => workers.notify(worker, notice)),
+        }),
+    };
+}
+
+/** The methods of an adapter as plain functions; a proxy's own are not seen by a spread of it. */
+function pickMethods<T extends object>(adapter: T): T {
+    const names = Object.keys(adapter) as (keyof T)[];
+    return Object.fromEntries(names.map((name) => [name, adapter[name]])) as T;
+}
+
+function readLastCommand(text: string): string | undefined {
+    const { records } = JSON.parse(text) as {
+        records?: { command?: { kind?: string; changes?: { kind: string; }[]; }; }[];
+    };
+    const command = records?.at(-1)?.command;
+    return command?.changes?.[0]?.kind ?? command?.kind;
+}
