feat(once): tickets with a home, and durable claims committed in groups

Cause: each entry remembered idempotency keys by itself, so that a retry which reached another entry ran again.

Change: a key that a caller chose is claimed at the platform before the first send. Tickets name the boot that issued them and run only there; its memory is enough. An attempt whose claim is in doubt is fenced. An entry that cannot see the claims says 'unknown' rather than 'not run', since an earlier request with the key may have run.

The key of a task is looked at again right before its send, and keys are found by an index of each revision.

--- a/src/callers/createCallers.ts
+++ b/src/callers/createCallers.ts
@@ -41,6 +41,7 @@
             ...idempotencyKey === undefined ? {} : { idempotencyKey },
             id: `${opts.boot}.${randomUUID()}`,
             team: authenticated.team,
+            keyId: authenticated.keyId,
             deadlineAtMs: Date.now() + deadlineMs,
         };
     }
--- a/src/entry/createCore.ts
+++ b/src/entry/createCore.ts
@@ -1,5 +1,6 @@
 import { type Configuration, createConfiguration } from "../configuration";
 import { createDispatch, type Dispatch } from "../dispatch";
+import { checkKey } from "../keys";
 import { createLimits, type Limits } from "../limits";
 import type { Reporter } from "../logging";
 import { createMembers, type Members } from "../members";
@@ -19,6 +20,8 @@
     readonly workers: Workers;
     readonly report: Reporter;
     readonly metrics: Metrics;
+    /** For tests alone: puts a fault into the guard against second runs. */
+    readonly wrapOnce?: (once: Once) => Once;
 }
 
 /** Everything of a daemon but its HTTP interfaces and its adapters. */
@@ -56,8 +59,8 @@
         report,
         leaseMs: settings.taskLeaseMs,
     });
-    const once = createOnce({ boot });
-    const tasks = createTasks({ dispatch, once });
+    const once = (opts.wrapOnce ?? ((made) => made))(createOnce({ boot, platform, peers, members }));
+    const tasks = createTasks({ dispatch, once, checkKey: (request) => checkKey(configuration.state(), request) });
 
     configuration.onChange(({ revision }) => {
         metrics.configurationRevision.set(revision);
--- a/src/errors/problem.ts
+++ b/src/errors/problem.ts
@@ -31,6 +31,21 @@
         title: "The idempotency key was used before",
         hint: "Reconcile, then use a new key for new work.",
     },
+    KEY_REUSED: {
+        status: 409,
+        title: "The idempotency key belongs to other work",
+        hint: "Use a new key for new work; send the same pool, size and payload to ask for the earlier one.",
+    },
+    TICKET_EXPIRED: {
+        status: 410,
+        title: "The ticket's time is over",
+        hint: "If the ticket was never sent before, take a new one; else reconcile first.",
+    },
+    CLAIMS_FULL: {
+        status: 503,
+        title: "No further idempotency key can be recorded now",
+        hint: "Take a ticket instead, or come back after Retry-After.",
+    },
     REVISION_MOVED: { status: 409, title: "The configuration has moved on", hint: "Make the plan again." },
     INTENT_REFUSED: { status: 409, title: "The intent cannot be carried out", hint: "Read the reasons." },
     BODY_TOO_LARGE: { status: 413, title: "The body is too large", hint: "Send less." },
--- a/src/keys/index.ts
+++ b/src/keys/index.ts
@@ -1,4 +1,5 @@
 /** Team keys and operator credentials: made at random, kept as hashes, compared in constant time. */
 export { authenticateOperator } from "./authenticateOperator";
 export { type AuthenticatedTeam, authenticateTeam } from "./authenticateTeam";
+export { checkKey, type KeyedTask } from "./checkKey";
 export { createSecret, hashSecret, type Secret } from "./createSecret";
--- a/src/once/index.ts
+++ b/src/once/index.ts
@@ -1,3 +1,5 @@
 /** Requests that may not be repeated: each idempotency key runs at most once in the whole fleet. */
-export { createOnce, type OnceOptions } from "./createOnce";
-export type { Admission, Claim, Once } from "./once";
+export { type BucketSettings, defaultBucketSettings } from "./bucketSettings";
+export { createOnce, defaultOnceLimits, type OnceLimits, type OnceOptions } from "./createOnce";
+export type { Ticket } from "./createTickets";
+export type { Admission, Claim, Once, RunHere } from "./once";
--- a/src/tasks/createTasks.ts
+++ b/src/tasks/createTasks.ts
@@ -1,10 +1,13 @@
 import type { Dispatch } from "../dispatch";
+import type { Problem } from "../errors";
 import type { Claim, Once } from "../once";
 import type { TaskEnd, TaskRequest, Tasks } from "./task";
 
 export interface TasksOptions {
     readonly dispatch: Dispatch;
     readonly once: Once;
+    /** Gives a problem where the task's key has been withdrawn since it came. */
+    readonly checkKey: (request: TaskRequest) => Problem | undefined;
 }
 
 /** Takes a task through its claim, its turn, its run and its end. */
@@ -12,14 +15,21 @@
     let count = 0;
 
     async function runClaimed(request: TaskRequest, claim: Claim, signal: AbortSignal): Promise<TaskEnd> {
-        const end = await opts.dispatch.run({ task: request, signal, beforeSend: () => opts.once.claim(claim) });
-        opts.once.settle(claim, end);
-        return end;
+        const end = await opts.dispatch.run({
+            task: request,
+            signal,
+            beforeSend: async () => opts.checkKey(request) ?? await opts.once.claim(claim) ?? opts.checkKey(request),
+        });
+        return opts.once.settle(claim, end, signal);
     }
 
     async function run(request: TaskRequest, signal: AbortSignal): Promise<TaskEnd> {
         if (request.repeatable) {
-            return opts.dispatch.run({ task: request, signal, beforeSend: () => Promise.resolve(undefined) });
+            return opts.dispatch.run({
+                task: request,
+                signal,
+                beforeSend: () => Promise.resolve(opts.checkKey(request)),
+            });
         }
         const admission = await opts.once.admit(request, signal);
         switch (admission.kind) {
@@ -30,16 +40,19 @@
         }
     }
 
+    async function runCounted(request: TaskRequest, signal: AbortSignal): Promise<TaskEnd> {
+        count++;
+        try {
+            return await run(request, signal);
+        }
+        finally {
+            count--;
+        }
+    }
+
+    opts.once.onForwarded(runCounted);
     return {
-        async run(request, signal) {
-            count++;
-            try {
-                return await run(request, signal);
-            }
-            finally {
-                count--;
-            }
-        },
+        run: runCounted,
         runningCount: () => count,
     };
 }
--- a/src/tasks/task.ts
+++ b/src/tasks/task.ts
@@ -6,6 +6,8 @@
     /** Made by the entry that took the request; stands in every log line about it. */
     readonly id: string;
     readonly team: string;
+    /** Public name of the key that came with the task; absent where the task came without one. */
+    readonly keyId?: string;
     readonly pool: string;
     readonly size: TaskSize;
     readonly expectedRunMs: number;
