feat(state): plans, hand-over steps and the availability ledger in the reducer

Cause: an instance had one state, and a plan was no more than a list of changes. A confirmed plan is known by its id, and is refused where what it touches has changed. Two instances of one address are refused. No test of its own yet.

--- a/src/state/applyChange.ts
+++ b/src/state/applyChange.ts
@@ -1,4 +1,5 @@
 import { type Either, Left, Right } from "purify-ts";
+import type { PlanState } from "./plan";
 import type { Change, FleetState, Rejection } from "./state";
 
 type Applied = Either<Rejection, FleetState>;
@@ -27,9 +28,22 @@
 
 function removePool(state: FleetState, name: string): Applied {
     const member = Object.values(state.instances).find((instance) => instance.pool === name);
-    return member === undefined
+    if (member !== undefined) {
+        return reject(`pool ${name} still has instance ${member.name}`);
+    }
+    const expecting = Object.values(state.plans).find((plan) => isMovedTo(state, plan, name));
+    return expecting === undefined
         ? Right({ ...state, pools: without(state.pools, name) })
-        : reject(`pool ${name} still has instance ${member.name}`);
+        : reject(`plan ${expecting.id} has yet to move an instance to pool ${name}`);
+}
+
+/** A pool that a plan still moves instances to must stay, or they would be in a pool that is not there. */
+function isMovedTo(state: FleetState, plan: PlanState, pool: string): boolean {
+    const active = plan.active.flatMap((name) => {
+        const taken = state.instances[name]?.state;
+        return taken !== undefined && "item" in taken ? [taken.item] : [];
+    });
+    return [...Object.values(plan.waiting), ...active].some((item) => item.kind === "move" && item.to === pool);
 }
 
 function setTeam(state: FleetState, { team }: Extract<Change, { kind: "setTeam"; }>): Applied {
@@ -62,6 +76,10 @@
     if (state.pools[instance.pool] === undefined) {
         return reject(`there is no pool ${instance.pool}`);
     }
+    const twin = Object.values(state.instances).find(({ url }) => url === instance.url);
+    if (twin !== undefined) {
+        return reject(`instance ${twin.name} has the address ${instance.url} already`);
+    }
     const added = { ...instance, assignmentNumber: 1, state: { kind: "serving" } as const };
     return Right({ ...state, instances: { ...state.instances, [instance.name]: added } });
 }
--- a/src/state/state.ts
+++ b/src/state/state.ts
@@ -1,4 +1,6 @@
 import type { TaskSize } from "../workers";
+import type { ConfirmedPlan, PlanState, WorkItem } from "./plan";
+import type { Step } from "./step";
 
 /** The most that a team may have running at any moment in the whole fleet. */
 export interface UpperLimit extends TaskSize {
@@ -27,6 +29,8 @@
     readonly name: string;
     /** Availability budget: the most instances that may be unavailable at once. */
     readonly maxUnavailable: number;
+    /** Part of the budget that planned work leaves alone, for the loss of a rack; 0 where absent. */
+    readonly reserve?: number;
 }
 
 /** What operators state of an instance. */
@@ -41,10 +45,36 @@
     readonly pool: string;
 }
 
+/** What a plan does with an instance that it has taken out of service, and since when the step lasts. */
+interface Taken {
+    readonly plan: string;
+    readonly item: WorkItem;
+    readonly sinceMs: number;
+}
+
+/**
+ * Where an instance stands. Only a serving one gets new work.
+ *
+ * - `draining`: takes no new work; what runs there ends.
+ * - `drained`: the worker itself has confirmed, at this assignment number, that nothing runs there.
+ * - `rebooting`: told to restart; it is back when it reports another boot than `workerBoot`.
+ * - `proving`: told to serve, not yet proved healthy. `isJoining`: it is new in its pool and not yet counted there.
+ * - `lost`: gone by itself, or not come back from what a plan did.
+ */
+export type InstanceState =
+    | { readonly kind: "serving"; }
+    | { readonly kind: "draining"; } & Taken
+    | { readonly kind: "drained"; } & Taken
+    | { readonly kind: "rebooting"; readonly workerBoot: string; } & Taken
+    | { readonly kind: "proving"; readonly isJoining: boolean; } & Taken
+    | { readonly kind: "lost"; readonly sinceMs: number; };
+
 /** An instance with its one pool; `assignmentNumber` grows with each hand-over. */
 export interface Instance extends InstanceSpec {
     readonly assignmentNumber: number;
-    readonly state: { readonly kind: "serving"; };
+    readonly state: InstanceState;
+    /** When a plan last brought it back from a reboot. */
+    readonly maintainedAtMs?: number;
 }
 
 /** Everything that entries agree on. */
@@ -56,6 +86,12 @@
     readonly teams: Readonly<Record<string, Team>>;
     /** Operators' credentials by name, as SHA-256 in hexadecimal. */
     readonly operators: Readonly<Record<string, string>>;
+    /** Confirmed plans by id; of those that have ended only the newest. */
+    readonly plans: Readonly<Record<string, PlanState>>;
+    /** Ids of older plans that have ended, with the revision that confirmed them. */
+    readonly endedPlans: Readonly<Record<string, number>>;
+    /** A plan made before this revision may have been confirmed and forgotten, and is refused. */
+    readonly plansForgottenRevision: number;
 }
 
 /** One change that takes effect at once. */
@@ -69,8 +105,17 @@
     | { readonly kind: "addInstance"; readonly instance: InstanceSpec; }
     | { readonly kind: "setOperator"; readonly name: string; readonly credentialHash: string; };
 
-/** What one entry of the log asks for; all of it is applied, or none. */
-export type Command = { readonly kind: "change"; readonly changes: readonly Change[]; };
+/**
+ * What one entry of the log asks for.
+ * All of it is applied, or none; of `steps` those that apply are, in their order, and at least one has to.
+ */
+export type Command =
+    | { readonly kind: "change"; readonly changes: readonly Change[]; }
+    | { readonly kind: "confirmPlan"; readonly plan: ConfirmedPlan; }
+    | { readonly kind: "pausePlan"; readonly plan: string; }
+    | { readonly kind: "resumePlan"; readonly plan: string; }
+    | { readonly kind: "cancelPlan"; readonly plan: string; }
+    | { readonly kind: "steps"; readonly steps: readonly Step[]; };
 
 /** A command as it stands in the log. */
 export interface CommandRecord {
@@ -87,4 +132,6 @@
 export interface Rejection {
     readonly kind: "rejected";
     readonly detail: string;
+    /** What a plan touches that has changed since it was made, such as `pool stalls`. */
+    readonly movedOn?: readonly string[];
 }
