test(matrix): moves and waves by the plans' own intents

Cause: the matrix stated moves in words of its own, so that every cell of a move or a wave ended in a refused intent.

--- a/matrix/act.ts
+++ b/matrix/act.ts
@@ -1,4 +1,5 @@
-import { createPlan, type Intent, intentSchema } from "../src/plans";
+import { createPlan, intentSchema } from "../src/plans";
+import type { Command } from "../src/state";
 import { type SimEntry, type World, zones } from "./createWorld";
 import type { Judge } from "./judge";
 import type { Activity } from "./rows";
@@ -17,13 +18,13 @@
             return withdrawKey(world, judge);
         case "move":
             return confirmIntent(world, judge, {
-                moves: [{ instance: "worker-zone-a-0", pool: "invoicing" }, {
+                moves: [{ instance: "worker-zone-a-0", to: "invoicing" }, {
                     instance: "worker-zone-b-1",
-                    pool: "stalls",
+                    to: "stalls",
                 }],
             });
         case "wave":
-            return confirmIntent(world, judge, { waves: [{ pools: ["stalls"] }] });
+            return confirmIntent(world, judge, { wave: { pools: ["stalls"] } });
         case "startEntry":
             await world.startEntry(zones[0], "entry-extra");
             return;
@@ -88,7 +89,7 @@
     judge.noteWithdrawal("blenders");
 }
 
-async function confirmIntent(world: World, judge: Judge, parts: Partial<Intent>): Promise<void> {
+async function confirmIntent(world: World, judge: Judge, parts: unknown): Promise<void> {
     const intent = intentSchema.parse(parts);
     await insist(world, judge, async ({ boot, core }) => {
         const state = core.configuration.state();
@@ -97,7 +98,7 @@
         }
         world.emit({ boot, kind: "plan", when: "before" });
         const plan = createPlan(state, intent);
-        const command = { kind: "confirmPlan", plan: plan.confirmed } as const;
+        const command = { kind: "confirmPlan", plan } as unknown as Command;
         const appended = await core.configuration.append({ by: "operator", reason: "wave", command });
         return appended.toMaybe().extract();
     });
--- a/matrix/defects.ts
+++ b/matrix/defects.ts
@@ -37,8 +37,10 @@
         promise: "at most once",
         at: { row: "sending", fault: "process killed" },
         breakCore(core) {
-            core.once.admit = ({ team, id }) => Promise.resolve({ kind: "run", claim: { team, idempotencyKey: id } });
+            core.once.admit = ({ team, id }) =>
+                Promise.resolve({ kind: "run", claim: { team, idempotencyKey: id, number: 0 } });
             core.once.claim = () => Promise.resolve(undefined);
+            core.once.settle = () => {};
             return core;
         },
     },
