--- a/matrix/defects.ts
+++ b/matrix/defects.ts
@@ -40,7 +40,7 @@
             core.once.admit = ({ team, id }) =>
                 Promise.resolve({ kind: "run", claim: { team, idempotencyKey: id, number: 0 } });
             core.once.claim = () => Promise.resolve(undefined);
-            core.once.settle = () => {};
+            core.once.settle = (_claim, end) => Promise.resolve(end);
             return core;
         },
     },
