--- a/standins/processes/startFleet.ts
+++ b/standins/processes/startFleet.ts
@@ -41,6 +41,10 @@
     ): ReturnType<typeof callHttp>;
     /** States an intent at an entry and confirms its plan. */
     carryOut(entry: EntryProcess, intent: unknown): Promise<unknown>;
+    /** Every start of a task at a worker, by the worker's own account. */
+    listStarts(
+        worker: WorkerProcess,
+    ): Promise<readonly { payload: string; team: string; pool: string; attempt: string; }[]>;
     /** Ends every process of the fleet, by its id. */
     stop(): Promise<void>;
 }
@@ -99,6 +103,7 @@
             }
             return confirmed.body;
         },
+        listStarts: async ({ url }) => (await callHttp("POST", `${url}/control`, undefined, {})).body.starts,
         async stop() {
             const all = [
                 platform.process,
