--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -6,7 +6,7 @@
 import { createMetrics } from "../metrics";
 import { createOperators } from "../operators";
 import { createPeers } from "../peers";
-import { createHttpPlatform } from "../platform";
+import { countCalls, createHttpPlatform } from "../platform";
 import type { Settings } from "../settings";
 import { createHttpWorkers } from "../workers";
 import { createCore } from "./createCore";
@@ -27,7 +27,10 @@
     const { instance, region, zone, host, operatorHash } = settings;
     const report = createReporter({ level: settings.logLevel, fields: { instance, boot, region, zone } });
     const metrics = createMetrics();
-    const platform = createHttpPlatform({ url: settings.platformUrl, timeoutMs: settings.platformTimeoutMs });
+    const platform = countCalls(
+        createHttpPlatform({ url: settings.platformUrl, timeoutMs: settings.platformTimeoutMs }),
+        (call, result) => metrics.platformCalls.inc({ call, result }),
+    );
     const workers = createHttpWorkers({ timeoutMs: workerTimeoutMs, connectionsPerWorker });
     const peers = createPeers({
         self: { boot, instance, region, zone, peerUrl: `ws://${host}:${settings.peerPort}` },
@@ -47,7 +50,11 @@
         host,
         port: settings.port,
         maxBodyBytes: settings.maxBodyBytes,
-        metricsText: () => metrics.registry.metrics(),
+        metricsText: () => {
+            metrics.connectedPeers.set(peers.connected().length);
+            metrics.runningTasks.set(tasks.runningCount());
+            return metrics.registry.metrics();
+        },
         isReady: () => !isStopping && configuration.state() !== undefined,
         aliases: {
             "POST /v1/tasks": "callers.submit",
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -1,4 +1,4 @@
-import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from "prom-client";
 
 const durationBucketsSeconds = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 1.5, 2.5, 5, 10, 60];
 
@@ -6,6 +6,7 @@
 export function createMetrics() {
     const registry = new Registry();
     const registers = [registry];
+    collectDefaultMetrics({ register: registry, prefix: "samphirepin_" });
     return {
         registry,
         tasks: new Counter({
