--- a/bench/experiments.ts
+++ b/bench/experiments.ts
@@ -1,4 +1,7 @@
 import type { Experiment } from "./experiment";
+import { soak } from "./soak/soak";
 
 /** Every experiment, in the order of `npm run bench -- all`. */
-export const experiments: readonly Experiment[] = [];
+export const experiments: readonly Experiment[] = [
+    soak,
+];
