feat(callers): tasks asked for later and cancelled through any entry, tickets, bounded bodies

Cause: a caller could only wait in its request, and nothing but that request knew the task.

Change: 'wait: false' gives an id that names the boot; any entry shows or cancels the task for its own team, and says 'unknown' where that boot has ended. A body has to arrive whole within maxBodyMs. Ends are counted and refusals logged.

--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -41,16 +41,30 @@
     let isStopping = false;
 
     const broker = new ServiceBroker({ nodeID: boot, logger: false, metrics: false, tracing: false });
-    broker.createService(createCallers({ boot, configuration, tasks, isStopping: () => isStopping }));
+    broker.createService(createCallers({
+        boot,
+        configuration,
+        tasks,
+        once: core.once,
+        peers,
+        members: core.members,
+        report,
+        metrics,
+        isStopping: () => isStopping,
+    }));
     broker.createService(createOperators({ configuration, peers, operatorHash }));
     broker.createService(createGateway({
         host,
         port: settings.port,
         maxBodyBytes: settings.maxBodyBytes,
+        maxBodyMs: settings.maxBodyMs,
         metricsText: () => metrics.registry.metrics(),
         isReady: () => !isStopping && configuration.state() !== undefined,
         aliases: {
             "POST /v1/tasks": "callers.submit",
+            "GET /v1/tasks/:id": "callers.show",
+            "DELETE /v1/tasks/:id": "callers.cancel",
+            "POST /v1/tickets": "callers.issueTicket",
             "POST /operator/plans": "operators.plan",
             "POST /operator/plans/:id/confirm": "operators.confirm",
             "POST /operator/keys": "operators.grantKey",
--- a/src/errors/problem.ts
+++ b/src/errors/problem.ts
@@ -67,6 +67,12 @@
         title: "The task may have run",
         hint: "Do not send it again before reconciling.",
     },
+    ANSWER_TOO_LARGE: {
+        status: 502,
+        title: "The task ran, and its answer cannot be passed on",
+        hint: "Ask the entry that took the task, or let the task answer with less.",
+    },
+    BODY_TOO_SLOW: { status: 408, title: "The body did not arrive in time", hint: "Send the whole body at once." },
     TASK_FAILED: { status: 502, title: "The worker ran the task and it failed", hint: "Read the detail." },
 } as const satisfies Record<string, ProblemKind>;
 
--- a/src/http/createGateway.ts
+++ b/src/http/createGateway.ts
@@ -8,6 +8,8 @@
     readonly host: string;
     readonly port: number;
     readonly maxBodyBytes: number;
+    /** How long a request may take to arrive whole, in milliseconds. */
+    readonly maxBodyMs: number;
     /** Action by "METHOD /path", as moleculer-web names them. */
     readonly aliases: Readonly<Record<string, string>>;
     readonly metricsText: () => Promise<string>;
@@ -23,6 +25,7 @@
         settings: {
             ip: opts.host,
             port: opts.port,
+            use: [limitArrival(opts.maxBodyMs)],
             routes: [
                 {
                     path: "/",
@@ -45,6 +48,25 @@
     };
 }
 
+/**
+ * A client that sends its body a byte at a time would hold a connection and its buffers for minutes, and many such
+ * clients all of them. It is answered and cut off when the time is over.
+ */
+function limitArrival(maxBodyMs: number) {
+    return (req: IncomingMessage, res: ServerResponse, next: (error?: unknown) => void): void => {
+        const timer = setTimeout(() => {
+            if (!req.complete && !res.headersSent) {
+                const problem = createProblem("BODY_TOO_SLOW", `the body took longer than ${maxBodyMs} ms`);
+                res.writeHead(problem.status, { "content-type": "application/problem+json", connection: "close" });
+                res.end(JSON.stringify(problem), () => req.socket.destroy());
+            }
+        }, maxBodyMs);
+        req.once("end", () => clearTimeout(timer));
+        req.once("close", () => clearTimeout(timer));
+        next();
+    };
+}
+
 function prepareCall(
     ctx: Context<unknown, HttpMeta>,
     _route: unknown,
--- a/src/settings/settingSpecs.ts
+++ b/src/settings/settingSpecs.ts
@@ -35,6 +35,7 @@
     heartbeatMs: setting(durationMs.default(1000), "how often links between entries are used", "1000"),
     silenceMs: setting(durationMs.default(4000), "when an entry not heard from counts as silent", "4000"),
     maxBodyBytes: setting(z.coerce.number().int().positive().default(512 * 1024), "largest request body", "524288"),
+    maxBodyMs: setting(durationMs.default(10_000), "how long a request may take to arrive whole", "10000"),
     logLevel: setting(z.enum(["error", "warn", "info", "debug"]).default("info"), "least level that is logged", "info"),
 } as const;
 
