--- a/scripts/runTests.ts
+++ b/scripts/runTests.ts
@@ -22,6 +22,8 @@
 
 const knownRedFile = "KNOWN-RED.txt";
 const maxKnownRed = 3;
+/** A folder that hangs is ended and counts as failed. */
+const folderTimeoutMs = 240_000;
 const maxParallel = Math.max(1, Math.min(4, Math.floor(availableParallelism() / 3)));
 
 /** Each line of the file: scenario name, cause, issue; separated by " | ". */
@@ -83,7 +85,11 @@
         "--format",
         `message:${file}`,
     ];
-    const child = spawn(process.execPath, args, { stdio: ["ignore", "pipe", "pipe"] });
+    const child = spawn(process.execPath, args, {
+        stdio: ["ignore", "pipe", "pipe"],
+        timeout: folderTimeoutMs,
+        killSignal: "SIGKILL",
+    });
     let output = "";
     child.stdout.on("data", (data) => output += String(data));
     child.stderr.on("data", (data) => output += String(data));
