feat(executor): plans are carried out by any entry, and instances are watched

Cause: a confirmed plan had nobody to carry it out. Ruled out: a lease for the one doer: it costs writes, and a doer that sleeps past its lease has to be refused anyway. Steps are commands that the reducer checks, notices carry assignment numbers that the worker checks, so that two doers and one that wakes late do no harm. Not yet shown: random schedules, real processes.

--- a/src/entry/createCore.ts
+++ b/src/entry/createCore.ts
@@ -1,5 +1,6 @@
 import { type Configuration, createConfiguration } from "../configuration";
 import { createDispatch, type Dispatch } from "../dispatch";
+import { createExecutor, type Executor } from "../executor";
 import { checkKey } from "../keys";
 import { createLimits, type Limits } from "../limits";
 import type { Reporter } from "../logging";
@@ -33,6 +34,7 @@
     readonly once: Once;
     readonly dispatch: Dispatch;
     readonly tasks: Tasks;
+    readonly executor: Executor;
     start(): Promise<void>;
     /** Lets running tasks end, hands over what is held, and leaves the record of entries. */
     stop(): Promise<void>;
@@ -61,6 +63,7 @@
     });
     const once = (opts.wrapOnce ?? ((made) => made))(createOnce({ boot, platform, peers, members }));
     const tasks = createTasks({ dispatch, once, checkKey: (request) => checkKey(configuration.state(), request) });
+    const executor = createExecutor({ configuration, peers, platform, workers, report });
 
     configuration.onChange(({ revision }) => {
         metrics.configurationRevision.set(revision);
@@ -75,6 +78,7 @@
         once,
         dispatch,
         tasks,
+        executor,
         async start() {
             await peers.start();
             watcher.start();
@@ -82,8 +86,10 @@
             limits.start();
             once.start();
             dispatch.start();
+            executor.start();
         },
         async stop() {
+            await executor.stop();
             while (tasks.runningCount() > 0) {
                 await new Promise((resolve) => setTimeout(resolve, drainPollMs));
             }
--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -48,4 +48,18 @@
         readonly result: string;
         readonly durationMs: number;
     }
+    | {
+        readonly kind: "planStep";
+        readonly plan: string;
+        readonly step: string;
+        readonly instance: string;
+        readonly reason: string;
+    }
+    | {
+        readonly kind: "instanceHealth";
+        readonly instance: string;
+        readonly pool: string;
+        readonly step: string;
+        readonly reason: string;
+    }
     | { readonly kind: "note"; readonly slice: string; readonly message: string; readonly detail?: string; };
--- a/src/state/applyPlannedStep.ts
+++ b/src/state/applyPlannedStep.ts
@@ -30,7 +30,7 @@
             what: `${step.kind} ${instance.name}`,
             reason: taken.item.kind,
         };
-        const noted = addHistory(notePlan(plan, instance.name, step, context), line);
+        const noted = addHistory(notePlan(plan, instance.name, taken, step, context), line);
         return setPlan(replaceInstance(state, instance.name, outcome), noted);
     });
 }
@@ -52,7 +52,7 @@
                 : refuse(instance, step);
         case "abandonDrain":
             return taken.kind === "draining"
-                ? Right({ ...next, state: { kind: "serving" } })
+                ? Right({ ...next, state: { kind: "proving", isJoining: false, isAbandoned: true, ...base } })
                 : refuse(instance, step);
         case "beginReboot":
             return taken.kind === "drained" && item.kind === "maintain"
@@ -65,13 +65,13 @@
                 ? Right({
                     ...instance,
                     state: { kind: "serving" },
-                    ...item.kind === "maintain" ? { maintainedAtMs: atMs } : {},
+                    ...item.kind === "maintain" && !taken.isAbandoned ? { maintainedAtMs: atMs } : {},
                 })
                 : refuse(instance, step);
         case "remove":
             return taken.kind === "drained" && item.kind === "remove" ? Right(undefined) : refuse(instance, step);
         case "fail":
-            return Right({ ...next, state: { kind: "lost", sinceMs: atMs } });
+            return Right({ ...next, state: { kind: "lost", cause: "failed", sinceMs: atMs } });
     }
 }
 
@@ -83,16 +83,26 @@
     base: { readonly plan: string; readonly item: TakenState["item"]; readonly sinceMs: number; },
 ): Either<Rejection, Instance> {
     if (kind === "rebooting" && item.kind === "maintain") {
-        return Right({ ...next, state: { kind: "proving", isJoining: false, ...base } });
+        return Right({ ...next, state: { kind: "proving", isJoining: false, isAbandoned: false, ...base } });
     }
     if (kind === "drained" && item.kind === "move") {
-        return Right({ ...next, pool: item.to, state: { kind: "proving", isJoining: true, ...base } });
+        return Right({
+            ...next,
+            pool: item.to,
+            state: { kind: "proving", isJoining: true, isAbandoned: false, ...base },
+        });
     }
     return refuse(instance, step);
 }
 
 /** What the step means for the plan. */
-function notePlan(plan: PlanState, name: string, step: PlannedStep, context: Context): PlanState {
+function notePlan(
+    plan: PlanState,
+    name: string,
+    taken: TakenState,
+    step: PlannedStep,
+    context: Context,
+): PlanState {
     const { atMs } = context;
     const noted = { ...plan, lastStepAtMs: atMs };
     const left = { ...noted, active: plan.active.filter((active) => active !== name) };
@@ -100,12 +110,14 @@
         case "finishDrain":
         case "beginReboot":
         case "beginProving":
-            return noted;
         case "abandonDrain":
-            return { ...left, counts: { ...plan.counts, skipped: plan.counts.skipped + 1 } };
+            return noted;
         case "remove":
             return { ...left, counts: { ...plan.counts, done: plan.counts.done + 1 } };
         case "serve": {
+            if (taken.kind === "proving" && taken.isAbandoned) {
+                return { ...left, counts: { ...plan.counts, skipped: plan.counts.skipped + 1 } };
+            }
             const soaking = Object.entries(plan.returned).filter(([, at]) => atMs - at <= plan.policy.soakMs);
             return {
                 ...left,
--- a/src/state/applyStep.ts
+++ b/src/state/applyStep.ts
@@ -42,7 +42,7 @@
         case "beginDrain":
             return beginDrain(state, instance, step.plan, context);
         case "reportLost":
-            return reportLost(state, instance, step.detail, context);
+            return reportLost(state, instance, step, context);
         case "reportRecovered":
             return instance.state.kind === "lost"
                 ? Right(setInstance(state, { ...instance, state: { kind: "serving" } }))
@@ -79,11 +79,16 @@
     return Right(setPlan(setInstance(state, taken), addHistory(begun, line)));
 }
 
-function reportLost(state: FleetState, instance: Instance, detail: string, context: StepContext): Applied {
+function reportLost(
+    state: FleetState,
+    instance: Instance,
+    { cause, detail }: Extract<Step, { kind: "reportLost"; }>,
+    context: StepContext,
+): Applied {
     if (instance.state.kind !== "serving") {
         return reject(`${instance.name} is ${instance.state.kind}`);
     }
-    const lost = setInstance(state, { ...instance, state: { kind: "lost", sinceMs: context.atMs } });
+    const lost = setInstance(state, { ...instance, state: { kind: "lost", cause, sinceMs: context.atMs } });
     return Right(noteLoss(lost, instance, detail, context));
 }
 
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -15,6 +15,7 @@
     Instance,
     InstanceSpec,
     InstanceState,
+    LossCause,
     Pool,
     Rejection,
     Team,
--- a/src/state/state.ts
+++ b/src/state/state.ts
@@ -52,13 +52,17 @@
     readonly sinceMs: number;
 }
 
+/** Why an instance counts as lost: no answer, leaving by the platform's list, or not come back from a plan's step. */
+export type LossCause = "silent" | "leaving" | "failed";
+
 /**
  * Where an instance stands. Only a serving one gets new work.
  *
  * - `draining`: takes no new work; what runs there ends.
  * - `drained`: the worker itself has confirmed, at this assignment number, that nothing runs there.
  * - `rebooting`: told to restart; it is back when it reports another boot than `workerBoot`.
- * - `proving`: told to serve, not yet proved healthy. `isJoining`: it is new in its pool and not yet counted there.
+ * - `proving`: told to serve, not yet proved healthy. `isJoining`: it is new in its pool and not yet counted there;
+ *   `isAbandoned`: it comes back without the work having been done.
  * - `lost`: gone by itself, or not come back from what a plan did.
  */
 export type InstanceState =
@@ -66,8 +70,8 @@
     | { readonly kind: "draining"; } & Taken
     | { readonly kind: "drained"; } & Taken
     | { readonly kind: "rebooting"; readonly workerBoot: string; } & Taken
-    | { readonly kind: "proving"; readonly isJoining: boolean; } & Taken
-    | { readonly kind: "lost"; readonly sinceMs: number; };
+    | { readonly kind: "proving"; readonly isJoining: boolean; readonly isAbandoned: boolean; } & Taken
+    | { readonly kind: "lost"; readonly cause: LossCause; readonly sinceMs: number; };
 
 /** An instance with its one pool; `assignmentNumber` grows with each hand-over. */
 export interface Instance extends InstanceSpec {
--- a/src/state/step.ts
+++ b/src/state/step.ts
@@ -9,7 +9,7 @@
  *
  * - `beginDrain`: takes a token of the pool's availability budget; refused where none is left.
  * - `finishDrain`: the worker confirmed the drain at this assignment number and runs nothing.
- * - `abandonDrain`: back to service in the old pool, because work did not end or the plan was cancelled.
+ * - `abandonDrain`: back towards service in the old pool, because work did not end or the plan was cancelled.
  * - `beginReboot`: `workerBoot` is the boot that the restart ends.
  * - `beginProving`: the one step at which an instance changes its pool.
  * - `serve`: proved healthy; gives the token back.
@@ -26,7 +26,7 @@
     | { readonly kind: "serve"; } & InstanceStep
     | { readonly kind: "remove"; } & InstanceStep
     | { readonly kind: "fail"; readonly detail: string; } & InstanceStep
-    | { readonly kind: "reportLost"; readonly detail: string; } & InstanceStep
+    | { readonly kind: "reportLost"; readonly cause: "silent" | "leaving"; readonly detail: string; } & InstanceStep
     | { readonly kind: "reportRecovered"; } & InstanceStep
     | { readonly kind: "skip"; readonly plan: string; readonly instance: string; readonly detail: string; }
     | { readonly kind: "finishPlan"; readonly plan: string; };
--- a/src/workers/createHttpWorkers.ts
+++ b/src/workers/createHttpWorkers.ts
@@ -33,7 +33,15 @@
     state: z.enum(["serving", "draining", "rebooting"]),
     assignmentNumber: z.number().int().nonnegative(),
     workerBoot: z.string(),
-    tasks: z.array(z.object({ attempt: z.string(), team: z.string(), pool: z.string(), holder: z.string() })),
+    tasks: z.array(
+        z.object({
+            attempt: z.string(),
+            team: z.string(),
+            pool: z.string(),
+            holder: z.string(),
+            isRepeatable: z.boolean().optional(),
+        }).transform(({ isRepeatable, ...task }) => isRepeatable === undefined ? task : { ...task, isRepeatable }),
+    ),
 });
 
 const renewedSchema = z.object({ ended: z.array(z.string()) });
--- a/src/workers/workers.ts
+++ b/src/workers/workers.ts
@@ -26,6 +26,8 @@
     /** The boot of the entry that holds the lease. */
     readonly holder: string;
     readonly size: TaskSize;
+    /** True where the task may be checkpointed and run again elsewhere; the worker reports it with its usage. */
+    readonly isRepeatable?: boolean;
     readonly payload: string;
 }
 
@@ -62,6 +64,8 @@
         readonly team: string;
         readonly pool: string;
         readonly holder: string;
+        /** Absent: not known, and so not to be stopped. */
+        readonly isRepeatable?: boolean;
     }[];
 }
 
--- a/standins/fakes/createFakeWorkers.ts
+++ b/standins/fakes/createFakeWorkers.ts
@@ -37,7 +37,6 @@
     connect(client: string): Workers;
 }
 
-const leaseCheckMs = 50;
 const unreachable = { kind: "unavailable", detail: "unreachable" } as const;
 
 export function createFakeWorkers(): FakeWorkers {
@@ -112,10 +111,10 @@
                     task.end({ kind: "stopped", reason: "lease" });
                 }
                 else {
-                    leaseTimer = setTimeout(checkLease, leaseCheckMs);
+                    leaseTimer = setTimeout(checkLease, Math.max(1, task.leaseEndsAtMs - Date.now()));
                 }
             };
-            leaseTimer = setTimeout(checkLease, leaseCheckMs);
+            leaseTimer = setTimeout(checkLease, Math.max(1, task.leaseEndsAtMs - Date.now()));
             worker.running.set(order.attempt, task);
             fake.onChange();
         });
@@ -237,6 +236,12 @@
         state: worker.state,
         assignmentNumber: worker.assignmentNumber,
         workerBoot: String(worker.boots),
-        tasks: orders.map(({ attempt, team, pool, holder }) => ({ attempt, team, pool, holder })),
+        tasks: orders.map(({ attempt, team, pool, holder, isRepeatable = false }) => ({
+            attempt,
+            team,
+            pool,
+            holder,
+            isRepeatable,
+        })),
     };
 }
--- a/standins/worker/createWorkerServer.ts
+++ b/standins/worker/createWorkerServer.ts
@@ -8,6 +8,7 @@
     assignmentNumber: number;
     leaseMs: number;
     holder: string;
+    isRepeatable?: boolean;
     payload: string;
 }
 
@@ -135,11 +136,12 @@
             state,
             assignmentNumber,
             workerBoot,
-            tasks: [...tasks.values()].map(({ order: { attempt, team, pool: taskPool, holder } }) => ({
+            tasks: [...tasks.values()].map(({ order: { attempt, team, pool: taskPool, holder, isRepeatable } }) => ({
                 attempt,
                 team,
                 pool: taskPool,
                 holder,
+                isRepeatable,
             })),
         };
     }
