--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -4,7 +4,7 @@
 import { createGateway } from "../http";
 import { createReporter } from "../logging";
 import { createMetrics } from "../metrics";
-import { createOperators } from "../operators";
+import { createOperators, operatorAliases } from "../operators";
 import { createPeers } from "../peers";
 import { countCalls, createHttpPlatform } from "../platform";
 import type { Settings } from "../settings";
@@ -58,12 +58,7 @@
         isReady: () => !isStopping && configuration.state() !== undefined,
         aliases: {
             "POST /v1/tasks": "callers.submit",
-            "POST /operator/plans": "operators.plan",
-            "POST /operator/plans/:id/confirm": "operators.confirm",
-            "POST /operator/keys": "operators.grantKey",
-            "DELETE /operator/keys/:id": "operators.withdrawKey",
-            "GET /operator/state": "operators.state",
-            "GET /operator/entries": "operators.entries",
+            ...operatorAliases,
         },
     }));
 
--- a/src/plans/plan.ts
+++ b/src/plans/plan.ts
@@ -42,6 +42,6 @@
     madeAtRevision: z.number().int().nonnegative(),
     intent: intentSchema,
     touches: z.record(z.string(), z.string()),
-    steps: z.array(z.string()),
+    steps: z.array(z.string()).readonly(),
 });
 export type PlanClaim = z.infer<typeof planClaimSchema>;
