--- a/src/executor/test/executor.steps.ts
+++ b/src/executor/test/executor.steps.ts
@@ -1,10 +1,9 @@
 import { After, type DataTable, Given, setDefaultTimeout, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { createFleetModel, type FleetModel, type ModelEntry, startSender } from "../../../standins/fleet";
 import { createRandom } from "../../../standins/random";
 import type { InstanceState } from "../../state";
 import { rankOf } from "../index";
-import { createFleetModel, type FleetModel, type ModelEntry } from "./fleetModel";
-import { startSender } from "./senderModel";
 
 interface World {
     model: FleetModel;
--- a/src/executor/test/fleetModel.ts
+++ b/standins/fleet/createFleetModel.ts
@@ -1,13 +1,13 @@
 import FakeTimers, { type Clock } from "@sinonjs/fake-timers";
-import { createFakeNetwork, createFakePlatform, createFakeWorkers } from "../../../standins/fakes";
-import { type Configuration, createConfiguration } from "../../configuration";
-import { createPlan, intentSchema } from "../../plans";
-import { createWatcher } from "../../platform";
-import type { Command, FleetState } from "../../state";
-import type { Workers } from "../../workers";
-import { createExecutor, type ExecutorTiming } from "../index";
+import { type Configuration, createConfiguration } from "../../src/configuration";
+import { createExecutor, type ExecutorTiming } from "../../src/executor";
+import { createPlan, intentSchema } from "../../src/plans";
+import { createWatcher } from "../../src/platform";
+import type { Command, FleetState } from "../../src/state";
+import type { Workers } from "../../src/workers";
+import { createFakeNetwork, createFakePlatform, createFakeWorkers } from "../fakes";
 import { createGate, type Gate } from "./createGate";
-import { createJudge, type Judge } from "./judgeModel";
+import { createJudge, type Judge } from "./createJudge";
 
 export interface ModelEntry {
     readonly boot: string;
@@ -130,6 +130,15 @@
         return operator.state()!;
     }
 
+    /** Confirms what an intent asks for; `undefined` where it is refused. */
+    async function tryConfirm(intent: unknown): Promise<string | undefined> {
+        const plan = createPlan(state(), intentSchema.parse(intent));
+        const appended = plan.refusals.length > 0
+            ? undefined
+            : await appendAs("operator", { kind: "confirmPlan", plan });
+        return appended?.isRight() || state().plans[plan.id] !== undefined ? plan.id : undefined;
+    }
+
     /** States an intent and confirms its plan as it stands. */
     async function confirm(intent: unknown, by = "operator"): Promise<string> {
         const plan = createPlan(state(), intentSchema.parse(intent));
@@ -159,6 +168,7 @@
         settle,
         appendAs,
         confirm,
+        tryConfirm,
         addEntry,
         wake(entry: ModelEntry) {
             entry.gate.wake();
--- a/src/executor/test/createGate.ts
+++ b/standins/fleet/createGate.ts
@@ -1,11 +1,13 @@
-import type { Platform } from "../../platform";
-import type { Workers } from "../../workers";
+import type { Platform } from "../../src/platform";
+import type { Workers } from "../../src/workers";
 
 /** Holds every call of one entry to the outside while the entry is frozen, and for good once it is killed. */
 export interface Gate {
     /** Calls that have passed; `freezeAt` freezes the entry before the call of that number. */
     calls: number;
     freezeAt: number;
+    /** Freezes the entry right before it sends its next notice to a worker. */
+    freezesBeforeNotice: boolean;
     readonly isFrozen: boolean;
     freeze(): void;
     wake(): void;
@@ -29,8 +31,9 @@
         }
     }
 
-    function wrap<T extends (...args: never[]) => Promise<unknown>>(call: T): T {
+    function wrap<T extends (...args: never[]) => Promise<unknown>>(call: T, before = () => {}): T {
         return (async (...args: never[]) => {
+            before();
             await pass();
             const answer = await call(...args);
             if (isFrozen || isKilled) {
@@ -43,6 +46,7 @@
     const gate: Gate = {
         calls: 0,
         freezeAt: -1,
+        freezesBeforeNotice: false,
         get isFrozen() {
             return isFrozen;
         },
@@ -67,7 +71,12 @@
             runTask: wrap(workers.runTask),
             stopTask: wrap(workers.stopTask),
             readUsage: wrap(workers.readUsage),
-            notify: wrap(workers.notify),
+            notify: wrap(workers.notify, () => {
+                if (gate.freezesBeforeNotice) {
+                    gate.freezesBeforeNotice = false;
+                    gate.freeze();
+                }
+            }),
         }),
     };
     return gate;
--- a/src/executor/test/judgeModel.ts
+++ b/standins/fleet/createJudge.ts
@@ -1,7 +1,7 @@
-import type { FakeWorkers } from "../../../standins/fakes";
-import type { Configuration } from "../../configuration";
-import type { FleetState } from "../../state";
-import type { TaskOrder, TaskResult } from "../../workers";
+import type { Configuration } from "../../src/configuration";
+import type { FleetState } from "../../src/state";
+import type { TaskOrder, TaskResult } from "../../src/workers";
+import type { FakeWorkers } from "../fakes";
 
 /** What was seen to break a promise; empty while all hold. */
 export interface Judge {
@@ -11,6 +11,8 @@
     /** Most instances truly out at once by plans, by pool. */
     readonly mostOut: Map<string, number>;
     watchEntry(boot: string, configuration: Configuration): void;
+    /** Work of a plan that was done more than once. */
+    doneTwice(): readonly string[];
 }
 
 /**
@@ -21,6 +23,7 @@
     const violations: string[] = [];
     const mostOut = new Map<string, number>();
     const revisions = new Map<string, number>();
+    const done = new Map<string, number>();
     let judgedStarts = 0;
 
     function say(text: string): void {
@@ -63,10 +66,20 @@
         }
     }
 
+    function noteDone(old: FleetState | undefined, now: FleetState): void {
+        for (const { name, state } of Object.values(now.instances)) {
+            const was = old?.instances[name]?.state;
+            if (state.kind === "serving" && was?.kind === "proving" && !was.isAbandoned) {
+                done.set(`${was.plan} ${name}`, (done.get(`${was.plan} ${name}`) ?? 0) + 1);
+            }
+        }
+    }
+
     let before: FleetState | undefined;
     log.onChange((state) => {
         judge();
         judgeNewDrains(before, state, say);
+        noteDone(before, state);
         before = state;
     });
     workers.onChange = judge;
@@ -77,6 +90,7 @@
         violations,
         mostOut,
         starts: () => judgedStarts,
+        doneTwice: () => [...done].filter(([, times]) => times > 1).map(([work, times]) => `${work}: ${times} times`),
         watchEntry(boot, configuration) {
             configuration.onChange(({ revision }) => {
                 if (revision < (revisions.get(boot) ?? 0)) {
--- a/src/executor/test/senderModel.ts
+++ b/standins/fleet/startSender.ts
@@ -1,5 +1,5 @@
-import type { Random } from "../../../standins/random";
-import type { FleetModel, ModelEntry } from "./fleetModel";
+import type { Random } from "../random";
+import type { FleetModel, ModelEntry } from "./createFleetModel";
 
 /** Sends tasks to random serving instances, as one entry sees the fleet, also while that view is old. */
 export function startSender(
--- a/standins/processes/index.ts
+++ b/standins/processes/index.ts
@@ -1,4 +1,4 @@
 /** Starts the product and its stand-ins as processes of their own, for tests, the demo and the bench. */
 export { callHttp, type HttpAnswer } from "./callHttp";
-export { type Fleet, type FleetOptions, startFleet } from "./startFleet";
+export { type EntryProcess, type Fleet, type FleetOptions, startFleet } from "./startFleet";
 export { findFreePort, type Process, startProcess } from "./startProcess";
