feat(dispatch): queues, shares, placement, tries and holds as parts of their own

Cause: the thin path kept one list, sorted all instances for each task, and gave a task's room in its limit back whatever was known of its end. This is the rewrite in parts: queues by pool and team with bounds, two random choices over an index by pool, tries that keep the room of an unknown end, ejection, retry budget, shares by reports and offers between entries.

--- a/src/dispatch/dispatch.ts
+++ b/src/dispatch/dispatch.ts
@@ -9,11 +9,21 @@
     beforeSend(): Promise<Problem | undefined>;
 }
 
+/** Numbers for metrics. */
+export interface DispatchCounts {
+    readonly waiting: number;
+    readonly running: number;
+    /** Tries whose end is not known and whose room in the limit is still kept. */
+    readonly lingering: number;
+}
+
 export interface Dispatch {
     /** Queues a task, places it, runs it, and tells how it ended. */
     run(request: DispatchRequest): Promise<TaskEnd>;
     /** Tasks of this entry that a worker may be running. */
     runningCount(): number;
+    counts(): DispatchCounts;
     start(): void;
+    /** Waits until no worker can be running a task of this entry any more. */
     stop(): Promise<void>;
 }
--- /dev/null
+++ b/src/dispatch/findOwnReclaims.ts
@@ -0,0 +1,45 @@
+import type { Shares } from "../shares";
+import type { TeamQueue } from "./createTaskQueues";
+import type { Try } from "./createTries";
+
+export interface OwnReclaim {
+    readonly one: Try;
+    readonly reason: string;
+}
+
+/** Urgent work waits this long for a slot to become free by itself, in milliseconds. */
+const urgentWaitMs = 750;
+
+/**
+ * Chooses running tasks to stop for others: only repeatable ones that are not urgent, the latest started first. A team
+ * whose urgent task waits while the team already has its share gives up work of its own, so that calling everything
+ * urgent takes nothing from others.
+ */
+export function findOwnReclaims(
+    pool: string,
+    running: readonly Try[],
+    queues: readonly TeamQueue[],
+    shares: Shares,
+): readonly OwnReclaim[] {
+    const chosen = new Map<string, OwnReclaim>();
+
+    function choose(team: string, count: number, reason: string): void {
+        const mayStop = running.filter(({ waiting: { task }, stopping, attempt }) =>
+            task.team === team && task.repeatable && !task.urgent && stopping === undefined && !chosen.has(attempt)
+        );
+        mayStop.slice(Math.max(0, mayStop.length - count)).forEach((one) => chosen.set(one.attempt, { one, reason }));
+    }
+
+    for (const { team, tasks } of shares.findReclaims(pool)) {
+        choose(team, tasks, "a team below its share has waited too long");
+    }
+    for (const queue of queues) {
+        const late = queue.first(1).filter(({ task, arrivedAtMs }) =>
+            task.urgent && Date.now() - arrivedAtMs > urgentWaitMs
+        );
+        if (late.length > 0 && shares.isAtShare(pool, queue.team)) {
+            choose(queue.team, late.length, "urgent work of the same team has waited too long");
+        }
+    }
+    return [...chosen.values()];
+}
--- a/src/entry/createCore.ts
+++ b/src/entry/createCore.ts
@@ -8,7 +8,9 @@
 import { createOnce, type Once } from "../once";
 import type { Peers } from "../peers";
 import { createWatcher, type Platform, type Watcher } from "../platform";
+import { createPoolIndex } from "../pools";
 import type { Settings } from "../settings";
+import { createShares } from "../shares";
 import { createTasks, type Tasks } from "../tasks";
 import type { Workers } from "../workers";
 
@@ -41,23 +43,35 @@
 const watchMs = 20_000;
 const platformRetryMs = 500;
 const drainPollMs = 20;
+/** Connections to each worker that are kept for renewals, usage and notices. */
+const shortCallConnections = 1;
 
 /** Puts the parts that decide together. */
 export function createCore(opts: CoreOptions): Core {
     const { settings, platform, peers, workers, report, metrics } = opts;
-    const { boot, zone } = peers.self;
+    const { boot, region, zone } = peers.self;
     const watcher = createWatcher({ platform, watchMs, retryMs: platformRetryMs });
     const configuration = createConfiguration({ platform, watcher });
     const members = createMembers({ platform, watcher, peers, retryMs: platformRetryMs, report });
     const limits = createLimits({ configuration });
+    const pools = createPoolIndex({ region, zone, configuration });
+    const shares = createShares({ configuration, peers, pools, reportMs: settings.shareReportMs });
     const dispatch = createDispatch({
         boot,
-        zone,
         configuration,
         limits,
         workers,
+        peers,
+        pools,
+        shares,
         report,
         leaseMs: settings.taskLeaseMs,
+        bounds: { tasksPerTeam: settings.queuedPerTeam, tasks: settings.queuedTasks },
+        tasksPerWorker: Math.max(
+            1,
+            Math.floor(settings.workerConnections / settings.maxEntries) - shortCallConnections,
+        ),
+        usageMs: settings.usageMs,
     });
     const once = (opts.wrapOnce ?? ((made) => made))(createOnce({ boot, platform, peers, members }));
     const tasks = createTasks({ dispatch, once, checkKey: (request) => checkKey(configuration.state(), request) });
@@ -81,6 +95,7 @@
             members.start();
             limits.start();
             once.start();
+            shares.start();
             dispatch.start();
         },
         async stop() {
@@ -88,6 +103,7 @@
                 await new Promise((resolve) => setTimeout(resolve, drainPollMs));
             }
             await dispatch.stop();
+            shares.stop();
             await once.stop();
             await limits.stop();
             await members.stop();
--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -19,7 +19,6 @@
 }
 
 const workerTimeoutMs = 2000;
-const connectionsPerWorker = 7;
 
 /** Adds the adapters and the HTTP interfaces to the core. */
 export function createEntry(settings: Settings): Entry {
@@ -31,7 +30,10 @@
         createHttpPlatform({ url: settings.platformUrl, timeoutMs: settings.platformTimeoutMs }),
         (call, result) => metrics.platformCalls.inc({ call, result }),
     );
-    const workers = createHttpWorkers({ timeoutMs: workerTimeoutMs, connectionsPerWorker });
+    const workers = createHttpWorkers({
+        timeoutMs: workerTimeoutMs,
+        connectionsPerWorker: Math.max(2, Math.floor(settings.workerConnections / settings.maxEntries)),
+    });
     const peers = createPeers({
         self: { boot, instance, region, zone, peerUrl: `ws://${host}:${settings.peerPort}` },
         host,
--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -48,4 +48,21 @@
         readonly result: string;
         readonly durationMs: number;
     }
+    | {
+        readonly kind: "workerHealth";
+        readonly change: "ejected" | "reinstated";
+        readonly instance: string;
+        readonly pool: string;
+        readonly reason: string;
+        readonly forMs: number;
+    }
+    | {
+        readonly kind: "reclaimed";
+        readonly requestId: string;
+        readonly attempt: string;
+        readonly team: string;
+        readonly pool: string;
+        readonly instance: string;
+        readonly reason: string;
+    }
     | { readonly kind: "note"; readonly slice: string; readonly message: string; readonly detail?: string; };
--- a/src/settings/settingSpecs.ts
+++ b/src/settings/settingSpecs.ts
@@ -32,6 +32,28 @@
         "9f86…0a08",
     ),
     taskLeaseMs: setting(durationMs.default(10_000), "lease of a task at its worker", "10000"),
+    maxEntries: setting(
+        z.coerce.number().int().min(1).max(32).default(9),
+        "most entries at once; each gets its part of a worker's connections",
+        "9",
+    ),
+    workerConnections: setting(
+        z.coerce.number().int().min(2).max(100_000).default(64),
+        "connections that one worker takes from all entries together",
+        "64",
+    ),
+    queuedPerTeam: setting(
+        z.coerce.number().int().positive().default(500),
+        "most tasks of one team that wait at this entry",
+        "500",
+    ),
+    queuedTasks: setting(
+        z.coerce.number().int().positive().default(4000),
+        "most tasks that wait at this entry",
+        "4000",
+    ),
+    shareReportMs: setting(durationMs.default(500), "how often shares are told to other entries", "500"),
+    usageMs: setting(durationMs.default(1000), "how often workers' usage is read", "1000"),
     heartbeatMs: setting(durationMs.default(1000), "how often links between entries are used", "1000"),
     silenceMs: setting(durationMs.default(4000), "when an entry not heard from counts as silent", "4000"),
     maxBodyBytes: setting(z.coerce.number().int().positive().default(512 * 1024), "largest request body", "524288"),
--- /dev/null
+++ b/src/shares/createShareTable.ts
@@ -0,0 +1,113 @@
+import { addAmounts, createAmounts, type MutableAmounts } from "./amounts";
+import type { ReportRow } from "./messages";
+
+/** What one entry runs and has waiting for one team in one pool. */
+export interface ShareRow {
+    readonly running: MutableAmounts;
+    readonly waiting: MutableAmounts;
+    urgentTasks: number;
+    oldestAtMs: number;
+}
+
+type Rows = Map<string, Map<string, ShareRow>>;
+
+/** Rows of other entries, and their sum, kept up to date with each report. */
+export interface ShareTable {
+    /** The sum over all other entries; `undefined` where they have nothing. */
+    totals(pool: string): ReadonlyMap<string, ShareRow> | undefined;
+    set(boot: string, pool: string, row: ReportRow, nowMs: number): void;
+    /** Counts one more running and one less waiting until the entry's next report. */
+    moveOne(boot: string, pool: string, team: string): void;
+    forget(boot: string): void;
+    boots(): readonly string[];
+    /** The entry at which the team has waited longest. */
+    findLongestWaiting(pool: string, team: string): { readonly boot: string; readonly row: ShareRow; } | undefined;
+    waitingPools(): readonly string[];
+}
+
+export function createShareTable(): ShareTable {
+    const byBoot = new Map<string, Rows>();
+    const sums: Rows = new Map();
+
+    function addToSum(pool: string, team: string, row: ShareRow, sign: 1 | -1): void {
+        const sum = ensureRow(sums, pool, team);
+        addAmounts(sum.running, row.running, sign);
+        addAmounts(sum.waiting, row.waiting, sign);
+        sum.urgentTasks += sign * row.urgentTasks;
+        if (sum.running.tasks <= 0 && sum.waiting.tasks <= 0) {
+            sums.get(pool)?.delete(team);
+        }
+    }
+
+    return {
+        totals: (pool) => sums.get(pool),
+        set(boot, pool, [team, rt, rp, rm, ra, wt, wp, wm, wa, urgentTasks, ageMs], nowMs) {
+            const rows = byBoot.get(boot) ?? new Map();
+            byBoot.set(boot, rows);
+            const row = ensureRow(rows, pool, team);
+            addToSum(pool, team, row, -1);
+            Object.assign(row.running, { tasks: rt, processors: rp, memoryMb: rm, accelerators: ra });
+            Object.assign(row.waiting, { tasks: wt, processors: wp, memoryMb: wm, accelerators: wa });
+            row.urgentTasks = urgentTasks;
+            row.oldestAtMs = nowMs - ageMs;
+            addToSum(pool, team, row, 1);
+            if (rt === 0 && wt === 0) {
+                rows.get(pool)?.delete(team);
+            }
+        },
+        moveOne(boot, pool, team) {
+            const row = byBoot.get(boot)?.get(pool)?.get(team);
+            if (row === undefined || row.waiting.tasks === 0) {
+                return;
+            }
+            addToSum(pool, team, row, -1);
+            const one = scale(row.waiting, 1 / row.waiting.tasks);
+            addAmounts(row.waiting, one, -1);
+            addAmounts(row.running, one, 1);
+            addToSum(pool, team, row, 1);
+        },
+        forget(boot) {
+            byBoot.get(boot)?.forEach((teams, pool) => teams.forEach((row, team) => addToSum(pool, team, row, -1)));
+            byBoot.delete(boot);
+        },
+        boots: () => [...byBoot.keys()],
+        findLongestWaiting(pool, team) {
+            let best: { readonly boot: string; readonly row: ShareRow; } | undefined;
+            for (const [boot, rows] of byBoot) {
+                const row = rows.get(pool)?.get(team);
+                if (
+                    row !== undefined && row.waiting.tasks >= 1
+                    && (best === undefined || row.oldestAtMs < best.row.oldestAtMs)
+                ) {
+                    best = { boot, row };
+                }
+            }
+            return best;
+        },
+        waitingPools: () =>
+            [...sums].filter(([, teams]) => [...teams.values()].some(({ waiting }) => waiting.tasks > 0))
+                .map(([pool]) => pool),
+    };
+}
+
+function ensureRow(rows: Rows, pool: string, team: string): ShareRow {
+    const teams = rows.get(pool) ?? new Map<string, ShareRow>();
+    rows.set(pool, teams);
+    const row = teams.get(team) ?? {
+        running: createAmounts(),
+        waiting: createAmounts(),
+        urgentTasks: 0,
+        oldestAtMs: 0,
+    };
+    teams.set(team, row);
+    return row;
+}
+
+function scale(amounts: MutableAmounts, factor: number): MutableAmounts {
+    return {
+        tasks: amounts.tasks * factor,
+        processors: amounts.processors * factor,
+        memoryMb: amounts.memoryMb * factor,
+        accelerators: amounts.accelerators * factor,
+    };
+}
--- a/src/workers/createHttpWorkers.ts
+++ b/src/workers/createHttpWorkers.ts
@@ -6,7 +6,7 @@
 export interface HttpWorkersOptions {
     /** How long a short call (usage, renewal, notice) may take, in milliseconds. */
     readonly timeoutMs: number;
-    /** Most connections to one worker. */
+    /** Most connections to one worker; one of them is kept for short calls. */
     readonly connectionsPerWorker: number;
 }
 
@@ -44,12 +44,14 @@
 /** Talks to workers over HTTP with JSON bodies, never retrying an order by itself. */
 export function createHttpWorkers(opts: HttpWorkersOptions): Workers {
     const agent = new Agent({
-        connections: opts.connectionsPerWorker,
+        connections: opts.connectionsPerWorker - 1,
         pipelining: 1,
         connect: { timeout: opts.timeoutMs },
         headersTimeout: 0,
         bodyTimeout: 0,
     });
+    /** Renewals must not wait behind tasks that fill the other connections: their leases would lapse. */
+    const shortAgent = new Agent({ connections: 1, pipelining: 1, connect: { timeout: opts.timeoutMs } });
 
     async function short<T>(
         method: "GET" | "POST",
@@ -60,7 +62,7 @@
         try {
             const response = await request(url, {
                 method,
-                dispatcher: agent,
+                dispatcher: shortAgent,
                 signal: AbortSignal.timeout(opts.timeoutMs),
                 ...body === undefined
                     ? {}
@@ -92,6 +94,7 @@
         },
         async close() {
             await agent.destroy();
+            await shortAgent.destroy();
         },
     };
 }
--- a/src/workers/workers.ts
+++ b/src/workers/workers.ts
@@ -27,6 +27,8 @@
     readonly holder: string;
     readonly size: TaskSize;
     readonly payload: string;
+    /** What a worker saved when the task was stopped before; the task goes on from there. */
+    readonly checkpoint?: string;
 }
 
 /**
