--- a/src/dispatch/chooseWorker.ts
+++ b/src/dispatch/chooseWorker.ts
@@ -31,6 +31,8 @@
 export interface Wanted {
     readonly size?: TaskSize;
     readonly tried?: ReadonlySet<string>;
+    /** Only a task that may run again is used to try a worker that was set aside. */
+    readonly isRepeatable?: boolean;
 }
 
 type Verdict = "free" | "full" | "tooLarge" | "out";
@@ -56,7 +58,7 @@
         if (health.kind === "ejected") {
             return "out";
         }
-        if (health.kind === "probing" && load.ownTasks > 0) {
+        if (health.kind === "probing" && (load.ownTasks > 0 || wanted.isRepeatable === false)) {
             return "full";
         }
         if (load.ownTasks >= opts.tasksPerWorker || load.ownTasks + load.otherTasks >= instance.slots) {
@@ -81,7 +83,11 @@
         return undefined;
     }
 
+    /** Lower is better; a worker that waits to be tried again goes first, or it would never be. */
     function score(instance: Instance): number {
+        if (opts.health.state(instance.name).kind === "probing") {
+            return -1;
+        }
         const load = opts.loads.of(instance.name);
         return (load.ownTasks + load.otherTasks) / instance.slots + opts.health.failureRate(instance.name);
     }
--- a/src/dispatch/createDispatch.ts
+++ b/src/dispatch/createDispatch.ts
@@ -8,7 +8,7 @@
 import type { Instance } from "../state";
 import type { TaskEnd } from "../tasks";
 import type { TaskResult, Workers } from "../workers";
-import { type Choice, chooseWorker, type ChooseWorkerOptions } from "./chooseWorker";
+import { type Choice, chooseWorker, type ChooseWorkerOptions, type Wanted } from "./chooseWorker";
 import { createDeadlines } from "./createDeadlines";
 import { createEnd, createWaitingEnd, type NextStep, readResult } from "./createEnds";
 import { createRetryBudget } from "./createRetryBudget";
@@ -288,7 +288,7 @@
     function startNext(pool: IndexedPool, team: string): boolean {
         const queue = queues.find(pool.name, team);
         for (const waiting of queue?.first(lookAhead) ?? []) {
-            const choice = chooseWorker(pool, { size: waiting.task.size, tried: waiting.tried }, choosing);
+            const choice = chooseWorker(pool, wantedFor(waiting), choosing);
             switch (choice.kind) {
                 case "chosen":
                     return startOn(queue!, waiting, choice);
@@ -581,6 +581,10 @@
     };
 }
 
+function wantedFor({ task, tried }: WaitingTask): Wanted {
+    return { size: task.size, tried, isRepeatable: task.repeatable };
+}
+
 function describeLargest({ name, largest }: IndexedPool): string {
     if (largest === undefined) {
         return `pool ${name} has no instance`;
--- a/src/dispatch/createWorkerHealth.ts
+++ b/src/dispatch/createWorkerHealth.ts
@@ -15,7 +15,7 @@
 
 export interface WorkerHealth {
     state(instance: string): HealthState;
-    /** Recent part of the worker's tasks that failed, from 0 to 1. */
+    /** Recent part of the worker's tasks that failed, from 0 to 1; it fades where there is nothing new. */
     failureRate(instance: string): number;
     /** Takes in how one task ended; `slowness` is its run time as a multiple of what was expected. */
     note(instance: string, pool: string, poolSize: number, isOk: boolean, slowness: number): HealthChange | undefined;
@@ -88,7 +88,7 @@
 
     function mayEject(pool: string, poolSize: number): boolean {
         const aside =
-            [...entries].filter(([name, entry]) => entry.pool === pool && state(name).kind === "ejected").length;
+            [...entries].filter(([name, entry]) => entry.pool === pool && state(name).kind !== "active").length;
         return poolSize >= 2 && aside + 1 <= Math.max(1, Math.floor(poolSize * maxEjectedPart));
     }
 
@@ -117,7 +117,11 @@
         state,
         failureRate(instance) {
             const entry = entries.get(instance);
-            return entry === undefined ? 0 : failedPart(decay(entry.recent));
+            if (entry === undefined) {
+                return 0;
+            }
+            const { ok, failed } = decay(entry.recent);
+            return failed / (ok + failed + 1);
         },
         note(instance, pool, poolSize, isOk, slowness) {
             const entry = ensure(instance, pool);
--- a/src/entry/createCore.ts
+++ b/src/entry/createCore.ts
@@ -72,6 +72,7 @@
             Math.floor(settings.workerConnections / settings.maxEntries) - shortCallConnections,
         ),
         usageMs: settings.usageMs,
+        isLeaving: (instance) => members.instances()?.get(instance) === "leaving",
     });
     const once = (opts.wrapOnce ?? ((made) => made))(createOnce({ boot, platform, peers, members }));
     const tasks = createTasks({ dispatch, once, checkKey: (request) => checkKey(configuration.state(), request) });
--- a/standins/dispatch/createDispatchWorld.ts
+++ b/standins/dispatch/createDispatchWorld.ts
@@ -5,7 +5,7 @@
 import { createShares, type Shares } from "../../src/shares";
 import { createEmptyState, type FleetState, type Instance, type Team } from "../../src/state";
 import type { TaskEnd, TaskRequest } from "../../src/tasks";
-import type { Workers } from "../../src/workers";
+import type { TaskResult, Workers } from "../../src/workers";
 import { createFakeNetwork, createFakeWorkers, type FakeNetwork, type FakeWorkers } from "../fakes";
 import { createFakeLimits, type FakeLimits } from "./createFakeLimits";
 
@@ -45,6 +45,8 @@
     /** Holds back every answer to the entry, and every call of it, until it is woken. */
     freeze(boot: string): void;
     wake(boot: string): void;
+    /** Loses the answers of all orders that the entry has under way; the tasks run on. */
+    breakConnections(boot: string): void;
     stop(): Promise<void>;
 }
 
@@ -57,6 +59,7 @@
     const leaving = new Set<string>();
     const limits = createFakeLimits((team) => opts.teams.find(({ name }) => name === team)?.limit ?? 0);
     const gates = new Map<string, { readonly open: Promise<void>; release(): void; }>();
+    const breakers = new Map<string, Set<() => void>>();
     const underWay = new Map<string, number>();
     let mostUnderWay = 0;
     let state = createState(opts);
@@ -74,6 +77,20 @@
         mostUnderWay = Math.max(mostUnderWay, underWay.get(key) ?? 0);
     }
 
+    /** The call's own result, or a lost connection where that comes first. */
+    function breakable(boot: string, call: Promise<TaskResult>): Promise<TaskResult> {
+        const list = breakers.get(boot) ?? new Set();
+        breakers.set(boot, list);
+        return new Promise((resolve) => {
+            const breakOne = () => resolve({ kind: "unknown", reason: "connectionLost" });
+            list.add(breakOne);
+            void call.then((result) => {
+                list.delete(breakOne);
+                resolve(result);
+            });
+        });
+    }
+
     function connectWorkers(boot: string): Workers {
         const inner = workers.connect(boot);
         async function gated<T>(call: () => Promise<T>): Promise<T> {
@@ -85,7 +102,7 @@
         return {
             async runTask(worker, order, signal) {
                 count(boot, worker.instance, 1);
-                const result = await gated(() => inner.runTask(worker, order, signal));
+                const result = await breakable(boot, gated(() => inner.runTask(worker, order, signal)));
                 count(boot, worker.instance, -1);
                 return result;
             },
@@ -151,6 +168,9 @@
             state = { ...state, revision: state.revision + 1, instances };
         },
         freeze(boot) {
+            if (gates.has(boot)) {
+                return;
+            }
             let release: () => void = () => {};
             const open = new Promise<void>((resolve) => {
                 release = resolve;
@@ -163,6 +183,10 @@
             gates.delete(boot);
             network.wake(boot);
         },
+        breakConnections(boot) {
+            breakers.get(boot)?.forEach((breakOne) => breakOne());
+            breakers.get(boot)?.clear();
+        },
         async stop() {
             await Promise.all(entries.map(async ({ dispatch, shares }) => {
                 await dispatch.stop();
--- a/standins/dispatch/index.ts
+++ b/standins/dispatch/index.ts
@@ -3,6 +3,7 @@
     createDispatchWorld,
     type DispatchWorld,
     type DispatchWorldOptions,
+    tasksPerWorker,
     type WorldEntry,
 } from "./createDispatchWorld";
 export { createFakeLimits, type FakeLimits } from "./createFakeLimits";
