--- a/src/workers/workers.ts
+++ b/src/workers/workers.ts
@@ -29,6 +29,8 @@
     /** True where the task may be checkpointed and run again elsewhere; the worker reports it with its usage. */
     readonly isRepeatable?: boolean;
     readonly payload: string;
+    /** What a worker saved when the task was stopped before; the task goes on from there. */
+    readonly checkpoint?: string;
 }
 
 /**
