--- a/bench/once/createGate.ts
+++ b/bench/once/createGate.ts
@@ -52,6 +52,7 @@
     return {
         read: (key) => through(gate, () => platform.read(key)),
         compareAndSwap: (key, revision, text) => through(gate, () => platform.compareAndSwap(key, revision, text)),
+        remove: (key) => through(gate, () => platform.remove(key)),
         watch: (known, waitMs) => through(gate, () => platform.watch(known, waitMs)),
         listInstances: () => through(gate, () => platform.listInstances()),
         close: () => platform.close(),
--- a/src/entry/createCore.ts
+++ b/src/entry/createCore.ts
@@ -47,8 +47,8 @@
     const { settings, platform, peers, workers, report, metrics } = opts;
     const { boot, zone } = peers.self;
     const watcher = createWatcher({ platform, watchMs, retryMs: platformRetryMs });
-    const configuration = createConfiguration({ platform, watcher });
     const members = createMembers({ platform, watcher, peers, retryMs: platformRetryMs, report });
+    const configuration = createConfiguration({ platform, watcher, peers, members, report });
     const limits = createLimits({ configuration });
     const dispatch = createDispatch({
         boot,
@@ -79,6 +79,7 @@
             await peers.start();
             watcher.start();
             members.start();
+            configuration.start();
             limits.start();
             once.start();
             dispatch.start();
@@ -90,6 +91,7 @@
             await dispatch.stop();
             await once.stop();
             await limits.stop();
+            configuration.stop();
             await members.stop();
             watcher.stop();
             await peers.stop();
--- a/src/members/createInstanceList.ts
+++ b/src/members/createInstanceList.ts
@@ -46,6 +46,7 @@
 
 export function createInstanceList(opts: InstanceListOptions): InstanceList {
     const { peers } = opts;
+    const ownWeight = weigh(peers.self.boot);
     let listing: Listing | undefined;
     let digest = "";
     let askedAtMs = 0;
@@ -58,7 +59,7 @@
 
     /** Position of this entry among those of its zone that could read the list; the first one reads it. */
     function rank(): number {
-        return zonePeers().filter(({ boot }) => weigh(boot) < weigh(peers.self.boot)).length;
+        return zonePeers().filter(({ boot }) => weigh(boot) < ownWeight).length;
     }
 
     function intervalMs(): number {
--- a/src/members/createMembers.ts
+++ b/src/members/createMembers.ts
@@ -21,6 +21,9 @@
 
 const defaultListMs = 10_000;
 
+/** Tries to read the list before this boot enters the record without having seen it. */
+const maxListTries = 5;
+
 /** Tries to leave the record at a planned stop. */
 const maxLeaveTries = 10;
 
@@ -124,9 +127,15 @@
         }
     }
 
+    /** Without the look at the list, an instance taken away before a reader has seen it would stay for good. */
     async function enter(): Promise<void> {
-        const own: Member = { ...self, listed: false };
-        while (isRunning && !(await change((current) => addMember(current, own)))) {
+        for (let tries = 0; isRunning; tries++) {
+            const list = await opts.platform.listInstances();
+            const listed = list.orDefault([]).some(({ instance }) => instance === self.instance);
+            const mayEnter = list.isRight() || tries >= maxListTries;
+            if (mayEnter && await change((current) => addMember(current, { ...self, listed }))) {
+                return;
+            }
             await pause();
         }
     }
@@ -156,6 +165,14 @@
             const isProved = await change((current) => current, true);
             return isProved ? new Set(boots.filter(isAbsent)) : undefined;
         },
+        async refresh() {
+            const read = await opts.platform.read(membersKey);
+            const found = parseRecord(read.orDefault(undefined));
+            if (found !== undefined && read.isRight()) {
+                adopt(found);
+            }
+            return read.isRight();
+        },
         instances: list.current,
         instancesAgeMs: list.ageMs,
         onChange(listener) {
--- a/src/members/members.ts
+++ b/src/members/members.ts
@@ -24,6 +24,8 @@
      * it did not answer or somebody else wrote meanwhile.
      */
     proveGone(boots: readonly string[]): Promise<ReadonlySet<string> | undefined>;
+    /** Reads the record now; gives false where the platform did not answer. */
+    refresh(): Promise<boolean>;
     /** The platform's list as last heard: an instance that is not in it is absent. `undefined` until one was heard. */
     instances(): ReadonlyMap<string, InstanceStatus> | undefined;
     /** How old the list is, in milliseconds since it was asked for; `undefined` until one was heard. */
--- a/src/platform/countCalls.ts
+++ b/src/platform/countCalls.ts
@@ -18,6 +18,7 @@
     return {
         read: (key) => counted("read", platform.read(key)),
         compareAndSwap: (...args) => counted("write", platform.compareAndSwap(...args)),
+        remove: (key) => counted("write", platform.remove(key)),
         watch: (...args) => counted("watch", platform.watch(...args)),
         listInstances: () => counted("list", platform.listInstances()),
         close: () => platform.close(),
--- a/src/platform/createHttpPlatform.ts
+++ b/src/platform/createHttpPlatform.ts
@@ -25,7 +25,7 @@
 export function createHttpPlatform(opts: HttpPlatformOptions): Platform {
     const agent = new Agent({ connections: 16, connect: { timeout: opts.timeoutMs } });
 
-    async function call(method: "GET" | "POST", path: string, body: unknown, timeoutMs: number) {
+    async function call(method: "GET" | "POST" | "DELETE", path: string, body: unknown, timeoutMs: number) {
         const response = await request(opts.url + path, {
             method,
             dispatcher: agent,
@@ -68,6 +68,15 @@
                 return Left({ kind: wasSent(error) ? "unknown" : "unavailable", detail: String(error) });
             }
         },
+        async remove(key): Promise<Either<PlatformFailure, void>> {
+            try {
+                const { status } = await call("DELETE", `/kv/${encodeURIComponent(key)}`, undefined, opts.timeoutMs);
+                return status === 200 || status === 404 ? Right(undefined) : Left(unavailable(`status ${status}`));
+            }
+            catch (error) {
+                return Left(unavailable(String(error)));
+            }
+        },
         async watch(known: KnownRevisions, waitMs) {
             const body = { known: Object.fromEntries(known), waitMs };
             try {
--- a/src/platform/platform.ts
+++ b/src/platform/platform.ts
@@ -43,6 +43,11 @@
     read(key: string): Promise<Either<PlatformFailure, StoredValue | undefined>>;
     /** Writes only if the key is still at `expectedRevision` (0: never written); gives the new revision. */
     compareAndSwap(key: string, expectedRevision: number, text: string): Promise<Either<SwapFailure, number>>;
+    /**
+     * Removes a key; its revisions start again at 0. Only for keys that are never written with another text, such as
+     * snapshots: a late write to any other key could succeed against the wrong revision.
+     */
+    remove(key: string): Promise<Either<PlatformFailure, void>>;
     /** Waits until a key passes its known revision or `waitMs` is over; gives the changed keys only. */
     watch(known: KnownRevisions, waitMs: number): Promise<Either<PlatformFailure, ReadonlyMap<string, StoredValue>>>;
     /** Entries and workers that the platform lists; it lags behind the truth. */
--- a/standins/fakes/createFakePlatform.ts
+++ b/standins/fakes/createFakePlatform.ts
@@ -119,6 +119,10 @@
                 return exchange(() => values.get(key));
             },
             compareAndSwap: swap,
+            remove: (key) => {
+                fake.calls.write++;
+                return exchange(() => void values.delete(key));
+            },
             watch,
             listInstances: () => {
                 fake.calls.list++;
--- a/standins/platform/createPlatformServer.ts
+++ b/standins/platform/createPlatformServer.ts
@@ -72,6 +72,11 @@
             return;
         }
         calls.write++;
+        if (req.method === "DELETE") {
+            values.delete(key);
+            write(res, 200, {});
+            return;
+        }
         if ((current?.revision ?? 0) !== body.expectedRevision) {
             write(res, 409, { current });
             return;
