feat(peers): handlers' faults answered, bounded links, mutual TLS

Cause: a handler that threw ended the process; a request whose handler failed or was missing waited its full time; a peer that stopped reading filled the memory of the sender; any link could answer another's request; two entries ended with two links; links had no proof of who is at the other end.

Change: 'failure' frames, checks of who answers, bounds for links, bytes and waiting requests, one dialler of each pair by rule, idle heartbeats only, an orderly close, certificates on both ends, counters of the traffic. The test certificates are of no use outside the tests.

--- a/src/peers/createPeers.ts
+++ b/src/peers/createPeers.ts
@@ -1,9 +1,18 @@
-import { Packr } from "msgpackr";
+import { createServer, type Server } from "node:https";
 import { type Either, Left, Right } from "purify-ts";
-import { type RawData, WebSocket, WebSocketServer } from "ws";
-import { type Frame, frameSchema } from "./messages";
+import { WebSocket, WebSocketServer } from "ws";
+import type { Reporter } from "../logging";
+import { createLink, type Link, maxFrameBytes, type Traffic } from "./createLink";
+import type { Frame } from "./messages";
 import type { Peer, PeerFailure, Peers } from "./peers";
 
+/** Certificate, its key and the authority of all entries, as PEM texts. */
+export interface PeerCertificates {
+    readonly cert: string;
+    readonly key: string;
+    readonly ca: string;
+}
+
 export interface PeersOptions {
     readonly self: Peer;
     readonly host: string;
@@ -12,16 +21,19 @@
     readonly heartbeatMs: number;
     /** A peer not heard from for this long counts as silent, in milliseconds. */
     readonly silenceMs: number;
+    /** With certificates, both ends prove themselves; without, links are plain. */
+    readonly certificates?: PeerCertificates;
+    readonly report?: Reporter;
 }
 
-/** Largest frame taken from a link. */
-const maxFrameBytes = 2 * 1024 * 1024;
+/** Links kept at once; further ones are refused. */
+const maxLinks = 1024;
 
-interface Link {
-    readonly socket: WebSocket;
-    peer?: Peer;
-    heardAtMs: number;
-}
+/** Requests that may wait for an answer at once. */
+const maxWaiting = 10_000;
+
+/** How long a link may take to close by itself at a planned stop, in milliseconds. */
+const closeMs = 500;
 
 interface Waiting {
     readonly link: Link;
@@ -30,129 +42,214 @@
 
 /** Keeps one link to each known entry over WebSocket. */
 export function createPeers(opts: PeersOptions): Peers {
-    const packr = new Packr({ useRecords: false });
+    const { self } = opts;
+    const traffic: Traffic = { sentBytes: 0, receivedBytes: 0, sentFrames: 0 };
     const links = new Set<Link>();
     const messageHandlers = new Map<string, (from: Peer, body: unknown) => void>();
     const requestHandlers = new Map<string, (from: Peer, body: unknown) => Promise<unknown>>();
     const waiting = new Map<number, Waiting>();
     const dialing = new Set<string>();
+    const unreachedSince = new Map<string, number>();
     let addresses: readonly string[] = [];
     let nextId = 1;
     let server: WebSocketServer | undefined;
+    let secureServer: Server | undefined;
     let timer: NodeJS.Timeout | undefined;
 
-    function write(link: Link, frame: Frame): boolean {
-        if (link.socket.readyState !== WebSocket.OPEN) {
-            return false;
-        }
-        link.socket.send(packr.pack(frame));
-        return true;
+    function isHeard(link: Link): boolean {
+        return Date.now() - link.heardAtMs < opts.silenceMs;
     }
 
     function findLink(boot: string): Link | undefined {
-        const now = Date.now();
-        return [...links].find((link) => link.peer?.boot === boot && now - link.heardAtMs < opts.silenceMs);
+        return [...links].find((link) => link.peer?.boot === boot && isHeard(link));
     }
 
     function adoptSocket(socket: WebSocket): Link {
-        const link: Link = { socket, heardAtMs: Date.now() };
+        const link = createLink(socket, traffic);
         links.add(link);
-        socket.on("message", (data) => receive(link, data));
+        socket.on("message", (data) => {
+            const frame = link.parse(data);
+            if (frame === undefined) {
+                note("a frame that cannot be read", link);
+                socket.terminate();
+                return;
+            }
+            link.heardAtMs = Date.now();
+            handle(link, frame);
+        });
         socket.on("error", () => socket.terminate());
         socket.on("close", () => drop(link));
         return link;
     }
 
+    function note(message: string, link: Link, detail = ""): void {
+        const from = link.peer?.instance ?? "an entry that has not said its name";
+        opts.report?.({ kind: "note", slice: "peers", message: `${message} from ${from}`, detail });
+    }
+
     function drop(link: Link): void {
         links.delete(link);
         for (const [id, entry] of waiting) {
             if (entry.link === link) {
-                waiting.delete(id);
-                entry.settle(Left({ kind: "unknown", detail: "the link broke" }));
+                settle(id, Left({ kind: "unknown", detail: "the link broke" }));
             }
         }
     }
 
-    function receive(link: Link, data: RawData): void {
-        const frame = parseFrame(packr, data);
-        if (frame === undefined) {
-            link.socket.terminate();
-            return;
-        }
-        link.heardAtMs = Date.now();
-        handle(link, frame);
+    function settle(id: number, result: Either<PeerFailure, unknown>): void {
+        const entry = waiting.get(id);
+        waiting.delete(id);
+        entry?.settle(result);
     }
 
     function handle(link: Link, frame: Frame): void {
         switch (frame.kind) {
             case "hello":
-                link.peer = frame.peer;
+                greet(link, frame.peer);
                 return;
             case "heartbeat":
                 return;
             case "message":
-                if (link.peer !== undefined) {
-                    messageHandlers.get(frame.topic)?.(link.peer, frame.body);
-                }
+                deliver(link, frame.topic, frame.body);
                 return;
             case "request":
                 void answer(link, frame);
                 return;
             case "answer":
-                waiting.get(frame.id)?.settle(Right(frame.body));
-                waiting.delete(frame.id);
+                settleFrom(link, frame.id, Right(frame.body));
                 return;
+            case "failure":
+                settleFrom(link, frame.id, Left({ kind: "unknown", detail: frame.detail }));
+                return;
+        }
+    }
+
+    /** A link keeps the name it first gave: requests that wait on it were meant for that boot. */
+    function greet(link: Link, peer: Peer): void {
+        const isOther = link.peer !== undefined && link.peer.boot !== peer.boot;
+        if (isOther || peer.boot === self.boot) {
+            link.socket.terminate();
+            return;
+        }
+        link.peer = peer;
+    }
+
+    /** Only the entry that was asked may answer. */
+    function settleFrom(link: Link, id: number, result: Either<PeerFailure, unknown>): void {
+        if (waiting.get(id)?.link === link) {
+            settle(id, result);
+        }
+    }
+
+    /** A fault in one slice's handler must not end the process or the link. */
+    function deliver(link: Link, topic: string, body: unknown): void {
+        if (link.peer === undefined) {
+            return;
+        }
+        try {
+            messageHandlers.get(topic)?.(link.peer, body);
+        }
+        catch (error) {
+            note(`the handler of ${topic} failed on a message`, link, String(error));
         }
     }
 
-    async function answer(link: Link, frame: Extract<Frame, { kind: "request"; }>): Promise<void> {
-        const handler = requestHandlers.get(frame.topic);
-        if (handler !== undefined && link.peer !== undefined) {
-            const body = await handler(link.peer, frame.body);
-            write(link, { kind: "answer", id: frame.id, body });
+    async function answer(link: Link, { id, topic, body }: Extract<Frame, { kind: "request"; }>): Promise<void> {
+        const handler = requestHandlers.get(topic);
+        if (handler === undefined || link.peer === undefined) {
+            link.write({ kind: "failure", id, detail: `there is no handler of ${topic.slice(0, 64)}` });
+            return;
+        }
+        try {
+            const given = await handler(link.peer, body);
+            link.write({ kind: "answer", id, body: given });
+        }
+        catch (error) {
+            note(`the handler of ${topic} failed on a request`, link, String(error));
+            link.write({ kind: "failure", id, detail: "the handler failed" });
         }
     }
 
     function dial(url: string): void {
         dialing.add(url);
-        const socket = new WebSocket(url, { handshakeTimeout: opts.silenceMs, maxPayload: maxFrameBytes });
+        const socket = new WebSocket(url, {
+            handshakeTimeout: opts.silenceMs,
+            maxPayload: maxFrameBytes,
+            ...opts.certificates ?? {},
+        });
         const link = adoptSocket(socket);
-        socket.on("open", () => write(link, { kind: "hello", peer: opts.self }));
+        socket.on("open", () => link.write({ kind: "hello", peer: self }));
         socket.on("close", () => dialing.delete(url));
     }
 
     function tick(): void {
         const now = Date.now();
         for (const link of links) {
-            if (now - link.heardAtMs > opts.silenceMs * 2) {
+            const isNameless = link.peer === undefined && now - link.openedAtMs > opts.silenceMs;
+            if (isNameless || now - link.heardAtMs > opts.silenceMs * 2) {
                 link.socket.terminate();
             }
-            write(link, { kind: "heartbeat" });
+            if (now - link.sentAtMs >= opts.heartbeatMs / 2) {
+                link.write({ kind: "heartbeat" });
+            }
         }
+        dialUnreached(now);
+    }
+
+    /**
+     * Of two entries, the one with the lower address dials, so that they do not end with two links. The other dials
+     * too after a while: the first may not know of it yet, or may not get through in its direction.
+     */
+    function dialUnreached(now: number): void {
         const reached = new Set([...links].map((link) => link.peer?.peerUrl));
         for (const url of addresses) {
-            if (url !== opts.self.peerUrl && !dialing.has(url) && !reached.has(url)) {
+            if (url === self.peerUrl || dialing.has(url) || reached.has(url)) {
+                unreachedSince.delete(url);
+                continue;
+            }
+            const since = unreachedSince.get(url) ?? now;
+            unreachedSince.set(url, since);
+            if (self.peerUrl < url || now - since >= opts.silenceMs / 2) {
                 dial(url);
             }
         }
+        [...unreachedSince.keys()].filter((url) => !addresses.includes(url)).forEach((url) =>
+            unreachedSince.delete(url)
+        );
+    }
+
+    function accept(socket: WebSocket): void {
+        if (links.size >= maxLinks) {
+            socket.terminate();
+            return;
+        }
+        adoptSocket(socket).write({ kind: "hello", peer: self });
+    }
+
+    async function listen(): Promise<void> {
+        const { certificates, host, port } = opts;
+        secureServer = certificates === undefined
+            ? undefined
+            : createServer({ ...certificates, requestCert: true, rejectUnauthorized: true });
+        const where = secureServer === undefined ? { host, port } : { server: secureServer };
+        const listening = new WebSocketServer({ ...where, maxPayload: maxFrameBytes });
+        server = listening;
+        listening.on("connection", accept);
+        await new Promise<void>((resolve, reject) => {
+            listening.once("listening", resolve);
+            listening.once("error", reject);
+            secureServer?.listen(port, host);
+        });
+        listening.on("error", (error) => opts.report?.({ kind: "note", slice: "peers", message: String(error) }));
     }
 
     return {
-        self: opts.self,
+        self,
         connected() {
-            const now = Date.now();
-            const byBoot = new Map<string, Peer>();
-            for (const link of links) {
-                if (link.peer !== undefined && now - link.heardAtMs < opts.silenceMs) {
-                    byBoot.set(link.peer.boot, link.peer);
-                }
-            }
-            return [...byBoot.values()];
-        },
-        send(boot, topic, body) {
-            const link = findLink(boot);
-            return link !== undefined && write(link, { kind: "message", topic, body });
+            const named = [...links].filter((link) => link.peer !== undefined && isHeard(link));
+            return [...new Map(named.map(({ peer }) => [peer?.boot, peer as Peer])).values()];
         },
+        send: (boot, topic, body) => findLink(boot)?.write({ kind: "message", topic, body }) ?? false,
         broadcast(topic, body) {
             for (const peer of this.connected()) {
                 this.send(peer.boot, topic, body);
@@ -161,14 +258,16 @@
         request(boot, topic, body, timeoutMs) {
             const link = findLink(boot);
             const id = nextId++;
-            if (link === undefined || !write(link, { kind: "request", id, topic, body })) {
-                return Promise.resolve(Left({ kind: "notSent", detail: "there is no link" }));
+            const isFull = waiting.size >= maxWaiting;
+            if (link === undefined || isFull || !link.write({ kind: "request", id, topic, body })) {
+                const detail = isFull ? "too many requests wait for answers" : "there is no link";
+                return Promise.resolve(Left({ kind: "notSent", detail }));
             }
             return new Promise((resolve) => {
-                const timeout = setTimeout(() => {
-                    waiting.delete(id);
-                    resolve(Left({ kind: "unknown", detail: "no answer in time" }));
-                }, timeoutMs);
+                const timeout = setTimeout(
+                    () => settle(id, Left({ kind: "unknown", detail: "no answer in time" })),
+                    timeoutMs,
+                );
                 waiting.set(id, {
                     link,
                     settle(result) {
@@ -187,35 +286,22 @@
         setAddresses(peerUrls) {
             addresses = peerUrls;
         },
+        traffic: () => ({ ...traffic, links: links.size }),
         async start() {
-            const listening = new WebSocketServer({ host: opts.host, port: opts.port, maxPayload: maxFrameBytes });
-            server = listening;
-            listening.on("connection", (socket) => {
-                const link = adoptSocket(socket);
-                write(link, { kind: "hello", peer: opts.self });
-            });
-            await new Promise<void>((resolve, reject) => {
-                listening.once("listening", resolve);
-                listening.once("error", reject);
-            });
+            await listen();
             timer = setInterval(tick, opts.heartbeatMs);
             tick();
         },
         async stop() {
             clearInterval(timer);
-            links.forEach((link) => link.socket.terminate());
+            links.forEach((link) => link.socket.close(1001));
+            const closing = setTimeout(() => links.forEach((link) => link.socket.terminate()), closeMs);
             await new Promise((resolve) => server === undefined ? resolve(undefined) : server.close(resolve));
+            await new Promise((resolve) =>
+                secureServer === undefined ? resolve(undefined) : secureServer.close(resolve)
+            );
+            clearTimeout(closing);
+            links.forEach((link) => link.socket.terminate());
         },
     };
 }
-
-function parseFrame(packr: Packr, data: RawData): Frame | undefined {
-    try {
-        const bytes = Array.isArray(data) ? Buffer.concat(data) : Buffer.from(data as Buffer);
-        const parsed = frameSchema.safeParse(packr.unpack(bytes));
-        return parsed.success ? parsed.data : undefined;
-    }
-    catch {
-        return undefined;
-    }
-}
--- a/src/peers/index.ts
+++ b/src/peers/index.ts
@@ -1,3 +1,3 @@
 /** Links between entries: who is there, messages, and requests with an answer. */
-export { createPeers, type PeersOptions } from "./createPeers";
-export type { Peer, PeerFailure, Peers } from "./peers";
+export { createPeers, type PeerCertificates, type PeersOptions } from "./createPeers";
+export type { Peer, PeerFailure, Peers, PeerTraffic } from "./peers";
--- a/src/peers/peers.ts
+++ b/src/peers/peers.ts
@@ -23,6 +23,14 @@
     readonly detail: string;
 }
 
+/** Frames on the links of this entry; headers of TCP and below are not counted. */
+export interface PeerTraffic {
+    readonly sentBytes: number;
+    readonly receivedBytes: number;
+    readonly sentFrames: number;
+    readonly links: number;
+}
+
 export interface Peers {
     readonly self: Peer;
     /** Peers heard from lately over a link. */
@@ -35,6 +43,8 @@
     onRequest(topic: string, handler: (from: Peer, body: unknown) => Promise<unknown>): void;
     /** Tells where other entries may be reached; links are made and kept. */
     setAddresses(peerUrls: readonly string[]): void;
+    /** Bytes and frames of all links since the start, and how many links there are; for metrics. */
+    traffic?(): PeerTraffic;
     start(): Promise<void>;
     stop(): Promise<void>;
 }
--- /dev/null
+++ b/src/peers/test/peers.steps.ts
@@ -0,0 +1,200 @@
+import { After, Given, setDefaultTimeout, Then, When } from "@cucumber/cucumber";
+import fc from "fast-check";
+import { Packr } from "msgpackr";
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { readFileSync } from "node:fs";
+import type { Either } from "purify-ts";
+import { WebSocket } from "ws";
+import { findFreePort } from "../../../standins/processes";
+import { createPeers, type PeerFailure, type Peers } from "../index";
+
+interface World {
+    entries: Peers[];
+    answer: Either<PeerFailure, unknown>;
+    waitedMs: number;
+    refused: number;
+}
+
+setDefaultTimeout(20_000);
+
+const packr = new Packr({ useRecords: false });
+
+After(async function(this: World) {
+    await Promise.all(this.entries.map((peers) => peers.stop()));
+});
+
+async function startEntry(name: string, certificate?: string): Promise<Peers> {
+    const port = await findFreePort();
+    const scheme = certificate === undefined ? "ws" : "wss";
+    const peers = createPeers({
+        self: { boot: name, instance: name, region: "r", zone: "z", peerUrl: `${scheme}://127.0.0.1:${port}` },
+        host: "127.0.0.1",
+        port,
+        heartbeatMs: 50,
+        silenceMs: 2000,
+        ...certificate === undefined ? {} : { certificates: readCertificates(certificate) },
+    });
+    await peers.start();
+    return peers;
+}
+
+function readCertificates(name: string) {
+    const read = (file: string) => readFileSync(`src/peers/test/certificates/${file}`, "utf8");
+    return { cert: read(`${name}.pem`), key: read(`${name}.key`), ca: read("ca.pem") };
+}
+
+async function startTwo(world: World, certificates: readonly (string | undefined)[]): Promise<void> {
+    world.entries = [await startEntry("a", certificates[0]), await startEntry("b", certificates[1])];
+    const addresses = world.entries.map(({ self }) => self.peerUrl);
+    world.entries.forEach((peers) => peers.setAddresses(addresses));
+}
+
+async function isLinkedWithin(world: World, ms: number): Promise<boolean> {
+    const endAtMs = Date.now() + ms;
+    while (world.entries.some((peers) => peers.connected().length === 0) && Date.now() < endAtMs) {
+        await new Promise((resolve) => setTimeout(resolve, 10));
+    }
+    return world.entries.every((peers) => peers.connected().length === 1);
+}
+
+async function ask(world: World, topic: string): Promise<void> {
+    const startedAtMs = Date.now();
+    world.answer = await world.entries[0]!.request("b", topic, {}, 5000);
+    world.waitedMs = Date.now() - startedAtMs;
+}
+
+/** A link of nobody's; resolves once it is open. */
+async function openLink(peers: Peers): Promise<WebSocket> {
+    const socket = new WebSocket(peers.self.peerUrl);
+    socket.on("error", () => {});
+    await once(socket, "open");
+    return socket;
+}
+
+Given("two linked entries", async function(this: World) {
+    await startTwo(this, []);
+    assert.ok(await isLinkedWithin(this, 5000));
+    this.entries[1]!.onRequest("echo", (_from, body) => Promise.resolve(body));
+});
+
+Given("two entries with certificates {string} and {string}", async function(this: World, one: string, other: string) {
+    await startTwo(this, [one, other]);
+});
+
+When("a request and a message meet handlers that throw", async function(this: World) {
+    const fail = () => assert.fail("a fault in a handler");
+    this.entries[1]!.onMessage("fail", fail);
+    this.entries[1]!.onRequest("fail", fail);
+    assert.ok(this.entries[0]!.send("b", "fail", {}));
+    await ask(this, "fail");
+});
+
+When("a request is sent on a topic that nobody handles", async function(this: World) {
+    await ask(this, "nobody");
+});
+
+When(
+    "{int} hostile frames are sent to the first entry on links of their own",
+    async function(this: World, count: number) {
+        const kinds = fc.constantFrom("hello", "heartbeat", "message", "request", "answer", "failure", "other");
+        const frame = fc.record({
+            kind: kinds,
+            id: fc.anything(),
+            topic: fc.anything(),
+            body: fc.anything(),
+            peer: fc.anything(),
+        });
+        const bytes = fc.oneof(fc.uint8Array({ maxLength: 64 }), frame.map((each) => packSafely(each)));
+        const huge = [
+            Buffer.from("ddffffffff", "hex"),
+            Buffer.from("dfffffffff", "hex"),
+            Buffer.from("c6ffffffff", "hex"),
+        ];
+        let socket = await openLink(this.entries[0]!);
+        for (const each of [...huge, ...fc.sample(bytes, { numRuns: count, seed: 1 })]) {
+            if (socket.readyState !== WebSocket.OPEN) {
+                socket = await openLink(this.entries[0]!);
+            }
+            socket.send(each);
+            await new Promise((resolve) => setImmediate(resolve));
+        }
+        socket.terminate();
+    },
+);
+
+/** Not every generated value can be packed; such a one is replaced by nothing. */
+function packSafely(value: unknown): Uint8Array {
+    try {
+        return packr.pack(value);
+    }
+    catch {
+        return new Uint8Array();
+    }
+}
+
+When("a stranger on the link port answers requests that it was not asked", async function(this: World) {
+    this.entries[1]!.onRequest("slow", async () => {
+        await new Promise((resolve) => setTimeout(resolve, 300));
+        return "true";
+    });
+    const stranger = await openLink(this.entries[0]!);
+    const peer = { boot: "c", instance: "c", region: "r", zone: "z", peerUrl: "ws://127.0.0.1:1" };
+    stranger.send(packr.pack({ kind: "hello", peer }));
+    const asked = ask(this, "slow");
+    for (let id = 0; id < 50; id++) {
+        stranger.send(packr.pack({ kind: "answer", id, body: "false" }));
+    }
+    await asked;
+    stranger.terminate();
+});
+
+When("the second entry stops reading and {int} MB are sent to it", async function(this: World, megabytes: number) {
+    const dead = await openLink(this.entries[0]!);
+    const peer = { boot: "d", instance: "d", region: "r", zone: "z", peerUrl: "ws://127.0.0.1:1" };
+    dead.send(packr.pack({ kind: "hello", peer }));
+    while (!this.entries[0]!.connected().some(({ boot }) => boot === "d")) {
+        await new Promise((resolve) => setTimeout(resolve, 10));
+    }
+    dead.pause();
+    this.refused = 0;
+    const body = "x".repeat(512 * 1024);
+    for (let sent = 0; sent < megabytes * 2; sent++) {
+        this.refused += this.entries[0]!.send("d", "bulk", body) ? 0 : 1;
+    }
+    this.waitedMs = (this.entries[0]!.traffic?.().sentBytes ?? Infinity) / 1024 / 1024;
+    dead.terminate();
+});
+
+Then("the request is answered {string} within {int} ms", function(this: World, kind: string, ms: number) {
+    assert.equal(this.answer.swap().map((failure) => failure.kind).extract(), kind);
+    assert.ok(this.waitedMs < ms, `${this.waitedMs} ms`);
+});
+
+Then("another request is answered", async function(this: World) {
+    await ask(this, "echo");
+    assert.ok(this.answer.isRight());
+});
+
+Then("the waiting request is answered by the entry that was asked", function(this: World) {
+    assert.equal(this.answer.orDefault("nothing"), "true");
+});
+
+Then("less than {int} MB of it wait here, and sending has been refused", function(this: World, megabytes: number) {
+    assert.ok(this.waitedMs < megabytes, `${this.waitedMs} MB were taken`);
+    assert.ok(this.refused > 0);
+});
+
+Then("each has {int} link", async function(this: World, count: number) {
+    await new Promise((resolve) => setTimeout(resolve, 300));
+    assert.deepEqual(this.entries.map((peers) => peers.traffic?.().links), [count, count]);
+});
+
+Then("they are linked within {int} ms", async function(this: World, ms: number) {
+    assert.ok(await isLinkedWithin(this, ms));
+});
+
+Then("they are not linked after {int} ms", async function(this: World, ms: number) {
+    assert.equal(await isLinkedWithin(this, ms), false);
+    assert.ok(this.entries.every((peers) => peers.connected().length === 0));
+});
