feat(entry): settings for certificates, seed peers and isolation

Links and the callers' interface take certificates from files; plain links on an address other than loopback have to be allowed. Seed addresses let an entry that starts while the platform is down find its peers. Traffic and isolation are in the metrics.

--- a/src/entry/createCore.ts
+++ b/src/entry/createCore.ts
@@ -47,8 +47,22 @@
     const { settings, platform, peers, workers, report, metrics } = opts;
     const { boot, zone } = peers.self;
     const watcher = createWatcher({ platform, watchMs, retryMs: platformRetryMs });
-    const members = createMembers({ platform, watcher, peers, retryMs: platformRetryMs, report });
-    const configuration = createConfiguration({ platform, watcher, peers, members, report });
+    const members = createMembers({
+        platform,
+        watcher,
+        peers,
+        retryMs: platformRetryMs,
+        report,
+        seedUrls: settings.seedPeers,
+    });
+    const configuration = createConfiguration({
+        platform,
+        watcher,
+        peers,
+        members,
+        report,
+        isolatedAfterMs: settings.isolatedAfterMs,
+    });
     const limits = createLimits({ configuration });
     const dispatch = createDispatch({
         boot,
--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -1,11 +1,12 @@
 import { ServiceBroker } from "moleculer";
 import { randomUUID } from "node:crypto";
+import { readFileSync } from "node:fs";
 import { createCallers } from "../callers";
 import { createGateway } from "../http";
 import { createReporter } from "../logging";
 import { createMetrics } from "../metrics";
 import { createOperators } from "../operators";
-import { createPeers } from "../peers";
+import { createPeers, type PeerCertificates } from "../peers";
 import { countCalls, createHttpPlatform } from "../platform";
 import type { Settings } from "../settings";
 import { createHttpWorkers } from "../workers";
@@ -32,8 +33,12 @@
         (call, result) => metrics.platformCalls.inc({ call, result }),
     );
     const workers = createHttpWorkers({ timeoutMs: workerTimeoutMs, connectionsPerWorker });
+    const certificates = readPeerCertificates(settings);
+    const scheme = certificates === undefined ? "ws" : "wss";
     const peers = createPeers({
-        self: { boot, instance, region, zone, peerUrl: `ws://${host}:${settings.peerPort}` },
+        ...certificates === undefined ? {} : { certificates },
+        report,
+        self: { boot, instance, region, zone, peerUrl: `${scheme}://${host}:${settings.peerPort}` },
         host,
         port: settings.peerPort,
         heartbeatMs: settings.heartbeatMs,
@@ -60,7 +65,14 @@
         host,
         port: settings.port,
         maxBodyBytes: settings.maxBodyBytes,
+        ...settings.httpCertFile === undefined || settings.httpKeyFile === undefined
+            ? {}
+            : { certificates: readPair(settings.httpCertFile, settings.httpKeyFile) },
         metricsText: () => {
+            const traffic = peers.traffic?.();
+            metrics.peerSentBytes.set(traffic?.sentBytes ?? 0);
+            metrics.peerReceivedBytes.set(traffic?.receivedBytes ?? 0);
+            metrics.isolated.set(configuration.isolation().isIsolated ? 1 : 0);
             metrics.connectedPeers.set(peers.connected().length);
             metrics.runningTasks.set(tasks.runningCount());
             return metrics.registry.metrics();
@@ -99,3 +111,13 @@
         },
     };
 }
+
+function readPair(certFile: string, keyFile: string): { cert: string; key: string; } {
+    return { cert: readFileSync(certFile, "utf8"), key: readFileSync(keyFile, "utf8") };
+}
+
+function readPeerCertificates({ peerCertFile, peerKeyFile, peerCaFile }: Settings): PeerCertificates | undefined {
+    return peerCertFile === undefined || peerKeyFile === undefined || peerCaFile === undefined
+        ? undefined
+        : { ...readPair(peerCertFile, peerKeyFile), ca: readFileSync(peerCaFile, "utf8") };
+}
--- a/src/http/createGateway.ts
+++ b/src/http/createGateway.ts
@@ -8,6 +8,8 @@
     readonly host: string;
     readonly port: number;
     readonly maxBodyBytes: number;
+    /** With a certificate and its key, as PEM texts, callers and operators use HTTPS. */
+    readonly certificates?: { readonly cert: string; readonly key: string; };
     /** How long a request may take to arrive whole, in milliseconds. */
     readonly maxBodyMs: number;
     /** Action by "METHOD /path", as moleculer-web names them. */
@@ -25,6 +27,7 @@
         settings: {
             ip: opts.host,
             port: opts.port,
+            ...opts.certificates === undefined ? {} : { https: opts.certificates },
             use: [limitArrival(opts.maxBodyMs)],
             routes: [
                 {
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -36,6 +36,21 @@
             help: "Entries heard from lately",
             registers,
         }),
+        peerSentBytes: new Gauge({
+            name: "samphirepin_peer_sent_bytes",
+            help: "Bytes of frames sent to other entries since the start",
+            registers,
+        }),
+        peerReceivedBytes: new Gauge({
+            name: "samphirepin_peer_received_bytes",
+            help: "Bytes of frames received from other entries since the start",
+            registers,
+        }),
+        isolated: new Gauge({
+            name: "samphirepin_isolated",
+            help: "1 where neither the platform nor a peer was heard for the time set",
+            registers,
+        }),
         platformCalls: new Counter({
             name: "samphirepin_platform_calls_total",
             help: "Calls to the platform's service, by kind and result",
--- a/src/settings/readSettings.ts
+++ b/src/settings/readSettings.ts
@@ -22,6 +22,32 @@
     return `SAMPHIREPIN_${flagName(setting).replaceAll("-", "_").toUpperCase()}`;
 }
 
+/** Settings that are valid alone and not together. */
+function checkTogether(settings: Settings): readonly SettingsProblem[] {
+    const { peerCertFile, peerKeyFile, peerCaFile, httpCertFile, httpKeyFile, host } = settings;
+    const peerFiles = [peerCertFile, peerKeyFile, peerCaFile].filter((file) => file !== undefined).length;
+    const isLoopback = /^(127\.|::1$)/.test(host);
+    const found: [keyof Settings, string][] = [];
+    if (peerFiles !== 0 && peerFiles !== 3) {
+        found.push(["peerCertFile", "the certificate, its key and the authority have to be given together"]);
+    }
+    if (peerFiles === 0 && !isLoopback && settings.allowPlainPeers === "no") {
+        found.push([
+            "peerCertFile",
+            "links on an address other than loopback need certificates, or allow-plain-peers yes",
+        ]);
+    }
+    if ((httpCertFile === undefined) !== (httpKeyFile === undefined)) {
+        found.push(["httpCertFile", "the certificate and its key have to be given together"]);
+    }
+    return found.map(([setting, message]) => ({
+        setting,
+        flag: `--${flagName(setting)}`,
+        variable: variableName(setting),
+        message,
+    }));
+}
+
 /** Reads every setting; a flag goes before the variable. Gives all problems at once. */
 export function readSettings(
     flags: Readonly<Record<string, string | undefined>>,
@@ -44,7 +70,8 @@
             problems.push({ setting, flag: `--${flag}`, variable, message });
         }
     }
-    return problems.length > 0
-        ? Left(problems)
+    const together = problems.length > 0 ? [] : checkTogether(values as Settings);
+    return problems.length + together.length > 0
+        ? Left([...problems, ...together])
         : Right({ settings: values as Settings, origins: origins as SettingsInForce["origins"] });
 }
--- a/src/settings/settingSpecs.ts
+++ b/src/settings/settingSpecs.ts
@@ -9,6 +9,7 @@
 
 const port = z.coerce.number().int().min(0).max(65535);
 const durationMs = z.coerce.number().int().positive().max(24 * 3600 * 1000);
+const file = z.string().min(1).optional();
 const httpUrl = z.url({ protocol: /^https?$/ });
 const name = z.string().regex(/^[\w.-]{1,128}$/, "letters, digits, dots, dashes and underscores only");
 
@@ -34,6 +35,28 @@
     taskLeaseMs: setting(durationMs.default(10_000), "lease of a task at its worker", "10000"),
     heartbeatMs: setting(durationMs.default(1000), "how often links between entries are used", "1000"),
     silenceMs: setting(durationMs.default(4000), "when an entry not heard from counts as silent", "4000"),
+    seedPeers: setting(
+        z.string().default("").transform((text) =>
+            text.split(",").map((url) => url.trim()).filter((url) => url !== "")
+        ),
+        "addresses of other entries' links, by commas, for a start while the platform is down",
+        "ws://127.0.0.1:7081,ws://127.0.0.2:7081",
+    ),
+    isolatedAfterMs: setting(
+        durationMs.default(60_000),
+        "silence of the platform and of all peers after which this entry reports that it is isolated; it serves on",
+        "60000",
+    ),
+    peerCertFile: setting(file, "certificate of this entry for links, as PEM", "/etc/samphirepin/entry.pem"),
+    peerKeyFile: setting(file, "key of that certificate, as PEM", "/etc/samphirepin/entry.key"),
+    peerCaFile: setting(file, "authority that all entries' certificates come from, as PEM", "/etc/samphirepin/ca.pem"),
+    allowPlainPeers: setting(
+        z.enum(["yes", "no"]).default("no"),
+        "links without certificates on an address other than loopback",
+        "yes",
+    ),
+    httpCertFile: setting(file, "certificate for callers and operators, as PEM", "/etc/samphirepin/http.pem"),
+    httpKeyFile: setting(file, "key of that certificate, as PEM", "/etc/samphirepin/http.key"),
     maxBodyBytes: setting(z.coerce.number().int().positive().default(512 * 1024), "largest request body", "524288"),
     maxBodyMs: setting(durationMs.default(10_000), "how long a request may take to arrive whole", "10000"),
     logLevel: setting(z.enum(["error", "warn", "info", "debug"]).default("info"), "least level that is logged", "info"),
