--- a/src/entry/createCore.ts
+++ b/src/entry/createCore.ts
@@ -53,8 +53,22 @@
     const { settings, platform, peers, workers, report, metrics } = opts;
     const { boot, region, zone } = peers.self;
     const watcher = createWatcher({ platform, watchMs, retryMs: platformRetryMs });
-    const configuration = createConfiguration({ platform, watcher });
-    const members = createMembers({ platform, watcher, peers, retryMs: platformRetryMs, report });
+    const members = createMembers({
+        platform,
+        watcher,
+        peers,
+        retryMs: platformRetryMs,
+        report,
+        seedUrls: settings.seedPeers,
+    });
+    const configuration = createConfiguration({
+        platform,
+        watcher,
+        peers,
+        members,
+        report,
+        isolatedAfterMs: settings.isolatedAfterMs,
+    });
     const limits = createLimits({ configuration });
     const pools = createPoolIndex({ region, zone, configuration });
     const shares = createShares({ configuration, peers, pools, reportMs: settings.shareReportMs });
@@ -98,6 +112,7 @@
             await peers.start();
             watcher.start();
             members.start();
+            configuration.start();
             limits.start();
             once.start();
             shares.start();
@@ -113,6 +128,7 @@
             shares.stop();
             await once.stop();
             await limits.stop();
+            configuration.stop();
             await members.stop();
             watcher.stop();
             await peers.stop();
