feat(limits): limits divided over boots as standing slices

Cause: each entry counted its own tasks against the whole limit, so that nine entries together could run nine times the limit.

Change: eight ledger values at the platform give each boot a slice; written by compare-and-swap, grown only once the written value is known, shrunk at the holder first, taken back only from a boot that is proved gone and a lease later. Room moves to where tasks wait; a writer with an older configuration adds nothing. The reducer records the revision at which a limit got its value.

--- a/src/dispatch/createDispatch.ts
+++ b/src/dispatch/createDispatch.ts
@@ -51,7 +51,9 @@
         for (const queued of [...queue]) {
             const free = candidatesFor(queued.task).filter((instance) => countOn(instance) < instance.slots);
             const chosen = free.sort((a, b) => countOn(a) - countOn(b))[0];
-            const hold = chosen === undefined ? undefined : opts.limits.tryTake(queued.task.team, queued.task.size);
+            const hold = chosen === undefined
+                ? undefined
+                : opts.limits.tryTake(queued.task.team, queued.task.size, queued.task.id);
             if (chosen !== undefined && hold !== undefined) {
                 queue.splice(queue.indexOf(queued), 1);
                 void attempt(queued, chosen, hold, free.length);
--- a/src/entry/createCore.ts
+++ b/src/entry/createCore.ts
@@ -49,7 +49,14 @@
     const watcher = createWatcher({ platform, watchMs, retryMs: platformRetryMs });
     const configuration = createConfiguration({ platform, watcher });
     const members = createMembers({ platform, watcher, peers, retryMs: platformRetryMs, report });
-    const limits = createLimits({ configuration });
+    const limits = createLimits({
+        configuration,
+        platform,
+        members,
+        peers,
+        metrics,
+        leaseMs: settings.taskLeaseMs,
+    });
     const dispatch = createDispatch({
         boot,
         zone,
--- a/src/limits/createLimits.ts
+++ b/src/limits/createLimits.ts
@@ -1,60 +1,251 @@
 import type { Configuration } from "../configuration";
+import type { Members } from "../members";
+import type { Metrics } from "../metrics";
+import type { Peer, Peers } from "../peers";
+import type { Platform } from "../platform";
 import type { TaskSize } from "../workers";
-import type { Hold, Limits } from "./limits";
+import { createDivider, type Divider } from "./createDivider";
+import { createEndedBoots } from "./createEndedBoots";
+import { createHolder } from "./createHolder";
+import { createPeerRooms } from "./createPeerRooms";
+import type { Limits } from "./limits";
+import {
+    type AskMessage,
+    askMessageSchema,
+    holdingSchema,
+    limitTopics,
+    roomsSchema,
+    type SlicesMessage,
+    slicesSchema,
+} from "./messages";
+import { limitOf } from "./planLedger";
+import { readDivisions } from "./readDivisions";
+import { pickDivider, shardCount } from "./shards";
+import { fitsWithin, noUnits, toTaskUnits } from "./units";
 
 export interface LimitsOptions {
     readonly configuration: Configuration;
+    readonly platform: Platform;
+    readonly members: Members;
+    readonly peers: Peers;
+    readonly metrics?: Metrics;
+    /** Longest lease of this entry's tasks, in milliseconds. */
+    readonly leaseMs: number;
 }
 
-const dimensions = ["tasks", "processors", "memoryMb", "accelerators"] as const;
+const tickMs = 250;
+const ticksPerCheck = 4;
+/** News are gathered for this long, so that one message carries many. */
+const gatherMs = 3;
+/** A holder that has nothing to tell still says that it is there. */
+const idleReportMs = 5000;
+const repeatMs = 250;
+/** The divider has not acted for this long: this entry writes its own change. */
+const selfHelpMs = 800;
+const stopMs = 2000;
 
-/** Counts the tasks of this entry alone against the whole limit. */
+interface ShardTimes {
+    sentAtMs: number;
+    sentTo: string | undefined;
+    urgentSinceMs: number | undefined;
+    gathering: NodeJS.Timeout | undefined;
+}
+
+/** Divides each team's limit over the entries and counts the tasks of this entry against its slices. */
 export function createLimits(opts: LimitsOptions): Limits {
-    const holds = new Map<number, Hold>();
+    const { peers, members, configuration } = opts;
+    const { boot } = peers.self;
     const listeners = new Set<(team: string) => void>();
-    let nextId = 1;
+    const rooms = createPeerRooms(peers);
+    const timers = new Set<NodeJS.Timeout>();
+    const endedBoots = createEndedBoots(members);
+    const holder = createHolder({ leaseMs: opts.leaseMs, limitOf: ownLimitOf, onNews: gather, onRoom: callListeners });
+    const dividers = Array.from({ length: shardCount }, (_, shard) => createShardDivider(shard));
+    const times = Array.from({ length: shardCount }, (): ShardTimes => ({
+        sentAtMs: -Infinity,
+        sentTo: undefined,
+        urgentSinceMs: undefined,
+        gathering: undefined,
+    }));
+    let ticks = 0;
+    let ticker: NodeJS.Timeout | undefined;
+
+    function ownLimitOf(team: string) {
+        const state = configuration.state();
+        return state === undefined ? noUnits : limitOf(state, team);
+    }
+
+    function callListeners(team: string): void {
+        listeners.forEach((listener) => listener(team));
+    }
+
+    function eligible(): readonly string[] {
+        const connected = new Set([boot, ...peers.connected().map((peer) => peer.boot)]);
+        return (members.recorded() ?? []).map((peer) => peer.boot)
+            .filter((each) => connected.has(each) && !members.isGone(each));
+    }
+
+    function createShardDivider(shard: number): Divider {
+        return createDivider({
+            platform: opts.platform,
+            shard,
+            state: () => configuration.state(),
+            eligible,
+            endedBoots,
+            sendAsk: (to, message) => to === boot ? receiveAsk(boot, message) : send(to, limitTopics.ask, message),
+            sendSlices: (to, message) => to === boot ? receiveSlices(message) : send(to, limitTopics.slices, message),
+            sendRooms: (to, message) => to === boot ? rooms.learn(message) : send(to, limitTopics.rooms, message),
+            onWrite: (result) => opts.metrics?.limitWrites.inc({ result }),
+        });
+    }
+
+    function send(to: string, topic: string, message: unknown): void {
+        peers.send(to, topic, message);
+    }
+
+    function receiveAsk(from: string, message: AskMessage): void {
+        holder.answerAsk(message);
+        report(message.shard, from);
+    }
+
+    function receiveSlices(message: SlicesMessage): void {
+        holder.adopt(message);
+        if (holder.hasPendingRelease(message.shard)) {
+            gather(message.shard);
+        }
+    }
+
+    function report(shard: number, to: string): void {
+        const message = holder.describe(shard);
+        if (to === boot) {
+            dividers[shard]?.take(boot, message);
+        }
+        else {
+            send(to, limitTopics.holding, message);
+        }
+    }
 
-    function limitOf(team: string) {
-        return opts.configuration.state()?.teams[team]?.limit;
+    function reportToDivider(shard: number): void {
+        const at = times[shard];
+        const to = pickDivider(shard, eligible()) ?? boot;
+        if (at !== undefined) {
+            at.sentAtMs = performance.now();
+            at.sentTo = to;
+        }
+        report(shard, to);
     }
 
-    function usedBy(team: string, dimension: typeof dimensions[number]): number {
-        return [...holds.values()]
-            .filter((hold) => hold.team === team)
-            .reduce((sum, hold) => sum + amountOf(hold.size, dimension), 0);
+    function gather(shard: number): void {
+        const at = times[shard];
+        if (at !== undefined && ticker !== undefined) {
+            at.gathering ??= setTimeout(() => {
+                at.gathering = undefined;
+                reportToDivider(shard);
+            }, gatherMs);
+        }
+    }
+
+    function tickShard(shard: number, at: ShardTimes, boots: readonly string[]): void {
+        const now = performance.now();
+        const isUrgent = holder.isUrgent(shard);
+        at.urgentSinceMs = isUrgent ? at.urgentSinceMs ?? now : undefined;
+        const isMoved = at.sentTo !== (pickDivider(shard, boots) ?? boot);
+        if (isMoved || now - at.sentAtMs >= (isUrgent ? repeatMs : idleReportMs)) {
+            reportToDivider(shard);
+        }
+        // The divider may be cut off from the platform, frozen, or gone without being noticed yet.
+        if (at.urgentSinceMs !== undefined && now - at.urgentSinceMs >= selfHelpMs && at.sentTo !== boot) {
+            report(shard, boot);
+        }
+    }
+
+    function tick(): void {
+        ticks++;
+        holder.waitingTeams().forEach(callListeners);
+        const boots = eligible();
+        times.forEach((at, shard) => tickShard(shard, at, boots));
+        if (ticks % ticksPerCheck === 0) {
+            dividers.filter((_, shard) => pickDivider(shard, boots) === boot).forEach((divider) => divider.check());
+        }
+    }
+
+    function listen(): void {
+        peers.onMessage(limitTopics.holding, (from, body) => {
+            const { data } = holdingSchema.safeParse(body);
+            if (data !== undefined) {
+                dividers[data.shard]?.take(from.boot, data);
+            }
+        });
+        peers.onMessage(limitTopics.ask, (from, body) => {
+            const { data } = askMessageSchema.safeParse(body);
+            if (data !== undefined && data.shard < shardCount) {
+                receiveAsk(from.boot, data);
+            }
+        });
+        peers.onMessage(limitTopics.slices, (_from, body) => {
+            const { data } = slicesSchema.safeParse(body);
+            if (data !== undefined && data.shard < shardCount) {
+                receiveSlices(data);
+            }
+        });
+        peers.onMessage(limitTopics.rooms, (_from, body) => {
+            const { data } = roomsSchema.safeParse(body);
+            if (data !== undefined) {
+                rooms.learn(data);
+                callListeners(data.team);
+            }
+        });
     }
 
     return {
-        tryTake(team, size) {
-            const limit = limitOf(team);
-            const fits = limit !== undefined
-                && dimensions.every((d) => usedBy(team, d) + amountOf(size, d) <= limit[d]);
-            if (!fits) {
-                return undefined;
+        tryTake(team, size, requestId) {
+            // A boot that the record has dropped may have lost its slices; it can only be here if that was wrong.
+            const hold = members.isGone(boot) ? undefined : holder.tryTake(team, size);
+            if (requestId !== undefined && hold === undefined) {
+                holder.noteDemand(team, size, requestId);
+            }
+            else if (requestId !== undefined) {
+                holder.dropDemand(team, requestId);
             }
-            const hold = { id: nextId++, team, size };
-            holds.set(hold.id, hold);
             return hold;
         },
-        release(hold) {
-            holds.delete(hold.id);
-            listeners.forEach((listener) => listener(hold.team));
+        release: holder.release,
+        releaseAfter(hold, delayMs) {
+            const timer = setTimeout(() => {
+                timers.delete(timer);
+                holder.release(hold);
+            }, delayMs);
+            timers.add(timer);
         },
-        isNeverPossible(team, size) {
-            const limit = limitOf(team);
-            return limit === undefined || dimensions.some((d) => amountOf(size, d) > limit[d]);
-        },
-        noteDemand() {},
-        findPeerWithRoom: () => undefined,
+        isNeverPossible: (team, size) => !fitsWithin(toTaskUnits(size), ownLimitOf(team)),
+        noteDemand: (team, size, requestId = "") => holder.noteDemand(team, size, requestId),
+        findPeerWithRoom: (team: string, size: TaskSize): Peer | undefined => rooms.find(team, size),
         onRoom(listener) {
             listeners.add(listener);
             return () => listeners.delete(listener);
         },
-        start() {},
-        stop: () => Promise.resolve(),
+        readDivisions: () => readDivisions(opts.platform, configuration.state(), members),
+        start() {
+            listen();
+            ticker = setInterval(tick, tickMs);
+            tick();
+        },
+        async stop() {
+            holder.leave();
+            const endAtMs = performance.now() + stopMs;
+            while (!holder.isEmpty() && performance.now() < endAtMs) {
+                times.forEach((_, shard) => {
+                    if (holder.hasPendingRelease(shard)) {
+                        reportToDivider(shard);
+                    }
+                });
+                await new Promise((resolve) => setTimeout(resolve, tickMs));
+            }
+            clearInterval(ticker);
+            ticker = undefined;
+            dividers.forEach((divider) => divider.stop());
+            timers.forEach((timer) => clearTimeout(timer));
+            times.forEach(({ gathering }) => clearTimeout(gathering));
+        },
     };
 }
-
-function amountOf(size: TaskSize, dimension: typeof dimensions[number]): number {
-    return dimension === "tasks" ? 1 : size[dimension];
-}
--- /dev/null
+++ b/src/limits/planLedger.ts
@@ -0,0 +1,204 @@
+import type { FleetState } from "../state";
+import { fillDemands } from "./fillDemands";
+import type { Ledger, LedgerHolder, TeamSlices } from "./ledger";
+import type { Release, TeamReport } from "./messages";
+import { shardOf } from "./shards";
+import { shareSpare } from "./shareSpare";
+import {
+    addUnits,
+    clampUnits,
+    fitsWithin,
+    isNoUnits,
+    isSameUnits,
+    minUnits,
+    noUnits,
+    subtractUnits,
+    sumUnits,
+    toLimitUnits,
+    type Units,
+} from "./units";
+
+export interface LedgerInput {
+    readonly shard: number;
+    readonly state: FleetState;
+    /** What holders said lately, by boot and team. */
+    readonly reports: ReadonlyMap<string, Readonly<Record<string, TeamReport>>>;
+    readonly releases: ReadonlyMap<string, Release>;
+    /** Lease of each boot's tasks, in milliseconds. */
+    readonly leasesMs: ReadonlyMap<string, number>;
+    /** Boots whose slices may grow, in the order of turns. */
+    readonly eligible: readonly string[];
+    /** Boots that have provably ended and whose tasks have run out. */
+    readonly ended: ReadonlySet<string>;
+}
+
+/**
+ * Works out the next value of a ledger: takes in releases, drops what ended boots held, and gives out what is free.
+ * Gives the same ledger back where nothing changes. The sum over holders never grows past the limit.
+ */
+export function planLedger(ledger: Ledger, input: LedgerInput): Ledger {
+    const released = applyReleases(dropEnded(ledger, input.ended), input);
+    // A writer that missed a removal would bring back a team that others have counted as over.
+    if (input.state.revision < released.droppedRevision) {
+        return released;
+    }
+    const names = new Set([...Object.keys(released.teams), ...teamsOf(input)]);
+    const teams: Record<string, TeamSlices> = {};
+    let { droppedRevision } = released;
+    let isChanged = false;
+    for (const team of [...names].sort()) {
+        const before = released.teams[team];
+        const after = planTeam(team, before, input);
+        isChanged ||= after !== before;
+        if (after === undefined) {
+            droppedRevision = Math.max(droppedRevision, input.state.revision);
+        }
+        else {
+            teams[team] = after;
+        }
+    }
+    return isChanged ? withHolders({ ...released, droppedRevision, teams }, input.leasesMs) : released;
+}
+
+export function teamsOf({ state, shard }: Pick<LedgerInput, "state" | "shard">): readonly string[] {
+    return Object.keys(state.teams).filter((team) => shardOf(team) === shard);
+}
+
+export function limitOf(state: FleetState, team: string): Units {
+    const limit = state.teams[team]?.limit;
+    return limit === undefined ? noUnits : toLimitUnits(limit);
+}
+
+/** What a holder lacks for the tasks that wait there. */
+export function lackOf(report: TeamReport | undefined, slice: Units): Units {
+    return report === undefined || isNoUnits(report.waiting)
+        ? noUnits
+        : clampUnits(subtractUnits(addUnits(report.used, report.waiting), slice));
+}
+
+function dropEnded(ledger: Ledger, ended: ReadonlySet<string>): Ledger {
+    if (!Object.keys(ledger.holders).some((boot) => ended.has(boot))) {
+        return ledger;
+    }
+    const keep = <T>(byBoot: Readonly<Record<string, T>>) =>
+        Object.fromEntries(Object.entries(byBoot).filter(([boot]) => !ended.has(boot)));
+    return {
+        ...ledger,
+        holders: keep(ledger.holders),
+        teams: mapTeams(ledger, (slices) => ({ ...slices, slices: keep(slices.slices) })),
+    };
+}
+
+function applyReleases(ledger: Ledger, input: LedgerInput): Ledger {
+    let next = ledger;
+    for (const [boot, release] of input.releases) {
+        const holder = next.holders[boot];
+        if (holder !== undefined && release.number > holder.releaseNumber) {
+            next = {
+                ...next,
+                holders: { ...next.holders, [boot]: { ...holder, releaseNumber: release.number } },
+                teams: mapTeams(next, (slices, team) => lowerSlice(slices, boot, release.keeps[team])),
+            };
+        }
+    }
+    return next;
+}
+
+function lowerSlice(team: TeamSlices, boot: string, keep: Units | undefined): TeamSlices {
+    const slice = team.slices[boot];
+    if (keep === undefined || slice === undefined) {
+        return team;
+    }
+    const { [boot]: _old, ...rest } = team.slices;
+    const lowered = minUnits(slice, keep);
+    return { ...team, slices: isNoUnits(lowered) ? rest : { ...rest, [boot]: lowered } };
+}
+
+function mapTeams(ledger: Ledger, edit: (slices: TeamSlices, team: string) => TeamSlices): Ledger["teams"] {
+    return Object.fromEntries(Object.entries(ledger.teams).map(([team, slices]) => [team, edit(slices, team)]));
+}
+
+/** Gives `undefined` where the team can be forgotten. */
+function planTeam(name: string, before: TeamSlices | undefined, input: LedgerInput): TeamSlices | undefined {
+    const team = input.state.teams[name];
+    if (team === undefined) {
+        return before === undefined || isForgettable(before, input) ? undefined : markRemoved(before, input);
+    }
+    const limitRevision = team.limitRevision ?? 0;
+    const current = before ?? { limitRevision, isRemoved: false, slices: {} };
+    // A writer with an older configuration may still know a higher limit; its growth would pass the lowered one.
+    if (input.state.revision < current.limitRevision) {
+        return before;
+    }
+    const stamped = limitRevision > current.limitRevision || current.isRemoved
+        ? { limitRevision: Math.max(limitRevision, current.limitRevision), isRemoved: false, slices: current.slices }
+        : current;
+    const slices = growSlices(name, stamped.slices, input);
+    return slices === stamped.slices ? stamped : { ...stamped, slices };
+}
+
+function isForgettable(before: TeamSlices, { state }: LedgerInput): boolean {
+    return state.revision >= before.limitRevision && Object.keys(before.slices).length === 0;
+}
+
+function markRemoved(before: TeamSlices, { state }: LedgerInput): TeamSlices {
+    return before.isRemoved || state.revision < before.limitRevision
+        ? before
+        : { ...before, isRemoved: true, limitRevision: state.revision };
+}
+
+function growSlices(team: string, slices: TeamSlices["slices"], input: LedgerInput): TeamSlices["slices"] {
+    const limit = limitOf(input.state, team);
+    const free = subtractUnits(limit, sumUnits(Object.values(slices)));
+    if (!fitsWithin(noUnits, free) || isNoUnits(free)) {
+        return slices;
+    }
+    const given = fillDemands(free, limit, input.eligible.flatMap((boot) => demandOf(boot, team, slices, input)));
+    const served = addToSlices(slices, given);
+    const spare = subtractUnits(free, sumUnits(given.values()));
+    return addToSlices(served, shareSpare(spare, served, input.eligible));
+}
+
+function demandOf(boot: string, team: string, slices: TeamSlices["slices"], { reports }: LedgerInput) {
+    const report = reports.get(boot)?.[team];
+    const held = slices[boot] ?? noUnits;
+    const wants = lackOf(report, held);
+    if (report === undefined || isNoUnits(wants)) {
+        return [];
+    }
+    const lacking = clampUnits(subtractUnits(addUnits(report.used, report.next), held));
+    return [{ boot, held, wants, firstStep: isNoUnits(lacking) ? report.next : lacking, step: report.next }];
+}
+
+function addToSlices(slices: TeamSlices["slices"], added: ReadonlyMap<string, Units>): TeamSlices["slices"] {
+    const changes = [...added].filter(([, units]) => !isNoUnits(units));
+    return changes.length === 0 ? slices : {
+        ...slices,
+        ...Object.fromEntries(changes.map(([boot, units]) => [boot, addUnits(slices[boot] ?? noUnits, units)])),
+    };
+}
+
+/** Every boot with a slice has a record with its lease, so that whoever reclaims the slice knows how long to wait. */
+function withHolders(ledger: Ledger, leasesMs: ReadonlyMap<string, number>): Ledger {
+    const holders: Record<string, LedgerHolder> = { ...ledger.holders };
+    for (const { slices } of Object.values(ledger.teams)) {
+        for (const boot of Object.keys(slices)) {
+            holders[boot] ??= { releaseNumber: 0, leaseMs: leasesMs.get(boot) ?? 0 };
+        }
+    }
+    return { ...ledger, holders };
+}
+
+export function isSameSlices(a: Ledger, b: Ledger, boot: string): boolean {
+    const names = new Set([...Object.keys(a.teams), ...Object.keys(b.teams)]);
+    return a.holders[boot]?.releaseNumber === b.holders[boot]?.releaseNumber
+        && [...names].every((team) =>
+            isSameUnits(a.teams[team]?.slices[boot] ?? noUnits, b.teams[team]?.slices[boot] ?? noUnits)
+        );
+}
+
+export function isGrown(before: Ledger, after: Ledger, boot: string): boolean {
+    return Object.entries(after.teams).some(([team, { slices }]) =>
+        !fitsWithin(slices[boot] ?? noUnits, before.teams[team]?.slices[boot] ?? noUnits)
+    );
+}
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -36,6 +36,12 @@
             help: "Entries heard from lately",
             registers,
         }),
+        limitWrites: new Counter({
+            name: "samphirepin_limit_writes_total",
+            help: "Writes of the division of limits, by result",
+            labelNames: ["result"] as const,
+            registers,
+        }),
         platformCalls: new Counter({
             name: "samphirepin_platform_calls_total",
             help: "Calls to the platform's service, by kind and result",
--- a/src/state/applyChange.ts
+++ b/src/state/applyChange.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from "node:util";
 import { type Either, Left, Right } from "purify-ts";
 import type { PlanState } from "./plan";
 import type { Change, FleetState, Rejection } from "./state";
@@ -47,8 +48,11 @@
 }
 
 function setTeam(state: FleetState, { team }: Extract<Change, { kind: "setTeam"; }>): Applied {
-    const keys = state.teams[team.name]?.keys ?? {};
-    return Right({ ...state, teams: { ...state.teams, [team.name]: { ...team, keys } } });
+    const known = state.teams[team.name];
+    const isSameLimit = known !== undefined && isDeepStrictEqual(known.limit, team.limit);
+    const limitRevision = isSameLimit ? known.limitRevision ?? 0 : state.revision + 1;
+    const next = { ...team, limitRevision, keys: known?.keys ?? {} };
+    return Right({ ...state, teams: { ...state.teams, [team.name]: next } });
 }
 
 function grantKey(state: FleetState, { team, keyId, key }: Extract<Change, { kind: "grantKey"; }>): Applied {
--- a/src/state/state.ts
+++ b/src/state/state.ts
@@ -19,6 +19,8 @@
     /** Relative share of a full fleet. */
     readonly weight: number;
     readonly limit: UpperLimit;
+    /** Revision of the command that gave the limit its value; set by the reducer. */
+    readonly limitRevision?: number;
     /** Pools that the team may use. */
     readonly pools: readonly string[];
     /** Granted keys by key id; a withdrawn key is no longer here. */
