feat(forwarding): a task goes to an entry that has room for its team

Cause: while the platform is down no room can move, and a task waited until its deadline at an entry without room although a connected one had some.

Change: limits names entries with room while the ledger cannot be written; the task is taken out of the queue, claimed, and passed on once, never further. The fake members of the limits' scenarios now know only boots seen since their start.

Not caught by a scenario: the look at the room on arrival left out (the second of patience at the other entry sends the task back too).

--- a/bench/limits/limitsWorld.ts
+++ b/bench/limits/limitsWorld.ts
@@ -107,7 +107,8 @@
     const judge = createLimitsJudge(workers);
     const entries: WorldEntry[] = [];
     const recorded = new Map<string, Peer>();
-    const onceRecorded = new Set<string>();
+    /** The boots that each entry has seen in the record since it started. */
+    const seenSets: Set<string>[] = [];
     const cutZones = new Set<string>();
     const cutLinkZones = new Set<string>();
     let fleet = createEmptyState();
@@ -133,6 +134,8 @@
     }
 
     function createMembersView(peer: Peer, peers: Peers): Members {
+        const seen = new Set([...recorded.keys(), peer.boot]);
+        seenSets.push(seen);
         const isSilent = (boot: string) => boot !== peer.boot && !peers.connected().some((each) => each.boot === boot);
         return {
             recorded: () => [...recorded.values()].map((each) => ({ ...each, listed: true })),
@@ -140,7 +143,7 @@
             instances: () => undefined,
             instancesAgeMs: () => undefined,
             isGone: (boot) =>
-                onceRecorded.has(boot) && !recorded.has(boot)
+                seen.has(boot) && !recorded.has(boot)
                 || opts.defect === "silentCountsAsGone" && isSilent(boot),
             onChange: () => () => {},
             start() {},
@@ -193,7 +196,7 @@
         const entry = createWorldEntry(peer, process, limits);
         entries.push(entry);
         recorded.set(boot, peer);
-        onceRecorded.add(boot);
+        seenSets.forEach((seen) => seen.add(boot));
         deliverState(entry);
         process.run(() => limits.start());
         applyCuts();
--- a/src/entry/createCore.ts
+++ b/src/entry/createCore.ts
@@ -1,5 +1,6 @@
 import { type Configuration, createConfiguration } from "../configuration";
 import { createDispatch, type Dispatch } from "../dispatch";
+import { createForwarding } from "../forwarding";
 import { checkKey } from "../keys";
 import { createLimits, type Limits } from "../limits";
 import type { Reporter } from "../logging";
@@ -67,7 +68,18 @@
         leaseMs: settings.taskLeaseMs,
     });
     const once = (opts.wrapOnce ?? ((made) => made))(createOnce({ boot, platform, peers, members }));
-    const tasks = createTasks({ dispatch, once, checkKey: (request) => checkKey(configuration.state(), request) });
+    const forwarding = createForwarding({
+        dispatch,
+        limits,
+        peers,
+        report,
+        onForwarded: (result) => metrics.forwardedTasks.inc({ result }),
+    });
+    const tasks = createTasks({
+        dispatch: forwarding,
+        once,
+        checkKey: (request) => checkKey(configuration.state(), request),
+    });
 
     configuration.onChange(({ revision }) => {
         metrics.configurationRevision.set(revision);
--- /dev/null
+++ b/src/forwarding/messages.ts
@@ -0,0 +1,33 @@
+import { z } from "zod";
+import { endSchema } from "../once";
+import type { TaskEnd } from "../tasks";
+
+/** Topics of the messages between entries about forwarded tasks. */
+export const forwardingTopics = { run: "forwarding/run", cancel: "forwarding/cancel" } as const;
+
+/** A task on its way to an entry that has room; the deadline travels as what is left of it, since clocks differ. */
+export const runSchema = z.object({
+    id: z.string().max(256),
+    team: z.string().max(256),
+    keyId: z.string().max(128).optional(),
+    pool: z.string().max(128),
+    size: z.object({ processors: z.number(), memoryMb: z.number(), accelerators: z.number() }),
+    expectedRunMs: z.number(),
+    remainingMs: z.number().nonnegative(),
+    urgent: z.boolean(),
+    repeatable: z.boolean(),
+    payload: z.string(),
+});
+export type RunMessage = z.infer<typeof runSchema>;
+
+export const cancelSchema = z.object({ id: z.string().max(256) });
+
+/** `noRoom`: nothing of the task was kept, and it will not run there. */
+export const runAnswerSchema = z.discriminatedUnion("kind", [
+    z.object({ kind: z.literal("noRoom") }),
+    z.object({ kind: z.literal("ended"), end: endSchema }),
+]);
+
+export type RunAnswer =
+    | { readonly kind: "noRoom"; }
+    | { readonly kind: "ended"; readonly end: TaskEnd; };
--- a/src/limits/createLimits.ts
+++ b/src/limits/createLimits.ts
@@ -219,6 +219,7 @@
         },
         isNeverPossible: (team, size) => !fitsWithin(toTaskUnits(size), ownLimitOf(team)),
         noteDemand: (team, size, requestId = "") => holder.noteDemand(team, size, requestId),
+        hasRoom: (team, size) => fitsWithin(toTaskUnits(size), holder.roomOf(team)),
         findPeerWithRoom: (team: string, size: TaskSize): Peer | undefined => rooms.find(team, size),
         onRoom(listener) {
             listeners.add(listener);
--- a/src/limits/limits.ts
+++ b/src/limits/limits.ts
@@ -49,6 +49,8 @@
      * still waits is noted again whenever `onRoom` calls. Without an id all notes of a team count as one task.
      */
     noteDemand(team: string, size: TaskSize, requestId?: string): void;
+    /** True where this entry's slice has room for one such task now; takes nothing. */
+    hasRoom(team: string, size: TaskSize): boolean;
     /** A connected entry that lately had room for such a task; the request may be forwarded to it. */
     findPeerWithRoom(team: string, size: TaskSize): Peer | undefined;
     /** Calls the listener when room has come, and now and then while demand is noted; returns what ends it. */
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -42,6 +42,12 @@
             labelNames: ["result"] as const,
             registers,
         }),
+        forwardedTasks: new Counter({
+            name: "samphirepin_forwarded_tasks_total",
+            help: "Tasks passed on to an entry with room in the team's limit, by result",
+            labelNames: ["result"] as const,
+            registers,
+        }),
         platformCalls: new Counter({
             name: "samphirepin_platform_calls_total",
             help: "Calls to the platform's service, by kind and result",
--- a/src/once/index.ts
+++ b/src/once/index.ts
@@ -2,4 +2,5 @@
 export { type BucketSettings, defaultBucketSettings } from "./bucketSettings";
 export { createOnce, defaultOnceLimits, type OnceLimits, type OnceOptions } from "./createOnce";
 export type { Ticket } from "./createTickets";
+export { endSchema } from "./messages";
 export type { Admission, Claim, Once, RunHere } from "./once";
--- a/src/tasks/createTasks.ts
+++ b/src/tasks/createTasks.ts
@@ -4,7 +4,7 @@
 import type { TaskEnd, TaskRequest, Tasks } from "./task";
 
 export interface TasksOptions {
-    readonly dispatch: Dispatch;
+    readonly dispatch: Pick<Dispatch, "run">;
     readonly once: Once;
     /** Gives a problem where the task's key has been withdrawn since it came. */
     readonly checkKey: (request: TaskRequest) => Problem | undefined;
