--- a/standins/processes/startFleet.ts
+++ b/standins/processes/startFleet.ts
@@ -16,6 +16,7 @@
     readonly zone: string;
     readonly url: string;
     readonly process: Process;
+    readonly args: readonly string[];
 }
 
 export interface WorkerProcess {
@@ -32,6 +33,8 @@
     readonly entries: EntryProcess[];
     readonly operatorCredential: string;
     startEntry(zone: string): Promise<EntryProcess>;
+    /** Starts an entry whose process has ended again, under its name and at its addresses. */
+    restartEntry(entry: EntryProcess): Promise<EntryProcess>;
     /** Sends a request to an entry as the operator. */
     operate(
         entry: EntryProcess,
@@ -78,9 +81,13 @@
             "operator-hash": operator.hash,
         };
         const args = Object.entries(flags).flatMap(([flag, value]) => [`--${flag}`, String(value)]);
-        const started = startProcess("src/cli/main.ts", ["entry", ...args, ...opts.entryFlags ?? []]);
+        return runEntry({ name, zone, url: `http://127.0.0.1:${port}`, args: [...args, ...opts.entryFlags ?? []] });
+    }
+
+    async function runEntry(settings: Omit<EntryProcess, "process">): Promise<EntryProcess> {
+        const started = startProcess("src/cli/main.ts", ["entry", ...settings.args]);
         await started.waitForLine("\"started\"");
-        const entry = { name, zone, url: `http://127.0.0.1:${port}`, process: started };
+        const entry = { ...settings, process: started };
         entries.push(entry);
         return entry;
     }
@@ -91,6 +98,7 @@
         entries,
         operatorCredential: operator.text,
         startEntry,
+        restartEntry: ({ name, zone, url, args }) => runEntry({ name, zone, url, args }),
         operate: (entry, method, path, body) => callHttp(method, entry.url + path, operator.text, body),
         async carryOut(entry, intent) {
             const plan = await fleet.operate(entry, "POST", "/operator/plans", intent);
--- a/standins/worker/createWorkerServer.ts
+++ b/standins/worker/createWorkerServer.ts
@@ -46,6 +46,8 @@
     };
     /** Every start of a task, for judges. */
     const starts: Order[] = [];
+    /** Most tasks of each team that ran at once, for judges. */
+    const peaks: Record<string, number> = {};
     let state: "serving" | "draining" | "rebooting" = "serving";
     let assignmentNumber = 0;
     let pool = "";
@@ -86,6 +88,8 @@
             },
         };
         tasks.set(order.attempt, task);
+        const running = [...tasks.values()].filter((each) => each.order.team === order.team).length;
+        peaks[order.team] = Math.max(peaks[order.team] ?? 0, running);
     }
 
     function answer(res: ServerResponse, body: unknown): void {
@@ -159,7 +163,7 @@
         const body = await readBody(req);
         if (path === "/control") {
             Object.assign(faults, body.faults);
-            write(res, 200, { starts });
+            write(res, 200, { starts, peaks });
         }
         else if (path === "/tasks") {
             run(body, res);
--- /dev/null
+++ b/test/limits-killed/limits-killed.steps.ts
@@ -0,0 +1,1 @@
+import "../limits/limits-processes.steps";
