--- a/src/dispatch/createDispatch.ts
+++ b/src/dispatch/createDispatch.ts
@@ -25,7 +25,7 @@
 
 export interface DispatchOptions {
     readonly boot: string;
-    readonly configuration: Configuration;
+    readonly configuration: Pick<Configuration, "state" | "onChange">;
     readonly limits: Limits;
     readonly workers: Workers;
     readonly peers: Peers;
@@ -318,10 +318,9 @@
     }
 
     function startOn(queue: TeamQueue, waiting: WaitingTask, choice: Extract<Choice, { kind: "chosen"; }>): boolean {
-        const { team, size } = waiting.task;
-        const hold = limits.tryTake(team, size);
+        const { id, team, size } = waiting.task;
+        const hold = limits.tryTake(team, size, id);
         if (hold === undefined) {
-            limits.noteDemand(team, size);
             waiting.lacksRoom = true;
             queue.lacksRoom = true;
             tellWaiting(queue);
--- a/src/entry/createCore.ts
+++ b/src/entry/createCore.ts
@@ -1,6 +1,7 @@
 import { type Configuration, createConfiguration } from "../configuration";
 import { createDispatch, type Dispatch } from "../dispatch";
 import { createExecutor, type Executor } from "../executor";
+import { createForwarding } from "../forwarding";
 import { checkKey } from "../keys";
 import { createLimits, type Limits } from "../limits";
 import type { Reporter } from "../logging";
@@ -69,7 +70,14 @@
         report,
         isolatedAfterMs: settings.isolatedAfterMs,
     });
-    const limits = createLimits({ configuration });
+    const limits = createLimits({
+        configuration,
+        platform,
+        members,
+        peers,
+        metrics,
+        leaseMs: settings.taskLeaseMs,
+    });
     const pools = createPoolIndex({ region, zone, configuration });
     const shares = createShares({ configuration, peers, pools, reportMs: settings.shareReportMs });
     const dispatch = createDispatch({
@@ -91,7 +99,18 @@
         isLeaving: (instance) => members.instances()?.get(instance) === "leaving",
     });
     const once = (opts.wrapOnce ?? ((made) => made))(createOnce({ boot, platform, peers, members }));
-    const tasks = createTasks({ dispatch, once, checkKey: (request) => checkKey(configuration.state(), request) });
+    const forwarding = createForwarding({
+        dispatch,
+        limits,
+        peers,
+        report,
+        onForwarded: (result) => metrics.forwardedTasks.inc({ result }),
+    });
+    const tasks = createTasks({
+        dispatch: forwarding,
+        once,
+        checkKey: (request) => checkKey(configuration.state(), request),
+    });
     const executor = createExecutor({ configuration, peers, platform, workers, report });
 
     configuration.onChange(({ revision }) => {
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -51,6 +51,18 @@
             help: "1 where neither the platform nor a peer was heard for the time set",
             registers,
         }),
+        limitWrites: new Counter({
+            name: "samphirepin_limit_writes_total",
+            help: "Writes of the division of limits, by result",
+            labelNames: ["result"] as const,
+            registers,
+        }),
+        forwardedTasks: new Counter({
+            name: "samphirepin_forwarded_tasks_total",
+            help: "Tasks passed on to an entry with room in the team's limit, by result",
+            labelNames: ["result"] as const,
+            registers,
+        }),
         platformCalls: new Counter({
             name: "samphirepin_platform_calls_total",
             help: "Calls to the platform's service, by kind and result",
--- a/src/pools/createPoolIndex.ts
+++ b/src/pools/createPoolIndex.ts
@@ -6,7 +6,7 @@
 export interface PoolIndexOptions {
     readonly region: string;
     readonly zone: string;
-    readonly configuration: Configuration;
+    readonly configuration: Pick<Configuration, "state" | "onChange">;
 }
 
 /** Rebuilds the index when the configuration has moved on, and not before the next question. */
--- a/src/shares/createShares.ts
+++ b/src/shares/createShares.ts
@@ -11,7 +11,7 @@
 import type { TeamUse } from "./teamUse";
 
 export interface SharesOptions {
-    readonly configuration: Configuration;
+    readonly configuration: Pick<Configuration, "state" | "onChange">;
     readonly peers: Peers;
     readonly pools: PoolIndex;
     /** How often changes are told to other entries, in milliseconds. */
--- a/standins/dispatch/createDispatchWorld.ts
+++ b/standins/dispatch/createDispatchWorld.ts
@@ -65,9 +65,8 @@
     let state = createState(opts);
     Object.values(state.instances).forEach(({ name, slots }) => workers.add(name, slots));
 
-    const configuration: Configuration = {
+    const configuration: Pick<Configuration, "state" | "onChange"> = {
         state: () => state,
-        append: () => Promise.reject(new Error("not in this world")),
         onChange: () => () => {},
     };
 
--- a/standins/dispatch/createFakeLimits.ts
+++ b/standins/dispatch/createFakeLimits.ts
@@ -1,3 +1,4 @@
+import { Right } from "purify-ts";
 import type { Hold, Limits } from "../../src/limits";
 
 /** One counter for all entries, in the place of slices; it only counts tasks. */
@@ -27,7 +28,12 @@
             listeners.forEach((listener) => listener(hold.team));
         },
         isNeverPossible: (team) => limitOf(team) < 1,
+        releaseAfter(hold, delayMs) {
+            setTimeout(() => limits.release(hold), delayMs);
+        },
         noteDemand() {},
+        hasRoom: (team) => (held.get(team)?.size ?? 0) < limitOf(team),
+        readDivisions: () => Promise.resolve(Right([])),
         findPeerWithRoom: () => undefined,
         onRoom(listener) {
             listeners.add(listener);
--- a/standins/fleet/createGate.ts
+++ b/standins/fleet/createGate.ts
@@ -63,6 +63,7 @@
             read: wrap(platform.read),
             compareAndSwap: wrap(platform.compareAndSwap),
             watch: wrap(platform.watch),
+            remove: wrap(platform.remove),
             listInstances: wrap(platform.listInstances),
             close: platform.close,
         }),
