--- a/src/once/bucketSettings.ts
+++ b/src/once/bucketSettings.ts
@@ -2,8 +2,10 @@
 export interface BucketSettings {
     /** Buckets over which keys are spread by hash; the same in every entry of a fleet. */
     readonly buckets: number;
-    /** Least time between two writes of one bucket, in milliseconds; an idle bucket is written at once. */
+    /** Mean time between two writes of one bucket under load, in milliseconds; an idle bucket is written at once. */
     readonly minWriteIntervalMs: number;
+    /** Writes that may follow each other without that time after a quiet time. */
+    readonly burstWrites: number;
     /** An open segment above this size is sealed, in bytes. */
     readonly sealBytes: number;
     /** Most sealed segments of a bucket; when all are in use, claims are refused. */
@@ -23,6 +25,7 @@
 export const defaultBucketSettings: BucketSettings = {
     buckets: 4,
     minWriteIntervalMs: 200,
+    burstWrites: 4,
     sealBytes: 64 * 1024,
     slots: 512,
     retentionMs: dayMs,
--- a/src/once/createBucketHome.ts
+++ b/src/once/createBucketHome.ts
@@ -67,7 +67,7 @@
     const lookups: PendingLookup[] = [];
     const marks: Mark[] = [];
     let isBusy = false;
-    let callableAtMs = -Infinity;
+    let pacedUntilMs = -Infinity;
     let pausedUntilMs = -Infinity;
 
     function find(hash: string): TakenClaim | undefined {
@@ -103,11 +103,7 @@
 
     async function run(): Promise<void> {
         while (claims.length + lookups.length > 0) {
-            const waitMs = callableAtMs - Date.now();
-            if (waitMs > 0) {
-                await sleep(waitMs);
-            }
-            callableAtMs = Date.now() + settings.minWriteIntervalMs;
+            await pace();
             const asked = lookups.splice(0);
             const batch = claims.splice(0);
             if (asked.length > 0) {
@@ -120,6 +116,15 @@
         isBusy = false;
     }
 
+    /** Keeps the mean time between rounds, but lets a few follow each other at once after a quiet time. */
+    async function pace(): Promise<void> {
+        const waitMs = pacedUntilMs - settings.burstWrites * settings.minWriteIntervalMs - Date.now();
+        if (waitMs > 0) {
+            await sleep(waitMs);
+        }
+        pacedUntilMs = Math.max(pacedUntilMs, Date.now()) + settings.minWriteIntervalMs;
+    }
+
     async function answerLookups(asked: readonly PendingLookup[]): Promise<void> {
         const isRead = !isPaused() && await store.read();
         if (!isRead) {
