--- a/bench/experiments.ts
+++ b/bench/experiments.ts
@@ -1,4 +1,5 @@
 import type { Experiment } from "./experiment";
+import { onceExperiment } from "./once/onceExperiment";
 import { schedules } from "./schedules/schedules";
 import { soak } from "./soak/soak";
 
@@ -6,4 +7,5 @@
 export const experiments: readonly Experiment[] = [
     soak,
     schedules,
+    onceExperiment,
 ];
