--- a/bench/experiments.ts
+++ b/bench/experiments.ts
@@ -1,4 +1,6 @@
 import type { Experiment } from "./experiment";
+import { moves } from "./fleet/moves";
+import { waves } from "./fleet/waves";
 import { schedules } from "./schedules/schedules";
 import { soak } from "./soak/soak";
 
@@ -6,4 +8,6 @@
 export const experiments: readonly Experiment[] = [
     soak,
     schedules,
+    moves,
+    waves,
 ];
