--- a/standins/fakes/createFakeWorkers.ts
+++ b/standins/fakes/createFakeWorkers.ts
@@ -37,6 +37,8 @@
     connect(client: string): Workers;
 }
 
+/** Leases are checked at multiples of this. */
+const leaseCheckMs = 50;
 const unreachable = { kind: "unavailable", detail: "unreachable" } as const;
 
 export function createFakeWorkers(): FakeWorkers {
@@ -111,10 +113,10 @@
                     task.end({ kind: "stopped", reason: "lease" });
                 }
                 else {
-                    leaseTimer = setTimeout(checkLease, Math.max(1, task.leaseEndsAtMs - Date.now()));
+                    leaseTimer = setTimeout(checkLease, roundUpToCheck(task.leaseEndsAtMs - Date.now()));
                 }
             };
-            leaseTimer = setTimeout(checkLease, Math.max(1, task.leaseEndsAtMs - Date.now()));
+            leaseTimer = setTimeout(checkLease, roundUpToCheck(order.leaseMs));
             worker.running.set(order.attempt, task);
             fake.onChange();
         });
@@ -191,6 +193,11 @@
                 if (notice.assignmentNumber < worker.assignmentNumber) {
                     return Left({ kind: "refused", detail: "an older assignment number" });
                 }
+                // A machine that restarts hears nothing. Were a second reboot taken here, it would end after the
+                // first and take a worker out that has been told to serve since.
+                if (worker.state === "rebooting") {
+                    return Left({ kind: "refused", detail: "it restarts" });
+                }
                 worker.assignmentNumber = notice.assignmentNumber;
                 switch (notice.kind) {
                     case "drain":
@@ -245,3 +252,7 @@
         })),
     };
 }
+
+function roundUpToCheck(ms: number): number {
+    return Math.max(1, Math.ceil(ms / leaseCheckMs)) * leaseCheckMs;
+}
