fix(limits): room that was given up comes back when the platform goes down

Cause: holders give room up before the ledger takes it in; when the platform went down in between, that room served nobody for the whole outage. An unknown write could also come late, an entry whose writer was cut off alone waited, and under demand above the limit entries took room from each other that was in use.

Change: a writer that cannot write and has no write under way promises never to write the release, and the holder uses the room again; a number once dropped is used up. Room in use moves only to an entry that has less than half of its fair part; room too small for any waiting task is offered; rounds every 100 ms, asked again at once while asks bring room. Fakes: writes that are lost or come late.

--- a/bench/experiments.ts
+++ b/bench/experiments.ts
@@ -1,10 +1,13 @@
 import type { Experiment } from "./experiment";
 import { onceExperiment } from "./once/onceExperiment";
+import { limitsExperiment, limitsSchedulesExperiment } from "./limits";
 import { schedules } from "./schedules/schedules";
 import { soak } from "./soak/soak";
 
 /** Every experiment, in the order of `npm run bench -- all`. */
 export const experiments: readonly Experiment[] = [
+    limitsExperiment,
+    limitsSchedulesExperiment,
     soak,
     schedules,
     onceExperiment,
--- a/bench/limits/limitsWorld.ts
+++ b/bench/limits/limitsWorld.ts
@@ -27,6 +27,8 @@
     readonly leaseMs?: number;
     /** One way of a message between entries, and of a call to the platform, in milliseconds. */
     readonly delayMs?: number;
+    /** Called with each message that leaves an entry. */
+    readonly onSend?: (topic: string, body: unknown) => void;
     /** Another way to count limits, for baselines. */
     readonly createLimits?: (entry: LimitsEntryPorts) => Limits;
 }
@@ -84,6 +86,8 @@
     /** Asks each living entry whether limits are in force, and tells the judge. */
     checkInForce(): Promise<void>;
     living(): readonly WorldEntry[];
+    /** The boot that wrote a ledger last. */
+    lastWriter(): string;
     close(): void;
 }
 
@@ -113,6 +117,10 @@
     const cutLinkZones = new Set<string>();
     let fleet = createEmptyState();
     let started = 0;
+    let writer = "";
+    platform.onWrite = (client) => {
+        writer = client;
+    };
 
     function change(changes: readonly Change[]): void {
         const record = {
@@ -156,7 +164,10 @@
         return {
             ...peers,
             connected: () => peers.connected(),
-            send: (boot, topic, body) => processes.outside(() => peers.send(boot, topic, body)),
+            send(boot, topic, body) {
+                opts.onSend?.(topic, body);
+                return processes.outside(() => peers.send(boot, topic, body));
+            },
             onMessage: (topic, handler) =>
                 peers.onMessage(topic, (from, body) => process.isKilled() || process.run(() => handler(from, body))),
         };
@@ -361,6 +372,7 @@
                 );
             }
         },
+        lastWriter: () => writer,
         living: () =>
             entries.filter(({ process, isStopped }) => !process.isKilled() && !process.isFrozen() && !isStopped),
         close() {
--- a/bench/limits/runLimitsSchedule.ts
+++ b/bench/limits/runLimitsSchedule.ts
@@ -83,7 +83,7 @@
 function breakSomething(world: LimitsWorld, pick: (most: number) => number): void {
     const living = world.living();
     const chosen = living[pick(Math.max(1, living.length))];
-    switch (pick(15)) {
+    switch (pick(18)) {
         case 0:
             return living.length > 1 && chosen !== undefined ? killAndReplace(world, chosen, pick) : undefined;
         case 1:
@@ -113,6 +113,14 @@
             return living.length > 1 && chosen !== undefined ? void world.stop(chosen) : undefined;
         case 13:
             return cutWorker(world, chosen);
+        case 15:
+            world.platform.lostWrites += 1 + pick(2);
+            return;
+        case 16:
+            world.platform.lateWrites += 1 + pick(2);
+            return;
+        case 17:
+            return chosen === undefined ? undefined : void world.platform.cutOff.add(chosen.peer.boot);
         case 14:
             return world.cutLinks(zones[pick(zones.length)] ?? "");
     }
@@ -139,6 +147,8 @@
 async function checkRecovery(world: LimitsWorld): Promise<readonly string[]> {
     world.platform.isDown = false;
     world.platform.lostWriteAnswers = 0;
+    world.platform.lostWrites = 0;
+    world.platform.lateWrites = 0;
     world.workers.cuts.clear();
     world.entries.filter(({ process }) => process.isFrozen()).forEach(world.wake);
     world.entries.forEach((entry) => void (entry.isStale = false));
--- a/src/limits/createDivider.ts
+++ b/src/limits/createDivider.ts
@@ -3,7 +3,15 @@
 import { createLedgerStore, type LedgerStoreOptions } from "./createLedgerStore";
 import { findShortages, type Shortage } from "./findShortage";
 import { emptyLedger, type Ledger } from "./ledger";
-import type { AskMessage, HoldingMessage, Release, RoomsMessage, SlicesMessage, TeamReport } from "./messages";
+import type {
+    AskMessage,
+    HoldingMessage,
+    Release,
+    RoomsMessage,
+    SlicesMessage,
+    TeamReport,
+    VoidMessage,
+} from "./messages";
 import { isGrown, isSameSlices, type LedgerInput, planLedger } from "./planLedger";
 import { clampUnits, isNoUnits, noUnits, subtractUnits } from "./units";
 
@@ -15,6 +23,7 @@
     readonly endedBoots: EndedBoots;
     readonly sendAsk: (boot: string, message: AskMessage) => void;
     readonly sendSlices: (boot: string, message: SlicesMessage) => void;
+    readonly sendVoid: (boot: string, message: VoidMessage) => void;
     readonly sendRooms: (boot: string, message: RoomsMessage) => void;
 }
 
@@ -32,7 +41,7 @@
 }
 
 /** Least time between two rounds, how long answers to an ask are waited for, and how old a report may be. */
-const roundMs = 200;
+const roundMs = 100;
 const collectMs = 25;
 const reportMs = 2000;
 /** What a holder uses changes less than what waits there, and is told every five seconds at least. */
@@ -46,6 +55,10 @@
     const store = createLedgerStore(opts);
     const holdings = new Map<string, Holding>();
     const releases = new Map<string, Release>();
+    /** Number of each boot's newest release that this entry has promised never to write. */
+    const voided = new Map<string, number>();
+    /** Ledger revision on which a write whose answer was lost was based; it can take effect as long as that stands. */
+    let doubtfulRevision: number | undefined;
     const lastGrowthsAtMs = new Map<string, number>();
     let isBusy = false;
     let isWanted = false;
@@ -139,6 +152,7 @@
             return "done";
         }
         if (!(await store.refresh())) {
+            dropReleases();
             await offerRooms();
             return isNeeded() ? "failed" : "done";
         }
@@ -164,20 +178,40 @@
         if (planned === before) {
             return "done";
         }
+        const { revision } = store.known();
         const result = await store.write(planned);
+        doubtfulRevision = result === "unknown" ? revision : doubtfulRevision;
         const { ledger: after = emptyLedger } = store.known();
         if (result === "written") {
             const boots = new Set([...Object.keys(before.holders), ...Object.keys(after.holders)]);
             [...boots].filter((boot) => !isSameSlices(before, after, boot)).forEach(sendSlices);
-            [...boots].filter((boot) => isGrown(before, after, boot)).forEach((boot) =>
-                lastGrowthsAtMs.set(boot, performance.now())
-            );
+            noteGrowth([...boots].filter((boot) => isGrown(before, after, boot)));
             dropTakenReleases(after);
             return "done";
         }
+        if (result === "unavailable") {
+            dropReleases();
+        }
         return result === "conflict" ? "soon" : "failed";
     }
 
+    function noteGrowth(boots: readonly string[]): void {
+        boots.forEach((boot) => lastGrowthsAtMs.set(boot, performance.now()));
+        askBackoffMs = boots.length > 0 ? roundMs : askBackoffMs;
+    }
+
+    /** Hands room back that holders gave up, while the service does not answer and nothing of it is on its way. */
+    function dropReleases(): void {
+        if (doubtfulRevision !== undefined && store.known().revision <= doubtfulRevision) {
+            return;
+        }
+        for (const [boot, { number }] of releases) {
+            releases.delete(boot);
+            voided.set(boot, number);
+            opts.sendVoid(boot, { shard, number });
+        }
+    }
+
     function dropTakenReleases(ledger: Ledger): void {
         for (const [boot, { number }] of releases) {
             if (number <= (ledger.holders[boot]?.releaseNumber ?? Infinity)) {
@@ -269,9 +303,7 @@
             holdings.set(boot, { atMs: performance.now(), message });
             const { ledger, revision } = store.known();
             const recorded = ledger?.holders[boot]?.releaseNumber ?? 0;
-            if (message.release !== undefined && message.release.number > Math.max(recorded, lastRelease(boot))) {
-                releases.set(boot, message.release);
-            }
+            takeRelease(boot, message.release, recorded);
             if (revision > message.revision) {
                 sendSlices(boot);
             }
@@ -302,8 +334,17 @@
         },
     };
 
-    function lastRelease(boot: string): number {
-        return releases.get(boot)?.number ?? 0;
+    function takeRelease(boot: string, release: Release | undefined, recorded: number): void {
+        const dropped = voided.get(boot) ?? 0;
+        if (release === undefined || release.number <= Math.max(recorded, releases.get(boot)?.number ?? 0)) {
+            return;
+        }
+        if (release.number <= dropped) {
+            opts.sendVoid(boot, { shard, number: dropped });
+        }
+        else {
+            releases.set(boot, release);
+        }
     }
 }
 
--- a/src/limits/createHolder.ts
+++ b/src/limits/createHolder.ts
@@ -1,7 +1,7 @@
 import type { TaskSize } from "../workers";
 import { createSlices } from "./createSlices";
 import type { Hold } from "./limits";
-import type { AskMessage, HoldingMessage, SlicesMessage, TeamAsk, TeamReport } from "./messages";
+import type { AskMessage, HoldingMessage, SlicesMessage, TeamAsk, TeamReport, VoidMessage } from "./messages";
 import { shardCount, shardOf } from "./shards";
 import {
     addUnits,
@@ -37,6 +37,9 @@
     roomOf(team: string): Units;
     answerAsk(ask: AskMessage): void;
     adopt(message: SlicesMessage): void;
+    /** A divider that cannot write has dropped a release. */
+    takeVoid(message: VoidMessage, from: string): void;
+    noteSent(shard: number, boot: string): void;
     /** Gives up every slice but what is in use; further room is given up as it comes free. */
     leave(): void;
     describe(shard: number): HoldingMessage;
@@ -112,7 +115,11 @@
     function keepOf(team: string): Units {
         const state = stateOf(team);
         const cap = slices.capOf(team);
-        const needed = addUnits(state.used, sumUnits(liveWaiting(state)));
+        const waiting = liveWaiting(state);
+        const free = clampUnits(subtractUnits(cap, state.used));
+        // Room too small for any task that waits here may complete one elsewhere; kept, it would serve nobody.
+        const isUseful = waiting.some((units) => fitsWithin(units, free));
+        const needed = addUnits(state.used, isUseful ? sumUnits(waiting) : noUnits);
         const idle = clampUnits(subtractUnits(cap, needed));
         const kept = subtractUnits(cap, minUnits(idle, state.owed));
         return state.ceiling === undefined ? kept : minUnits(kept, maxUnits(state.used, state.ceiling));
@@ -200,6 +207,12 @@
                 opts.onRoom(team);
             });
         },
+        takeVoid({ shard, number }, from) {
+            if (slices.noteVoid(shard, number, from)) {
+                slices.teamsOf(shard).forEach((team) => opts.onRoom(team));
+            }
+        },
+        noteSent: slices.noteSent,
         leave() {
             isLeaving = true;
             const held = [...new Set([...Array.from(teams.keys()), ...allShardTeams(slices)])];
--- a/src/limits/createLimits.ts
+++ b/src/limits/createLimits.ts
@@ -17,6 +17,7 @@
     roomsSchema,
     type SlicesMessage,
     slicesSchema,
+    voidSchema,
 } from "./messages";
 import { limitOf } from "./planLedger";
 import { readDivisions } from "./readDivisions";
@@ -94,6 +95,8 @@
             endedBoots,
             sendAsk: (to, message) => to === boot ? receiveAsk(boot, message) : send(to, limitTopics.ask, message),
             sendSlices: (to, message) => to === boot ? receiveSlices(message) : send(to, limitTopics.slices, message),
+            sendVoid: (to, message) =>
+                to === boot ? holder.takeVoid(message, boot) : send(to, limitTopics.void, message),
             sendRooms: (to, message) => to === boot ? rooms.learn(message) : send(to, limitTopics.rooms, message),
             onWrite: (result) => opts.metrics?.limitWrites.inc({ result }),
         });
@@ -117,6 +120,7 @@
 
     function report(shard: number, to: string): void {
         const message = holder.describe(shard);
+        holder.noteSent(shard, to);
         if (to === boot) {
             dividers[shard]?.take(boot, message);
         }
@@ -188,6 +192,12 @@
                 receiveSlices(data);
             }
         });
+        peers.onMessage(limitTopics.void, (from, body) => {
+            const { data } = voidSchema.safeParse(body);
+            if (data !== undefined && data.shard < shardCount) {
+                holder.takeVoid(data, from.boot);
+            }
+        });
         peers.onMessage(limitTopics.rooms, (_from, body) => {
             const { data } = roomsSchema.safeParse(body);
             if (data !== undefined) {
--- a/src/limits/createSlices.ts
+++ b/src/limits/createSlices.ts
@@ -8,6 +8,8 @@
     slices: Readonly<Record<string, Units>>;
     /** Releases that the ledger is not known to have taken in; each binds from the moment it was made. */
     pending: Release | undefined;
+    /** Boots that may write the pending release, or an earlier one that it contains. */
+    readonly sentTo: Set<string>;
     nextNumber: number;
 }
 
@@ -21,6 +23,12 @@
     adopt(message: SlicesMessage): readonly string[];
     /** The release that is to be sent, which contains the earlier ones. */
     pendingRelease(shard: number): Release | undefined;
+    noteSent(shard: number, boot: string): void;
+    /**
+     * Takes a release back once every boot that it was sent to has promised never to write it; gives true then.
+     * Without this, room that was given up while the platform went down would lie idle until it comes back.
+     */
+    noteVoid(shard: number, number: number, boot: string): boolean;
     revisionOf(shard: number): number;
     teamsOf(shard: number): readonly string[];
 }
@@ -34,6 +42,7 @@
         revision: 0,
         slices: {},
         pending: undefined,
+        sentTo: new Set(),
         nextNumber: 1,
     }));
 
@@ -72,9 +81,30 @@
             shard.slices = message.slices;
             if (shard.pending !== undefined && shard.pending.number <= message.releaseNumber) {
                 shard.pending = undefined;
+                shard.sentTo.clear();
             }
             return teams.filter((team) => isGrown(before.get(team) ?? noUnits, capOf(team)));
         },
+        noteSent(shardNumber, boot) {
+            const shard = shardAt(shardNumber);
+            if (shard.pending !== undefined) {
+                shard.sentTo.add(boot);
+            }
+        },
+        noteVoid(shardNumber, number, boot) {
+            const shard = shardAt(shardNumber);
+            if (shard.pending === undefined || number < shard.pending.number) {
+                return false;
+            }
+            shard.sentTo.delete(boot);
+            if (shard.sentTo.size > 0) {
+                // Another boot may still write it, so it binds; its number is used up where it was dropped.
+                shard.pending = { ...shard.pending, number: shard.nextNumber++ };
+                return false;
+            }
+            shard.pending = undefined;
+            return true;
+        },
         pendingRelease: (shard) => shardAt(shard).pending,
         revisionOf: (shard) => shardAt(shard).revision,
         teamsOf: (shard) =>
--- a/src/limits/findShortage.ts
+++ b/src/limits/findShortage.ts
@@ -25,6 +25,10 @@
     readonly isUrgent: boolean;
 }
 
+const askFactor = 1.25;
+/** An entry with less than this part of its fair division takes room that others use. */
+const leastPart = 0.5;
+
 /** Finds the teams for which a holder waits, which hold more than their limit, or whose room is spread unevenly. */
 export function findShortages(ledger: Ledger, input: LedgerInput): readonly Shortage[] {
     return Object.entries(ledger.teams).flatMap(([team, slices]) => findShortage(team, slices, input) ?? []);
@@ -38,7 +42,7 @@
     const excess = clampUnits(subtractUnits(held, limit));
     const give = maxUnits(clampUnits(subtractUnits(lack, clampUnits(subtractUnits(limit, held)))), excess);
     if (!isNoUnits(give)) {
-        return { team, give, ceilings: findCeilings(team, slices, limit, input), isUrgent: true };
+        return { team, give: addMargin(give), ceilings: findCeilings(team, slices, limit, input), isUrgent: true };
     }
     const uneven = findUnevenness(team, limit, slices, input);
     return isNoUnits(uneven) ? undefined : { team, give: uneven, ceilings: new Map(), isUrgent: false };
@@ -76,6 +80,13 @@
             step: typicalTask(report),
         })),
     );
+    const isUnfair = demands.some(({ boot }) =>
+        (slices[boot] ?? noUnits).tasks < (filled.get(boot) ?? noUnits).tasks * leastPart
+    );
+    // Room in use serves its team wherever it is; each move of it would leave it idle for a while.
+    if (!isUnfair && fitsWithin(heldInReach, room)) {
+        return new Map();
+    }
     return new Map(eligible.flatMap((boot) => {
         const ceiling = filled.get(boot) ?? noUnits;
         return fitsWithin(slices[boot] ?? noUnits, ceiling) ? [] : [[boot, ceiling]];
@@ -105,3 +116,8 @@
     const missing = least * 2 < level ? level - Math.max(0, least) : 0;
     return missing === 0 ? noUnits : mapUnits((name) => Math.floor(limit[name] * missing / limit.tasks));
 }
+
+/** Some more than is lacking now, since more tasks come while room moves. */
+function addMargin(give: Units): Units {
+    return mapUnits((name) => Math.ceil(give[name] * askFactor));
+}
--- a/src/limits/messages.ts
+++ b/src/limits/messages.ts
@@ -8,6 +8,8 @@
     ask: "limits/ask",
     /** A divider tells a holder what the ledger says of it. */
     slices: "limits/slices",
+    /** A divider that cannot write promises that it will never write a release. */
+    void: "limits/void",
     /** A divider names holders that have room while the ledger cannot be written. */
     rooms: "limits/rooms",
 } as const;
@@ -73,6 +75,9 @@
 });
 export type SlicesMessage = z.infer<typeof slicesSchema>;
 
+export const voidSchema = z.object({ shard, number: amount });
+export type VoidMessage = z.infer<typeof voidSchema>;
+
 export const roomsSchema = z.object({
     team: name,
     rooms: z.array(z.object({ boot: name, room: unitsSchema })).max(256),
--- a/src/limits/planLedger.ts
+++ b/src/limits/planLedger.ts
@@ -18,6 +18,9 @@
     type Units,
 } from "./units";
 
+/** Room beyond its present demand that an entry is given before others get idle room, as a part of the demand. */
+const demandMargin = 0.5;
+
 export interface LedgerInput {
     readonly shard: number;
     readonly state: FleetState;
@@ -156,7 +159,7 @@
     const given = fillDemands(free, limit, input.eligible.flatMap((boot) => demandOf(boot, team, slices, input)));
     const served = addToSlices(slices, given);
     const spare = subtractUnits(free, sumUnits(given.values()));
-    return addToSlices(served, shareSpare(spare, served, input.eligible));
+    return addToSlices(served, shareSpare(spare, input.eligible.map((boot) => takerOf(boot, team, served, input))));
 }
 
 function demandOf(boot: string, team: string, slices: TeamSlices["slices"], { reports }: LedgerInput) {
@@ -170,6 +173,14 @@
     return [{ boot, held, wants, firstStep: isNoUnits(lacking) ? report.next : lacking, step: report.next }];
 }
 
+/** An entry that has much work is likely to get more; without a margin each of its next tasks would wait for a write. */
+function takerOf(boot: string, team: string, slices: TeamSlices["slices"], { reports }: LedgerInput) {
+    const report = reports.get(boot)?.[team];
+    const demand = report === undefined ? 0 : report.used.tasks + report.waiting.tasks;
+    const held = (slices[boot] ?? noUnits).tasks;
+    return { boot, idleTasks: held - Math.ceil(demand * (1 + demandMargin)) };
+}
+
 function addToSlices(slices: TeamSlices["slices"], added: ReadonlyMap<string, Units>): TeamSlices["slices"] {
     const changes = [...added].filter(([, units]) => !isNoUnits(units));
     return changes.length === 0 ? slices : {
--- a/src/limits/shareSpare.ts
+++ b/src/limits/shareSpare.ts
@@ -1,20 +1,23 @@
-import { mapUnits, noUnits, type Units } from "./units";
+import { mapUnits, type Units } from "./units";
+
+/** A boot that room may go to, with the tasks for which it has room that it does not need by its present demand. */
+export interface SpareTaker {
+    readonly boot: string;
+    readonly idleTasks: number;
+}
 
 /**
  * Divides room that nobody waits for, so that every boot, and with it every zone, can go on when it is cut off.
- * Tasks are levelled over the boots; the other dimensions follow the tasks in proportion, because room for a task
+ * Idle tasks are levelled over the boots; the other dimensions follow the tasks in proportion, because room for a task
  * without room for its processors is of no use. What cannot be divided evenly stays free.
  */
-export function shareSpare(
-    spare: Units,
-    slices: Readonly<Record<string, Units>>,
-    boots: readonly string[],
-): ReadonlyMap<string, Units> {
-    if (spare.tasks === 0 || boots.length === 0) {
+export function shareSpare(spare: Units, takers: readonly SpareTaker[]): ReadonlyMap<string, Units> {
+    if (spare.tasks === 0 || takers.length === 0) {
         return new Map();
     }
-    const given = levelTasks(spare.tasks, boots.map((boot) => (slices[boot] ?? noUnits).tasks));
-    return new Map(boots.map((boot, at) => {
+    const least = Math.min(...takers.map(({ idleTasks }) => idleTasks));
+    const given = levelTasks(spare.tasks, takers.map(({ idleTasks }) => idleTasks - least));
+    return new Map(takers.map(({ boot }, at) => {
         const tasks = given[at] ?? 0;
         return [boot, mapUnits((name) => Math.floor(spare[name] * tasks / spare.tasks))];
     }));
--- a/src/limits/test/limits.feature
+++ b/src/limits/test/limits.feature
@@ -135,6 +135,44 @@
         Then 6 tasks run from entry 2
         And the limit was never passed
 
+    Scenario: writes that are lost or late
+        The connection breaks after the request has left. The write may never arrive, or arrive when the writer has
+        already written something else.
+
+        Given 3 entries and a limit of 6 tasks
+        When the next 2 writes are lost
+        And the next 3 writes are late
+        And entry 1 gets 6 tasks of 3000 ms
+        And 4000 ms pass
+        And entry 2 gets 6 tasks of 5000 ms
+        And 4000 ms pass
+        Then 6 tasks run from entry 2
+        And the limit was never passed
+
+    Scenario: the entry that writes is cut from the platform alone
+        The others reach the platform and the writer, which goes on asking for room and cannot write. Tasks would wait
+        for room that nobody moves.
+
+        Given 3 entries and a limit of 6 tasks
+        When the entry that writes is cut from the platform
+        And the others get 6 tasks of 10000 ms each
+        And 4000 ms pass
+        Then 6 tasks run in the fleet
+        And the limit was never passed
+
+    Scenario: room that was being moved when the platform went down is used where it is
+        Holders have given room up, and the platform goes down before that is written. The room would be of use to
+        nobody until the platform comes back.
+
+        Given 3 entries and a limit of 6 tasks
+        When entry 1 gets 6 tasks of 500 ms
+        And the platform goes down when entry 2 has given room up
+        And 3000 ms pass
+        And each entry gets 6 tasks of 5000 ms
+        And 1500 ms pass
+        Then 6 tasks run in the fleet
+        And the limit was never passed
+
     Scenario: two entries write at once
         The links between zones are cut while the platform still answers, so each side believes that it alone divides
         the limit. Both would give out the same free room.
--- a/src/limits/test/limits.steps.ts
+++ b/src/limits/test/limits.steps.ts
@@ -169,6 +169,32 @@
     worldOf(this).platform.lostWriteAnswers = count;
 });
 
+When("the next {int} writes are lost", function(this: World, count: number) {
+    worldOf(this).platform.lostWrites = count;
+});
+
+When("the next {int} writes are late", function(this: World, count: number) {
+    worldOf(this).platform.lateWrites = count;
+});
+
+When("the platform goes down when entry {int} has given room up", async function(this: World, number: number) {
+    const { platform, clock } = worldOf(this);
+    const size = { processors: 1, memoryMb: 1, accelerators: 0 };
+    while (entryOf(this, number).limits.hasRoom(team, size)) {
+        await clock.tickAsync(1);
+    }
+    platform.isDown = true;
+});
+
+When("the entry that writes is cut from the platform", function(this: World) {
+    worldOf(this).platform.cutOff.add(worldOf(this).lastWriter());
+});
+
+When("the others get {int} tasks of {int} ms each", function(this: World, count: number, runMs: number) {
+    const { entries, lastWriter } = worldOf(this);
+    entries.filter(({ peer }) => peer.boot !== lastWriter()).forEach((entry) => submit(this, entry, count, runMs));
+});
+
 When("the limit is lowered to {int} tasks", function(this: World, tasks: number) {
     worldOf(this).setTeam(team, { ...large, tasks });
 });
--- a/standins/fakes/createFakePlatform.ts
+++ b/standins/fakes/createFakePlatform.ts
@@ -22,6 +22,10 @@
     readonly cutOff: Set<string>;
     /** The answers of this many writes are lost after they took effect. */
     lostWriteAnswers: number;
+    /** This many writes are lost on their way: they have no effect and no answer. */
+    lostWrites: number;
+    /** This many writes take effect only after their client has given up waiting for the answer. */
+    lateWrites: number;
     /** Clients whose watches tell of a change only this much later. */
     readonly lateWatches: Set<string>;
     /** What the instance list goes on to tell, where it lags. */
@@ -34,6 +38,7 @@
 
 const maxValueBytes = 1024 * 1024;
 const lateWatchMs = 5000;
+const lateWriteMs = 400;
 
 export function createFakePlatform(): FakePlatform {
     const values = new Map<string, StoredValue>();
@@ -46,6 +51,8 @@
         delayMs: 1,
         cutOff: new Set(),
         lostWriteAnswers: 0,
+        lostWrites: 0,
+        lateWrites: 0,
         lateWatches: new Set(),
         staleInstances: undefined,
         onWrite: () => {},
@@ -77,11 +84,16 @@
                 return Left({ kind: "unavailable", detail: "down" });
             }
             fake.calls.write++;
-            const written = writeValue(key, expected, text);
-            if (written.isRight()) {
-                fake.onWrite(client, key, text);
-                [...watchers].forEach((wake) => wake());
+            if (fake.lostWrites > 0) {
+                fake.lostWrites--;
+                return Left({ kind: "unknown", detail: "no answer" });
             }
+            if (fake.lateWrites > 0) {
+                fake.lateWrites--;
+                setTimeout(() => void apply(client, key, expected, text), lateWriteMs);
+                return Left({ kind: "unknown", detail: "no answer" });
+            }
+            const written = apply(client, key, expected, text);
             await sleep(fake.delayMs);
             if (isUnreachable(client)) {
                 return Left({ kind: "unknown", detail: "answer lost" });
@@ -134,6 +146,15 @@
         };
     }
 
+    function apply(client: string, key: string, expected: number, text: string): Either<SwapFailure, number> {
+        const written = writeValue(key, expected, text);
+        if (written.isRight()) {
+            fake.onWrite(client, key, text);
+            [...watchers].forEach((wake) => wake());
+        }
+        return written;
+    }
+
     function waitForWrite(ms: number): Promise<void> {
         return new Promise((resolve) => {
             const wake = () => {
