fix(limits): a new limit is divided at once, and all waiting tasks count as demand

Dispatch named one waiting task at a time, so that a burst would wait for as many moves of room as it has tasks.

Change: the division is checked with each new configuration; dispatch notes the first 64 waiting tasks of a team.

--- a/bench/experiments.ts
+++ b/bench/experiments.ts
@@ -1,6 +1,6 @@
 import type { Experiment } from "./experiment";
-import { onceExperiment } from "./once/onceExperiment";
 import { limitsExperiment, limitsSchedulesExperiment } from "./limits";
+import { onceExperiment } from "./once/onceExperiment";
 import { schedules } from "./schedules/schedules";
 import { soak } from "./soak/soak";
 
--- a/src/dispatch/createDispatch.ts
+++ b/src/dispatch/createDispatch.ts
@@ -51,6 +51,8 @@
 const maxWaitingMs = 10 * 60 * 1000;
 /** Tasks of one team that are tried when the first is too large for what is free. */
 const lookAhead = 4;
+/** Waiting tasks of one team for which room is asked at once; one at a time, a burst would wait for as many moves. */
+const demandAhead = 64;
 /** After this wait the first task is no longer passed by smaller ones behind it, in milliseconds. */
 const noPassingAfterMs = 1000;
 const maxTries = 3;
@@ -321,6 +323,7 @@
         const { id, team, size } = waiting.task;
         const hold = limits.tryTake(team, size, id);
         if (hold === undefined) {
+            queue.first(demandAhead).forEach(({ task }) => limits.noteDemand(task.team, task.size, task.id));
             waiting.lacksRoom = true;
             queue.lacksRoom = true;
             tellWaiting(queue);
--- a/src/limits/createLimits.ts
+++ b/src/limits/createLimits.ts
@@ -169,10 +169,15 @@
         const boots = eligible();
         times.forEach((at, shard) => tickShard(shard, at, boots));
         if (ticks % ticksPerCheck === 0) {
-            dividers.filter((_, shard) => pickDivider(shard, boots) === boot).forEach((divider) => divider.check());
+            checkOwnShards();
         }
     }
 
+    function checkOwnShards(): void {
+        const boots = eligible();
+        dividers.filter((_, shard) => pickDivider(shard, boots) === boot).forEach((divider) => divider.check());
+    }
+
     function listen(): void {
         peers.onMessage(limitTopics.holding, (from, body) => {
             const { data } = holdingSchema.safeParse(body);
@@ -238,6 +243,8 @@
         readDivisions: () => readDivisions(opts.platform, configuration.state(), members),
         start() {
             listen();
+            // A new team has no room anywhere until its limit is divided, and none for long if the platform goes down now.
+            configuration.onChange(checkOwnShards);
             ticker = setInterval(tick, tickMs);
             tick();
         },
