--- a/bench/experiments.ts
+++ b/bench/experiments.ts
@@ -1,4 +1,5 @@
 import type { Experiment } from "./experiment";
+import { limitsExperiment, limitsSchedulesExperiment } from "./limits";
 import { onceExperiment } from "./once/onceExperiment";
 import { moves } from "./fleet/moves";
 import { waves } from "./fleet/waves";
@@ -7,6 +8,8 @@
 
 /** Every experiment, in the order of `npm run bench -- all`. */
 export const experiments: readonly Experiment[] = [
+    limitsExperiment,
+    limitsSchedulesExperiment,
     soak,
     schedules,
     onceExperiment,
