fix(shares): each entry divides its own slots, the late fleet counts only correct them

Change: an entry divides its own slots, whose count is exact, by its part of each team's share; the fleet's counts give a slow correction. Freed slots are offered to entries that have fewer than their part.

--- a/src/dispatch/createDispatch.ts
+++ b/src/dispatch/createDispatch.ts
@@ -55,7 +55,7 @@
 const noPassingAfterMs = 1000;
 const maxTries = 3;
 const tickMs = 100;
-const reclaimTickMs = 500;
+const reclaimTickMs = 250;
 const stopPollMs = 50;
 
 /** Queues tasks by team, takes them in fair order, and runs each to one end. */
@@ -341,7 +341,7 @@
         const { task } = waiting;
         const one = tries.begin(waiting, instance, hold);
         loads.take(instance.name, task.size);
-        shares.addRunning(task.pool, task.team, task.size);
+        shares.addRunning(task.pool, task.team, task.size, task.urgent);
         const problem = await claim(waiting);
         const end = problem ?? checkBeforeSend(waiting, instance);
         if (end !== undefined) {
--- a/src/dispatch/createTaskQueues.ts
+++ b/src/dispatch/createTaskQueues.ts
@@ -13,7 +13,7 @@
     /** When this queue last became other than empty, in milliseconds of this entry's clock. */
     backlogAtMs: number;
     size(): number;
-    /** The first tasks, at most `count` of them: returned ones, then urgent ones, then the rest. */
+    /** The first tasks, at most `count` of them: urgent ones, then the rest; of each those that came back first. */
     first(count: number): readonly WaitingTask[];
     /** What others are told; `undefined` where nothing could start even if a worker were free. */
     waitingWork(): WaitingWork | undefined;
@@ -38,10 +38,12 @@
     count(): number;
 }
 
+type QueuePart = "urgentReturned" | "urgent" | "returned" | "normal";
+
 interface OwnQueue extends TeamQueue {
-    readonly returned: Set<WaitingTask>;
-    readonly urgent: Set<WaitingTask>;
-    readonly normal: Set<WaitingTask>;
+    readonly parts: Readonly<Record<QueuePart, Set<WaitingTask>>>;
+    /** Urgent tasks, returned ones included. */
+    urgentTasks: number;
     readonly sum: { processors: number; memoryMb: number; accelerators: number; };
 }
 
@@ -59,14 +61,15 @@
         return queue;
     }
 
-    function insert(task: WaitingTask, pick: (queue: OwnQueue) => Set<WaitingTask>): OwnQueue {
+    function insert(task: WaitingTask, part: QueuePart): OwnQueue {
         const { pool, team, size } = task.task;
         const queue = ensure(pool, team);
         if (queue.size() === 0) {
             queue.backlogAtMs = Date.now();
             queue.drained = 0;
         }
-        pick(queue).add(task);
+        queue.parts[part].add(task);
+        queue.urgentTasks += task.task.urgent ? 1 : 0;
         addTo(queue.sum, size, 1);
         total++;
         byTeam.set(team, (byTeam.get(team) ?? 0) + 1);
@@ -75,8 +78,8 @@
 
     return {
         isFull: (team) => total >= bounds.tasks || (byTeam.get(team) ?? 0) >= bounds.tasksPerTeam,
-        add: (task) => insert(task, ({ urgent, normal }) => task.task.urgent ? urgent : normal),
-        addInFront: (task) => insert(task, ({ returned }) => returned),
+        add: (task) => insert(task, task.task.urgent ? "urgent" : "normal"),
+        addInFront: (task) => insert(task, task.task.urgent ? "urgentReturned" : "returned"),
         remove(task) {
             const { pool, team, size } = task.task;
             const queue = pools.get(pool)?.get(team);
@@ -84,6 +87,7 @@
                 return undefined;
             }
             addTo(queue.sum, size, -1);
+            queue.urgentTasks -= task.task.urgent ? 1 : 0;
             total--;
             byTeam.set(team, (byTeam.get(team) ?? 1) - 1);
             if (queue.size() === 0) {
@@ -99,7 +103,13 @@
 }
 
 function createTeamQueue(pool: string, team: string): OwnQueue {
-    const [returned, urgent, normal] = [new Set<WaitingTask>(), new Set<WaitingTask>(), new Set<WaitingTask>()];
+    const parts = {
+        urgentReturned: new Set<WaitingTask>(),
+        urgent: new Set<WaitingTask>(),
+        returned: new Set<WaitingTask>(),
+        normal: new Set<WaitingTask>(),
+    };
+    const inOrder = Object.values(parts);
     const sum = { processors: 0, memoryMb: 0, accelerators: 0 };
     const queue: OwnQueue = {
         team,
@@ -107,14 +117,13 @@
         lacksRoom: false,
         drained: 0,
         backlogAtMs: Date.now(),
-        returned,
-        urgent,
-        normal,
+        parts,
+        urgentTasks: 0,
         sum,
-        size: () => returned.size + urgent.size + normal.size,
+        size: () => inOrder.reduce((sum, { size }) => sum + size, 0),
         first(count) {
             const found: WaitingTask[] = [];
-            for (const part of [returned, urgent, normal]) {
+            for (const part of inOrder) {
                 for (const task of part) {
                     if (found.length === count) {
                         return found;
@@ -129,10 +138,10 @@
             if (tasks === 0 || queue.lacksRoom) {
                 return undefined;
             }
-            const oldest = [returned, urgent, normal].flatMap((part) => [...firstOf(part)]);
+            const oldest = inOrder.flatMap((part) => [...firstOf(part)]);
             return {
                 amounts: { tasks, ...sum },
-                urgentTasks: urgent.size,
+                urgentTasks: queue.urgentTasks,
                 oldestAtMs: Math.min(...oldest.map(({ arrivedAtMs }) => arrivedAtMs)),
             };
         },
@@ -145,8 +154,8 @@
     return first.done === true ? [] : [first.value];
 }
 
-function removeFrom({ returned, urgent, normal }: OwnQueue, task: WaitingTask): boolean {
-    return returned.delete(task) || urgent.delete(task) || normal.delete(task);
+function removeFrom({ parts }: OwnQueue, task: WaitingTask): boolean {
+    return Object.values(parts).some((part) => part.delete(task));
 }
 
 function addTo(sum: { processors: number; memoryMb: number; accelerators: number; }, size: TaskSize, sign: 1 | -1) {
--- a/src/dispatch/findOwnReclaims.ts
+++ b/src/dispatch/findOwnReclaims.ts
@@ -8,7 +8,7 @@
 }
 
 /** Urgent work waits this long for a slot to become free by itself, in milliseconds. */
-const urgentWaitMs = 750;
+const urgentWaitMs = 600;
 
 /**
  * Chooses running tasks to stop for others: only repeatable ones that are not urgent, the latest started first. A team
--- a/src/shares/createReports.ts
+++ b/src/shares/createReports.ts
@@ -17,8 +17,8 @@
 }
 
 export interface Reports {
-    /** Tells changes soon, because waiting others depend on them. */
-    hurry(): void;
+    /** Tells the pool's changes soon, because waiting others depend on them. */
+    hurry(pool: string): void;
     start(): void;
     stop(): void;
 }
@@ -38,15 +38,16 @@
     const { peers, table } = opts;
     const sent = new Map<string, Map<string, string>>();
     const heard = new Map<string, number>();
+    const hurried = new Set<string>();
     let known = new Set<string>();
     let sequence = 0;
     let timer: NodeJS.Timeout | undefined;
     let soon: NodeJS.Timeout | undefined;
     let sentAtMs = 0;
 
-    function collectChanges(): Report["pools"] {
+    function collectChanges(chosen: readonly string[]): Report["pools"] {
         const pools: Record<string, ReportRow[]> = {};
-        for (const pool of opts.reportedPools()) {
+        for (const pool of chosen) {
             const told = sent.get(pool) ?? new Map<string, string>();
             sent.set(pool, told);
             const changed = opts.ownRows(pool).filter((row) => {
@@ -71,10 +72,16 @@
         return { sequence, isWhole: true, pools };
     }
 
-    function tell(): void {
+    function tellSoon(): void {
         soon = undefined;
         sentAtMs = Date.now();
-        const pools = collectChanges();
+        const chosen = opts.reportedPools().filter((pool) => hurried.has(pool));
+        hurried.clear();
+        tell(chosen);
+    }
+
+    function tell(chosen: readonly string[]): void {
+        const pools = collectChanges(chosen);
         if (Object.keys(pools).length > 0) {
             sequence++;
             peers.broadcast(reportTopic, { sequence, isWhole: false, pools } satisfies Report);
@@ -95,7 +102,7 @@
             }
         }
         known = now;
-        tell();
+        tell(opts.reportedPools());
     }
 
     function take(boot: string, report: Report): void {
@@ -133,8 +140,9 @@
     peers.onRequest(wholeTopic, () => Promise.resolve(collectAll()));
 
     return {
-        hurry() {
-            soon ??= setTimeout(tell, Math.max(1, sentAtMs + hurryMs - Date.now()));
+        hurry(pool) {
+            hurried.add(pool);
+            soon ??= setTimeout(tellSoon, Math.max(1, sentAtMs + hurryMs - Date.now()));
         },
         start() {
             timer = setInterval(tick, opts.reportMs);
--- a/src/shares/createShareTable.ts
+++ b/src/shares/createShareTable.ts
@@ -22,6 +22,8 @@
     boots(): readonly string[];
     /** The entry at which the team has waited longest. */
     findLongestWaiting(pool: string, team: string): { readonly boot: string; readonly row: ShareRow; } | undefined;
+    /** Each entry's rows of the pool, by team. */
+    rowsByBoot(pool: string): readonly (readonly [string, ReadonlyMap<string, ShareRow>])[];
     waitingPools(): readonly string[];
 }
 
@@ -84,6 +86,11 @@
             }
             return best;
         },
+        rowsByBoot: (pool) =>
+            [...byBoot].flatMap(([boot, rows]) => {
+                const teams = rows.get(pool);
+                return teams === undefined ? [] : [[boot, teams] as const];
+            }),
         waitingPools: () =>
             [...sums].filter(([, teams]) => [...teams.values()].some(({ waiting }) => waiting.tasks > 0))
                 .map(([pool]) => pool),
--- a/src/shares/createShares.ts
+++ b/src/shares/createShares.ts
@@ -3,7 +3,8 @@
 import type { PoolIndex } from "../pools";
 import { addAmounts, addSize, createAmounts, dominantShare, type MutableAmounts } from "./amounts";
 import { createReports } from "./createReports";
-import { createShareTable, type ShareRow } from "./createShareTable";
+import { createShareTable } from "./createShareTable";
+import { createUrgentRight, type UrgentRight } from "./createUrgentRight";
 import { fillShares } from "./fillShares";
 import { findReclaims } from "./findReclaims";
 import type { ReportRow } from "./messages";
@@ -22,24 +23,53 @@
 
 interface OwnRow {
     readonly running: MutableAmounts;
+    readonly urgentRight: UrgentRight;
     waiting?: WaitingWork | undefined;
 }
 
-/** How much longer a team must have waited at another entry for that entry to go first, in milliseconds. */
-const olderByMs = 500;
+/** A team's share, by dominant resource. */
+interface Share {
+    readonly amount: number;
+    readonly demand: number;
+    readonly isLight: boolean;
+}
+
+interface PartRow {
+    readonly running: { readonly tasks: number; };
+    readonly waiting?: { readonly tasks: number; } | undefined;
+}
+
+interface Surplus {
+    readonly surplus: number;
+    readonly running: number;
+    readonly waitingTeam: string | undefined;
+}
+
+/** A team below its share that has waited this long at another entry is offered a slot, in milliseconds. */
+const lateMs = 300;
+/** Part of what an entry has more than another that it offers to it, for each time as long as a task runs. */
+const evenOutPart = 0.5;
+const lightMargin = 1e-6;
+/** Part of the last error that is corrected, and part of the correction that is kept, at each report. */
+const biasGain = 0.15;
+const biasKept = 0.9;
 /** How long shares that were worked out stay good enough, in milliseconds. */
 const sharesAgeMs = 100;
 const noAmounts = createAmounts();
+const noShare: Share = { amount: 0, demand: 0, isLight: true };
 
 /** Divides each pool by weighted max-min over all entries' reports and this entry's own counts. */
 export function createShares(opts: SharesOptions): Shares {
     const own = new Map<string, Map<string, OwnRow>>();
     const table = createShareTable();
     const listeners = new Set<(pool: string) => void>();
-    const cached = new Map<string, { readonly atMs: number; readonly shares: ReadonlyMap<string, number>; }>();
+    const cached = new Map<string, { readonly atMs: number; readonly shares: ReadonlyMap<string, Share>; }>();
     const random = opts.random ?? Math.random;
     /** Pools in which other entries think that something waits here. */
     const wasTold = new Set<string>();
+    const contended = new Set<string>();
+    const biases = new Map<string, Map<string, number>>();
+    let timer: NodeJS.Timeout | undefined;
     const reports = createReports({
         peers: opts.peers,
         table,
@@ -53,7 +83,7 @@
     function ownRow(pool: string, team: string): OwnRow {
         const teams = own.get(pool) ?? new Map<string, OwnRow>();
         own.set(pool, teams);
-        const row = teams.get(team) ?? { running: createAmounts() };
+        const row = teams.get(team) ?? { running: createAmounts(), urgentRight: createUrgentRight() };
         teams.set(team, row);
         return row;
     }
@@ -61,17 +91,24 @@
     function ownRows(pool: string): readonly ReportRow[] {
         const nowMs = Date.now();
         const teams = own.get(pool) ?? new Map<string, OwnRow>();
-        const rows = [...teams].map(([team, { running, waiting }]): ReportRow => {
+        const rows = [...teams].map(([team, row]): ReportRow => {
+            const { running, waiting } = row;
             const w = waiting?.amounts ?? noAmounts;
             const ageMs = waiting === undefined ? 0 : Math.max(0, nowMs - waiting.oldestAtMs);
             const { tasks, processors, memoryMb, accelerators } = running;
             const run = [tasks, processors, memoryMb, accelerators] as const;
             const wait = [w.tasks, w.processors, w.memoryMb, w.accelerators] as const;
-            return [team, ...run, ...wait, waiting?.urgentTasks ?? 0, ageMs];
+            return [team, ...run, ...wait, urgentTasksOf(row), ageMs];
         });
         return rows;
     }
 
+    /** Urgent tasks that may go ahead of their team's turn. */
+    function urgentTasksOf({ waiting, urgentRight }: OwnRow): number {
+        const tasks = waiting?.urgentTasks ?? 0;
+        return tasks > 0 && urgentRight.isGiven() ? tasks : 0;
+    }
+
     /** Forgets teams whose row of zeros has been told. */
     function onTold(pool: string): void {
         const teams = own.get(pool) ?? new Map<string, OwnRow>();
@@ -96,12 +133,21 @@
 
     function onPeerChange(pool: string): void {
         cached.delete(pool);
-        if (own.has(pool) && isContended(pool) && !wasTold.has(pool)) {
-            reports.hurry();
-        }
+        noteContention(pool);
         listeners.forEach((listener) => listener(pool));
     }
 
+    /** Where something begins to wait in a pool, all who run there tell what they run, which they had kept back. */
+    function noteContention(pool: string): void {
+        if (!isContended(pool)) {
+            contended.delete(pool);
+        }
+        else if (!contended.has(pool)) {
+            contended.add(pool);
+            reports.hurry(pool);
+        }
+    }
+
     function weightOf(team: string): number {
         return opts.configuration.state()?.teams[team]?.weight ?? 1;
     }
@@ -131,7 +177,7 @@
                 runningHere: mine?.running.tasks ?? 0,
                 waiting: dominantShare(waiting, capacity),
                 waitingTasks: waiting.tasks,
-                urgentTasks: (mine?.waiting?.urgentTasks ?? 0) + (others?.urgentTasks ?? 0),
+                urgentTasks: (mine === undefined ? 0 : urgentTasksOf(mine)) + (others?.urgentTasks ?? 0),
                 oldestAtMs: Math.min(oldest, mine?.waiting?.oldestAtMs ?? Infinity),
             };
         });
@@ -141,99 +187,216 @@
      * Each team's share of what is running now. The pot is what runs, rather than the configured capacity, because
      * workers that are set aside or cannot be reached would make every team look below its share.
      */
-    function sharesOf(pool: string): ReadonlyMap<string, number> {
+    function sharesOf(pool: string): ReadonlyMap<string, Share> {
         const known = cached.get(pool);
         if (known !== undefined && Date.now() - known.atMs < sharesAgeMs) {
             return known.shares;
         }
         const use = listUse(pool);
         const pot = use.reduce((total, { running }) => total + running, 0);
-        const shares = fillShares(use.map((each) => ({ ...each, demand: each.running + each.waiting })), pot);
+        const demands = use.map((each) => ({ ...each, demand: each.running + each.waiting }));
+        const amounts = fillShares(demands, pot);
+        const shares = new Map(demands.map(({ team, demand }): [string, Share] => {
+            const amount = amounts.get(team) ?? 0;
+            return [team, { amount, demand, isLight: demand <= amount * (1 + lightMargin) }];
+        }));
         cached.set(pool, { atMs: Date.now(), shares });
         return shares;
     }
 
+    /** For each team the part of its demand that its share covers, by tasks. */
+    function partsOf(pool: string): ReadonlyMap<string, number> {
+        return new Map(
+            [...sharesOf(pool)].map(([team, { amount, demand }]) => [team, demand > 0 ? amount / demand : 0]),
+        );
+    }
+
+    function amountsOf(pool: string): ReadonlyMap<string, number> {
+        return new Map([...sharesOf(pool)].map(([team, { amount }]) => [team, amount]));
+    }
+
     interface Candidate {
         readonly team: string;
+        /** Urgent work that may go ahead; what it takes counts against its team's further work. */
         readonly isUrgent: boolean;
-        /** Part of the pool in use, divided by the weight. */
-        readonly level: number;
-        readonly oneTask: number;
-    }
-
-    function candidate(pool: string, team: string, waiting: WaitingWork["amounts"], urgentTasks: number): Candidate {
-        const use = useOf(pool, team);
-        const weight = weightOf(team);
-        const capacity = opts.pools.find(pool)?.capacity ?? noAmounts;
-        const oneTask = dominantShare(waiting, capacity) / Math.max(1, waiting.tasks) / weight;
-        const isUrgent = urgentTasks > 0 && use < (sharesOf(pool).get(team) ?? 0);
-        return { team, isUrgent, level: use / weight, oneTask };
+        /** True where the team wants no more than its share: nobody else has a better claim. */
+        readonly isLight: boolean;
+        /** What this entry runs for it beyond its part of the share, by dominant resource. */
+        readonly excess: number;
     }
 
     function ownCandidates(pool: string, teams: readonly string[]): readonly Candidate[] {
+        const capacity = opts.pools.find(pool)?.capacity ?? noAmounts;
+        const shares = sharesOf(pool);
+        const rows = own.get(pool) ?? new Map<string, OwnRow>();
+        let [ownSum, targetSum] = [0, 0];
+        const targets = new Map<string, number>();
+        rows.forEach(({ running, waiting }, team) => {
+            const { amount, demand } = shares.get(team) ?? noShare;
+            const inUse = dominantShare(running, capacity);
+            const wanted = inUse + dominantShare(waiting?.amounts ?? noAmounts, capacity);
+            const target = demand > 0 ? amount * wanted / demand : 0;
+            targets.set(team, target);
+            ownSum += inUse;
+            targetSum += target;
+        });
         return teams.flatMap((team) => {
-            const waiting = own.get(pool)?.get(team)?.waiting;
-            return waiting === undefined ? [] : [candidate(pool, team, waiting.amounts, waiting.urgentTasks)];
+            const row = rows.get(team);
+            if (row?.waiting === undefined) {
+                return [];
+            }
+            const share = shares.get(team) ?? noShare;
+            const target = targetSum === 0 ? 0 : ownSum * (targets.get(team) ?? 0) / targetSum;
+            const running = dominantShare(row.running, capacity);
+            const excess = (running + biasOf(pool, team) - target) / weightOf(team);
+            return [{ team, isUrgent: urgentTasksOf(row) > 0, isLight: share.isLight, excess }];
         });
     }
 
-    function peerCandidates(pool: string): readonly Candidate[] {
-        const rows = table.totals(pool) ?? new Map<string, ShareRow>();
-        return [...rows].flatMap(([team, { waiting, urgentTasks }]) =>
-            waiting.tasks < 1 ? [] : [candidate(pool, team, waiting, urgentTasks)]
-        );
+    /** The team with the best claim on a slot among those that have waited for a while at other entries. */
+    function findPeerTurn(pool: string, hasOwn: boolean): Turn | undefined {
+        const shares = sharesOf(pool);
+        const capacity = opts.pools.find(pool)?.capacity ?? noAmounts;
+        let best: { readonly team: string; readonly boot: string; readonly missing: number; } | undefined;
+        for (const [team, { waiting, urgentTasks }] of table.totals(pool) ?? []) {
+            const longest = waiting.tasks < 1 ? undefined : table.findLongestWaiting(pool, team);
+            if (longest === undefined) {
+                continue;
+            }
+            const oneTask = dominantShare(waiting, capacity) / waiting.tasks;
+            const missing = ((shares.get(team)?.amount ?? 0) - useOf(pool, team)) / oneTask;
+            const isLate = Date.now() - longest.row.oldestAtMs > lateMs && (missing > 1 || urgentTasks > 0);
+            if ((!hasOwn || isLate) && (best === undefined || missing > best.missing)) {
+                best = { team, boot: longest.boot, missing };
+            }
+        }
+        return best === undefined ? undefined : { kind: "peer", team: best.team, boot: best.boot };
+    }
+
+    /** How much more an entry runs than its part of all shares by what it has waiting, in tasks. */
+    function surplusOf(pool: string, rows: Iterable<readonly [string, PartRow]>): Surplus {
+        const parts = partsOf(pool);
+        let [running, fair] = [0, 0];
+        let waitingTeam: string | undefined;
+        for (const [team, row] of rows) {
+            running += row.running.tasks;
+            fair += (row.running.tasks + (row.waiting?.tasks ?? 0)) * (parts.get(team) ?? 0);
+            waitingTeam = (row.waiting?.tasks ?? 0) >= 1 ? team : waitingTeam;
+        }
+        return { surplus: running - fair, running, waitingTeam };
+    }
+
+    /**
+     * An entry that has far fewer slots than its part though it has work waiting. A slot stays with the entry whose task
+     * ended there, so without this work at an entry with few slots would wait long.
+     */
+    function findPoorer(pool: string): Turn | undefined {
+        const ownRows = [...own.get(pool) ?? []].map(([team, { running, waiting }]): [string, PartRow] => {
+            return [team, { running, waiting: waiting?.amounts }];
+        });
+        const { surplus, running } = surplusOf(pool, ownRows);
+        if (surplus < 1 || random() > surplus / running * evenOutPart) {
+            return undefined;
+        }
+        let poorest: { readonly boot: string; readonly team: string; readonly surplus: number; } | undefined;
+        for (const [boot, rows] of table.rowsByBoot(pool)) {
+            const { waitingTeam, surplus: theirs } = surplusOf(pool, rows);
+            if (waitingTeam !== undefined && theirs < (poorest?.surplus ?? -1)) {
+                poorest = { boot, team: waitingTeam, surplus: theirs };
+            }
+        }
+        return poorest === undefined ? undefined : { kind: "peer", team: poorest.team, boot: poorest.boot };
     }
 
     function nextTurn(pool: string, ownTeams: readonly string[], withPeers: boolean): Turn {
         const mine = ownCandidates(pool, ownTeams).reduce(first, undefined);
-        const theirs = withPeers ? peerCandidates(pool).reduce(first, undefined) : undefined;
-        const peer = theirs === undefined ? undefined : table.findLongestWaiting(pool, theirs.team);
-        if (theirs === undefined || peer === undefined) {
-            return mine === undefined ? { kind: "nobody" } : { kind: "own", team: mine.team };
+        const isSettled = mine?.isUrgent === true || mine?.isLight === true;
+        if (withPeers && !isSettled && (mine === undefined || random() < 1 / (opts.peers.connected().length + 1))) {
+            const peer = findPeerTurn(pool, mine !== undefined);
+            if (peer !== undefined) {
+                return peer;
+            }
         }
-        const other = { kind: "peer", team: theirs.team, boot: peer.boot } as const;
-        if (mine === undefined) {
-            return other;
+        const poorer = withPeers && !isSettled ? findPoorer(pool) : undefined;
+        if (poorer !== undefined) {
+            return poorer;
         }
-        if (mine.team === theirs.team) {
-            const ownOldestAtMs = own.get(pool)?.get(mine.team)?.waiting?.oldestAtMs ?? 0;
-            return peer.row.oldestAtMs < ownOldestAtMs - olderByMs ? other : { kind: "own", team: mine.team };
+        return mine === undefined ? { kind: "nobody" } : { kind: "own", team: mine.team };
+    }
+
+    function biasOf(pool: string, team: string): number {
+        return biases.get(pool)?.get(team) ?? 0;
+    }
+
+    /**
+     * Corrects this entry's part of each share by what the whole fleet had too much or too little at the last reports.
+     * Every entry divides its own slots by its own counts, which are always right; the fleet's counts are late, and
+     * entries that all followed them at once would swing from one team to the other.
+     */
+    function correct(): void {
+        const pools = contendedPools();
+        const entries = opts.peers.connected().length + 1;
+        [...biases.keys()].filter((pool) => !pools.includes(pool)).forEach((pool) => biases.delete(pool));
+        for (const pool of pools) {
+            const shares = sharesOf(pool);
+            const known = biases.get(pool) ?? new Map<string, number>();
+            biases.set(pool, known);
+            for (const { team, running } of listUse(pool)) {
+                const excess = (running - (shares.get(team)?.amount ?? 0)) / entries;
+                known.set(team, (known.get(team) ?? 0) * biasKept + excess * biasGain);
+            }
         }
-        const isBehind = theirs.isUrgent === mine.isUrgent
-            ? theirs.level + theirs.oneTask < mine.level
-            : theirs.isUrgent;
-        return isBehind ? other : { kind: "own", team: mine.team };
+    }
+
+    function contendedPools(): readonly string[] {
+        return [...new Set([...[...own.keys()].filter(hasWaiting), ...table.waitingPools()])];
     }
 
     return {
-        addRunning: (pool, team, size) => addSize(ownRow(pool, team).running, size, 1),
+        addRunning(pool, team, size, isUrgent) {
+            const row = ownRow(pool, team);
+            addSize(row.running, size, 1);
+            row.urgentRight.noteStart(isUrgent);
+        },
         removeRunning: (pool, team, size) => addSize(ownRow(pool, team).running, size, -1),
         setWaiting(pool, team, waiting) {
             const row = ownRow(pool, team);
-            const isFirst = waiting !== undefined && row.waiting === undefined && !isContended(pool);
+            const hasTurned = (waiting === undefined) !== (row.waiting === undefined);
             row.waiting = waiting;
-            if (isFirst) {
-                reports.hurry();
+            if (hasTurned) {
+                noteContention(pool);
             }
         },
         nextTurn,
         noteOffer: (pool, team, boot) => table.moveOne(boot, pool, team),
-        contendedPools: () => [...new Set([...[...own.keys()].filter(hasWaiting), ...table.waitingPools()])],
-        findReclaims: (pool) => findReclaims(listUse(pool), sharesOf(pool), Date.now(), random),
-        isAtShare: (pool, team) => useOf(pool, team) >= (sharesOf(pool).get(team) ?? 0),
+        contendedPools,
+        findReclaims: (pool) => findReclaims(listUse(pool), amountsOf(pool), Date.now(), random),
+        isAtShare: (pool, team) => useOf(pool, team) >= (sharesOf(pool).get(team)?.amount ?? 0),
         onChange(listener) {
             listeners.add(listener);
             return () => listeners.delete(listener);
         },
-        start: () => reports.start(),
-        stop: () => reports.stop(),
+        start() {
+            reports.start();
+            timer = setInterval(correct, opts.reportMs);
+        },
+        stop() {
+            reports.stop();
+            clearInterval(timer);
+        },
     };
 
     function first(best: Candidate | undefined, next: Candidate): Candidate {
-        if (best === undefined || best.isUrgent !== next.isUrgent) {
-            return best?.isUrgent === true ? best : next;
+        if (best === undefined) {
+            return next;
         }
-        return next.level < best.level ? next : best;
+        const [bestRank, nextRank] = [rankOf(best), rankOf(next)];
+        const isBetter = bestRank === nextRank ? next.excess < best.excess : nextRank < bestRank;
+        return isBetter ? next : best;
+    }
+
+    function rankOf({ isUrgent, isLight }: Candidate): number {
+        return isUrgent ? 0 : isLight ? 1 : 2;
     }
 }
 
--- a/src/shares/shares.ts
+++ b/src/shares/shares.ts
@@ -25,7 +25,7 @@
 }
 
 export interface Shares {
-    addRunning(pool: string, team: string, size: TaskSize): void;
+    addRunning(pool: string, team: string, size: TaskSize, isUrgent: boolean): void;
     removeRunning(pool: string, team: string, size: TaskSize): void;
     /** States what waits here and could start if a worker were free; `undefined` where nothing does. */
     setWaiting(pool: string, team: string, waiting: WaitingWork | undefined): void;
--- a/standins/dispatch/createDispatchWorld.ts
+++ b/standins/dispatch/createDispatchWorld.ts
@@ -1,8 +1,9 @@
 import type { Configuration } from "../../src/configuration";
 import { createDispatch, type Dispatch } from "../../src/dispatch";
 import type { LogEvent } from "../../src/logging";
+import type { Peers } from "../../src/peers";
 import { createPoolIndex } from "../../src/pools";
-import { createShares, type Shares } from "../../src/shares";
+import { createShares, type Shares, type SharesOptions } from "../../src/shares";
 import { createEmptyState, type FleetState, type Instance, type Team } from "../../src/state";
 import type { TaskEnd, TaskRequest } from "../../src/tasks";
 import type { TaskResult, Workers } from "../../src/workers";
@@ -19,8 +20,13 @@
     readonly random: () => number;
     readonly bounds?: { readonly tasksPerTeam: number; readonly tasks: number; };
     readonly leaseMs?: number;
+    readonly reportMs?: number;
     /** False: log events are not kept. */
     readonly keepsEvents?: boolean;
+    /** Another way to choose who is next, such as a baseline. */
+    readonly createShares?: (opts: SharesOptions) => Shares;
+    /** Called with every message between entries. */
+    readonly onMessage?: (topic: string, body: unknown) => void;
 }
 
 export interface WorldEntry {
@@ -29,6 +35,8 @@
     readonly dispatch: Dispatch;
     readonly shares: Shares;
     readonly events: LogEvent[];
+    /** Tasks of the team that wait here for the pool, counted from what was sent and what has started or ended. */
+    waitingOf(pool: string, team: string): number;
     run(task: Partial<TaskRequest>, signal?: AbortSignal): Promise<TaskEnd>;
 }
 
@@ -113,12 +121,31 @@
         };
     }
 
+    function watchPeers(peers: Peers): Peers {
+        return {
+            ...peers,
+            send(boot, topic, body) {
+                opts.onMessage?.(topic, body);
+                return peers.send(boot, topic, body);
+            },
+            broadcast(topic, body) {
+                peers.connected().forEach(({ boot }) => this.send(boot, topic, body));
+            },
+        };
+    }
+
     function createWorldEntry(zone: string, at: number): WorldEntry {
         const boot = `entry-${at + 1}`;
         const region = "north";
-        const peers = network.connect({ boot, instance: boot, region, zone, peerUrl: `ws://${boot}` });
+        const peers = watchPeers(network.connect({ boot, instance: boot, region, zone, peerUrl: `ws://${boot}` }));
         const pools = createPoolIndex({ region, zone, configuration });
-        const shares = createShares({ configuration, peers, pools, reportMs: 500, random: opts.random });
+        const shares = (opts.createShares ?? createShares)({
+            configuration,
+            peers,
+            pools,
+            reportMs: opts.reportMs ?? 500,
+            random: opts.random,
+        });
         const events: LogEvent[] = [];
         const dispatch = createDispatch({
             boot,
@@ -139,15 +166,26 @@
         shares.start();
         dispatch.start();
         let nextTask = 1;
+        const waiting = new Map<string, number>();
         return {
             boot,
             zone,
             dispatch,
             shares,
             events,
+            waitingOf: (pool, team) => waiting.get(`${pool} ${team}`) ?? 0,
             run(task, signal = new AbortController().signal) {
                 const request = createTask(`${boot}.${nextTask++}`, task);
-                return dispatch.run({ task: request, signal, beforeSend: () => Promise.resolve(undefined) });
+                const key = `${request.pool} ${request.team}`;
+                waiting.set(key, (waiting.get(key) ?? 0) + 1);
+                let isWaiting = true;
+                const leave = () => {
+                    waiting.set(key, (waiting.get(key) ?? 0) - (isWaiting ? 1 : 0));
+                    isWaiting = false;
+                    return Promise.resolve(undefined);
+                };
+                const end = dispatch.run({ task: request, signal, beforeSend: leave });
+                return end.finally(() => void leave());
             },
         };
     }
--- a/standins/dispatch/installClock.ts
+++ b/standins/dispatch/installClock.ts
@@ -24,6 +24,7 @@
     tick: (ms: number) => void,
     immediate: (run: () => void) => unknown,
 ): Promise<void> {
+    await new Promise<void>((resolve) => immediate(resolve));
     for (let at = 0; at < ms; at++) {
         tick(1);
         await new Promise<void>((resolve) => immediate(resolve));
