--- a/bench/experiments.ts
+++ b/bench/experiments.ts
@@ -1,10 +1,12 @@
 import type { Experiment } from "./experiment";
 import { onceExperiment } from "./once/onceExperiment";
 import { schedules } from "./schedules/schedules";
+import { sharesExperiment } from "./shares";
 import { soak } from "./soak/soak";
 
 /** Every experiment, in the order of `npm run bench -- all`. */
 export const experiments: readonly Experiment[] = [
+    sharesExperiment,
     soak,
     schedules,
     onceExperiment,
--- a/bench/shares/sharesExperiment.ts
+++ b/bench/shares/sharesExperiment.ts
@@ -53,7 +53,10 @@
             urgentTasks: urgent.length,
             urgentStartP99Ms: quantile(urgent, 0.99),
             urgentStartMaxMs: quantile(urgent, 1),
-            urgentLatePercent: percent([urgent.filter((ms) => ms > urgentAimMs).length / Math.max(1, urgent.length)], 0),
+            urgentLatePercent: percent(
+                [urgent.filter((ms) => ms > urgentAimMs).length / Math.max(1, urgent.length)],
+                0,
+            ),
             ...countMessages(result, durationMs),
         },
         curves: [{
--- a/src/dispatch/createDispatch.ts
+++ b/src/dispatch/createDispatch.ts
@@ -1,26 +1,22 @@
 import type { Configuration } from "../configuration";
-import { Outcome, type Problem, type ProblemCode } from "../errors";
-import type { Hold, Limits } from "../limits";
+import type { Limits } from "../limits";
 import type { Reporter } from "../logging";
 import type { Peers } from "../peers";
 import type { IndexedPool, PoolIndex } from "../pools";
-import type { Shares } from "../shares";
+import type { Offers, Shares } from "../shares";
 import type { Instance } from "../state";
-import type { TaskEnd } from "../tasks";
-import type { TaskResult, Workers } from "../workers";
+import type { Workers } from "../workers";
 import { type Choice, chooseWorker, type ChooseWorkerOptions, type Wanted } from "./chooseWorker";
-import { createDeadlines } from "./createDeadlines";
-import { createEnd, createWaitingEnd, type NextStep, readResult } from "./createEnds";
-import { createRetryBudget } from "./createRetryBudget";
+import { createAttempts, type Freed } from "./createAttempts";
 import { createTaskQueues, type QueueBounds, type TeamQueue } from "./createTaskQueues";
-import { createTries, type Try } from "./createTries";
+import { createTries } from "./createTries";
 import { createUsageReader } from "./createUsageReader";
+import { createWaitingRoom } from "./createWaitingRoom";
 import { createWorkerHealth } from "./createWorkerHealth";
 import { createWorkerLoads } from "./createWorkerLoads";
-import type { Dispatch, DispatchRequest } from "./dispatch";
+import type { Dispatch } from "./dispatch";
 import { findOwnReclaims } from "./findOwnReclaims";
 import { offerSchema, offerTopic } from "./messages";
-import { estimateWaitMs, retryAfterSeconds } from "./queueEstimates";
 import type { WaitingTask } from "./waitingTask";
 
 export interface DispatchOptions {
@@ -47,15 +43,13 @@
     readonly random?: () => number;
 }
 
-/** Longest that a task waits, whatever its deadline, in milliseconds. */
-const maxWaitingMs = 10 * 60 * 1000;
 /** Tasks of one team that are tried when the first is too large for what is free. */
 const lookAhead = 4;
 /** After this wait the first task is no longer passed by smaller ones behind it, in milliseconds. */
 const noPassingAfterMs = 1000;
-const maxTries = 3;
 const tickMs = 100;
 const reclaimTickMs = 250;
+const askRoomMs = 1000;
 const stopPollMs = 50;
 
 /** Queues tasks by team, takes them in fair order, and runs each to one end. */
@@ -64,11 +58,9 @@
     const queues = createTaskQueues(opts.bounds);
     const loads = createWorkerLoads();
     const health = createWorkerHealth();
-    const budget = createRetryBudget();
-    const deadlines = createDeadlines<WaitingTask>(expire);
     /** Pools in which no slot was free when last looked. */
     const full = new Set<string>();
-    const dirty = new Map<string, Instance[]>();
+    const dirty = new Map<string, Freed[]>();
     const seenZones = new Set<string>();
     let reachableZones = new Set<string>();
     let lingering = 0;
@@ -83,6 +75,34 @@
             lingering = count;
         },
     });
+    const room = createWaitingRoom({
+        pools,
+        limits,
+        queues,
+        shares,
+        report,
+        onArrival: (pool) => markDirty(pool),
+        onCancelRunning(waiting) {
+            for (const one of tries.running()) {
+                if (one.waiting === waiting) {
+                    tries.stopOne(one, "cancelled");
+                }
+            }
+        },
+    });
+    const attempts = createAttempts({
+        pools,
+        shares,
+        report,
+        tries,
+        room,
+        loads,
+        health,
+        onFreed(pool, freed) {
+            full.delete(pool);
+            markDirty(pool, freed);
+        },
+    });
     const usage = createUsageReader({
         peers: opts.peers,
         workers: opts.workers,
@@ -106,149 +126,33 @@
         random: opts.random ?? Math.random,
     };
 
-    function refusal(request: DispatchRequest): { code: ProblemCode; detail: string; comeBack?: number; } | undefined {
-        const { task, signal } = request;
-        const pool = pools.find(task.pool);
-        if (pool === undefined) {
-            return { code: "NEVER_FITS", detail: `there is no pool ${task.pool}` };
-        }
-        if (!pool.canEverFit(task.size)) {
-            return { code: "NEVER_FITS", detail: describeLargest(pool) };
-        }
-        if (limits.isNeverPossible(task.team, task.size)) {
-            return { code: "NEVER_FITS", detail: `team ${task.team}'s whole limit cannot hold one such task` };
-        }
-        if (signal.aborted) {
-            return { code: "CANCELLED", detail: "cancelled before it was queued" };
-        }
-        const queue = queues.find(task.pool, task.team);
-        if (queues.isFull(task.team)) {
-            const detail = `${queues.count()} tasks wait at this entry`;
-            return { code: "QUEUE_FULL", detail, comeBack: retryAfterSeconds(queue) };
-        }
-        const leftMs = task.deadlineAtMs - Date.now();
-        if (leftMs <= 0) {
-            return { code: "DEADLINE_PASSED", detail: "the deadline had passed on arrival" };
-        }
-        if (queue !== undefined && !task.urgent && estimateWaitMs(queue) > leftMs) {
-            const detail = "at the present rate the task would not start before its deadline";
-            return { code: "QUEUE_FULL", detail, comeBack: retryAfterSeconds(queue) };
-        }
-        return undefined;
-    }
-
-    function run(request: DispatchRequest): Promise<TaskEnd> {
-        const { task, signal } = request;
-        budget.noteRequest();
-        const refused = refusal(request);
-        if (refused !== undefined) {
-            const { code, detail, comeBack } = refused;
-            reportRefused(request, code, detail);
-            return Promise.resolve(createEnd(code, detail, Outcome.NotRun, comeBack));
-        }
-        return new Promise((resolve) => {
-            const nowMs = Date.now();
-            const onAbort = () => cancel(waiting);
-            const waiting: WaitingTask = {
-                ...request,
-                arrivedAtMs: nowMs,
-                expiresAtMs: Math.min(task.deadlineAtMs, nowMs + maxWaitingMs),
-                tried: new Set(),
-                startedTries: 0,
-                isClaimed: false,
-                isEnded: false,
-                lacksRoom: false,
-                end(end) {
-                    if (!waiting.isEnded) {
-                        waiting.isEnded = true;
-                        signal.removeEventListener("abort", onAbort);
-                        resolve(end);
-                    }
-                },
-            };
-            signal.addEventListener("abort", onAbort);
-            enqueue(waiting, false);
-        });
-    }
-
-    function enqueue(waiting: WaitingTask, inFront: boolean): void {
-        const queue = inFront ? queues.addInFront(waiting) : queues.add(waiting);
-        deadlines.add(waiting, waiting.expiresAtMs);
-        tellWaiting(queue);
-        markDirty(waiting.task.pool);
-    }
-
-    /** Takes a task out of its queue; false where it was not waiting. */
-    function dequeue(waiting: WaitingTask): boolean {
-        const queue = queues.remove(waiting);
-        if (queue === undefined) {
-            return false;
-        }
-        deadlines.remove(waiting, waiting.expiresAtMs);
-        tellWaiting(queue);
-        return true;
-    }
-
-    function tellWaiting(queue: TeamQueue): void {
-        shares.setWaiting(queue.pool, queue.team, queue.waitingWork());
-    }
-
-    function refuseWaiting(waiting: WaitingTask, code: ProblemCode, detail: string, comeBack?: number): void {
-        reportRefused(waiting, code, detail);
-        waiting.end(waiting.lastEnd ?? createWaitingEnd(waiting, code, detail, comeBack));
-    }
-
-    function expire(waiting: WaitingTask): void {
-        const queue = queues.find(waiting.task.pool, waiting.task.team);
-        if (!dequeue(waiting)) {
-            return;
-        }
-        const comeBack = retryAfterSeconds(queue);
-        if (waiting.lacksRoom) {
-            refuseWaiting(waiting, "LIMIT_REACHED", "the team's upper limit left no room in time", comeBack);
-        }
-        else {
-            refuseWaiting(waiting, "DEADLINE_PASSED", "no worker was free in time", comeBack);
-        }
-    }
-
-    function cancel(waiting: WaitingTask): void {
-        if (dequeue(waiting)) {
-            refuseWaiting(waiting, "CANCELLED", "cancelled while it waited");
-            return;
-        }
-        for (const one of tries.running()) {
-            if (one.waiting === waiting) {
-                tries.stopOne(one, "cancelled");
-            }
-        }
-    }
-
     function wake(pool: string): void {
         full.delete(pool);
         markDirty(pool);
     }
 
     /** Looks at the pool again right after this turn of the event loop; several reasons are one look. */
-    function markDirty(pool: string, freed?: Instance): void {
+    function markDirty(pool: string, freed?: Freed): void {
         if (dirty.size === 0) {
             void Promise.resolve().then(pumpDirty);
         }
-        const instances = dirty.get(pool) ?? [];
-        dirty.set(pool, instances);
+        const all = dirty.get(pool) ?? [];
+        dirty.set(pool, all);
         if (freed !== undefined) {
-            instances.push(freed);
+            all.push(freed);
         }
     }
 
     function pumpDirty(): void {
         const work = [...dirty];
         dirty.clear();
-        work.forEach(([pool, freed]) => pump(pool, freed, true));
+        work.forEach(([pool, freed]) => {
+            pump(pool, freed, freed.some(({ isReclaimed }) => isReclaimed) ? "always" : "sometimes");
+        });
     }
 
     /** Starts what may start now; offers slots that have become free here to entries whose turn it is. */
-    function pump(name: string, freed: Instance[], withPeers: boolean): void {
+    function pump(name: string, freed: Freed[], offers: Offers): void {
         const pool = pools.find(name);
         const blocked = new Set<string>();
         while (pool !== undefined && !full.has(name)) {
@@ -257,7 +161,7 @@
             if (teams.length === 0 && freed.length === 0) {
                 return;
             }
-            const turn = shares.nextTurn(name, teams, withPeers);
+            const turn = shares.nextTurn(name, teams, freed.length > 0 ? offers : "none");
             switch (turn.kind) {
                 case "nobody":
                     return;
@@ -267,11 +171,11 @@
                     }
                     break;
                 case "peer": {
-                    const instance = freed.pop();
-                    if (instance === undefined) {
+                    const slot = freed.pop();
+                    if (slot === undefined) {
                         return;
                     }
-                    offer(name, instance, turn.team, turn.boot);
+                    offer(name, slot.instance, turn.team, turn.boot);
                     break;
                 }
             }
@@ -312,8 +216,8 @@
     function endExhausted(pool: IndexedPool, waiting: WaitingTask): void {
         const isTriedOnAll = pool.servingCount > 0
             && pool.serving.every(({ instances }) => instances.every(({ name }) => waiting.tried.has(name)));
-        if (isTriedOnAll && dequeue(waiting)) {
-            refuseWaiting(waiting, "NO_WORKER", "every worker of the pool refused it or failed it");
+        if (isTriedOnAll && room.take(waiting)) {
+            room.refuse(waiting, "NO_WORKER", "every worker of the pool refused it or failed it");
         }
     }
 
@@ -323,201 +227,21 @@
         if (hold === undefined) {
             waiting.lacksRoom = true;
             queue.lacksRoom = true;
-            tellWaiting(queue);
+            room.tell(queue);
             return false;
         }
         waiting.lacksRoom = false;
-        dequeue(waiting);
+        room.take(waiting);
         queue.drained++;
-        void attempt(waiting, choice, hold);
+        void attempts.attempt(waiting, choice, hold);
         return true;
     }
 
-    async function attempt(
-        waiting: WaitingTask,
-        { instance, reason, candidates }: Extract<Choice, { kind: "chosen"; }>,
-        hold: Hold,
-    ): Promise<void> {
-        const { task } = waiting;
-        const one = tries.begin(waiting, instance, hold);
-        loads.take(instance.name, task.size);
-        shares.addRunning(task.pool, task.team, task.size, task.urgent);
-        const problem = await claim(waiting);
-        const end = problem ?? checkBeforeSend(waiting, instance);
-        if (end !== undefined) {
-            tries.drop(one);
-            giveBack(one);
-            settle(waiting, end);
-            return;
-        }
-        const { id: requestId, team, pool } = task;
-        report({
-            kind: "placed",
-            requestId,
-            attempt: one.attempt,
-            team,
-            pool,
-            instance: instance.name,
-            reason,
-            candidates,
-        });
-        const startedAtMs = performance.now();
-        const result = await tries.run(one);
-        const durationMs = Math.round(performance.now() - startedAtMs);
-        report({
-            kind: "ended",
-            requestId,
-            attempt: one.attempt,
-            team,
-            instance: instance.name,
-            result: describeResult(result),
-            durationMs,
-        });
-        noteResult(one, result, durationMs);
-        giveBack(one);
-        settle(waiting, readResult(one, result));
-    }
-
-    async function claim(waiting: WaitingTask): Promise<NextStep | undefined> {
-        if (waiting.isClaimed) {
-            return undefined;
-        }
-        const problem: Problem | undefined = await waiting.beforeSend();
-        waiting.isClaimed = problem === undefined;
-        return problem === undefined ? undefined : { kind: "end", end: { kind: "problem", problem } };
-    }
-
-    /**
-     * The last look before anything leaves. The claim may have taken long and this process may have been paused: a task
-     * sent now would run after its caller was told that it had not, or on an instance that has left the pool.
-     */
-    function checkBeforeSend(waiting: WaitingTask, instance: Instance): NextStep | undefined {
-        if (waiting.signal.aborted) {
-            return { kind: "end", end: createWaitingEnd(waiting, "CANCELLED", "cancelled before it was sent") };
-        }
-        if (Date.now() > waiting.expiresAtMs) {
-            const detail = "the deadline passed before the task was sent";
-            return { kind: "end", end: waiting.lastEnd ?? createWaitingEnd(waiting, "DEADLINE_PASSED", detail) };
-        }
-        const now = pools.findInstance(instance.name);
-        const isSame = now?.pool === instance.pool && now.state.kind === "serving"
-            && now.assignmentNumber === instance.assignmentNumber;
-        return isSame ? undefined : { kind: "again" };
-    }
-
-    function giveBack({ instance, waiting: { task } }: Try): void {
-        loads.giveBack(instance.name, task.size);
-        shares.removeRunning(task.pool, task.team, task.size);
-        full.delete(task.pool);
-        markDirty(task.pool, instance);
-    }
-
-    function noteResult(one: Try, result: TaskResult, durationMs: number): void {
-        const { instance, waiting } = one;
-        switch (result.kind) {
-            case "answered":
-                waiting.startedTries++;
-                noteHealth(one, true, durationMs);
-                return;
-            case "failed":
-                waiting.startedTries++;
-                noteHealth(one, false, durationMs);
-                return;
-            case "stopped":
-                waiting.startedTries++;
-                return;
-            case "unknown":
-                waiting.startedTries++;
-                if (one.stopping === undefined) {
-                    noteHealth(one, false, durationMs);
-                }
-                return;
-            case "notRun":
-                noteRefused(waiting, instance, result.reason);
-        }
-    }
-
-    function noteRefused(
-        waiting: WaitingTask,
-        instance: Instance,
-        reason: Extract<TaskResult, { kind: "notRun"; }>["reason"],
-    ): void {
-        switch (reason) {
-            case "busy":
-                loads.noteBusy(instance);
-                return;
-            case "tooLarge":
-                waiting.tried.add(instance.name);
-                return;
-            case "leaving":
-            case "staleAssignment":
-            case "unreachable":
-                loads.avoid(instance, reason);
-                return;
-        }
-    }
-
-    function noteHealth({ instance, waiting }: Try, isOk: boolean, durationMs: number): void {
-        const poolSize = pools.find(instance.pool)?.servingCount ?? 1;
-        const slowness = Math.max(1, durationMs) / waiting.task.expectedRunMs;
-        const change = health.note(instance.name, instance.pool, poolSize, isOk, slowness);
-        if (change !== undefined) {
-            const { kind, ...fields } = change;
-            report({ kind: "workerHealth", change: kind, ...fields });
-        }
-    }
-
-    function settle(waiting: WaitingTask, next: NextStep): void {
-        switch (next.kind) {
-            case "end":
-                waiting.end(next.end);
-                return;
-            case "again":
-                requeue(waiting);
-                return;
-            case "resume":
-                if (next.checkpoint !== undefined) {
-                    waiting.checkpoint = next.checkpoint;
-                }
-                waiting.expiresAtMs = Date.now() + maxWaitingMs;
-                requeue(waiting);
-                return;
-            case "retry":
-                retry(waiting, next.end);
-                return;
-        }
-    }
-
-    function retry(waiting: WaitingTask, end: TaskEnd): void {
-        const isAllowed = waiting.startedTries < maxTries && !waiting.signal.aborted && budget.trySpend();
-        if (!isAllowed) {
-            waiting.end(end);
-            return;
-        }
-        waiting.lastEnd = end;
-        requeue(waiting);
-    }
-
-    function requeue(waiting: WaitingTask): void {
-        if (waiting.signal.aborted) {
-            refuseWaiting(waiting, "CANCELLED", "cancelled between two tries");
-        }
-        else {
-            enqueue(waiting, true);
-        }
-    }
-
-    function reportRefused({ task }: DispatchRequest, code: string, reason: string): void {
-        const { id: requestId, team, pool } = task;
-        const candidates = pools.find(pool)?.servingCount ?? 0;
-        report({ kind: "refused", requestId, team, pool, code, reason, candidates });
-    }
-
     function onRoom(team: string): void {
         for (const queue of queues.ofTeam(team)) {
             if (queue.lacksRoom) {
                 queue.lacksRoom = false;
-                tellWaiting(queue);
+                room.tell(queue);
                 markDirty(queue.pool);
             }
         }
@@ -528,18 +252,20 @@
         const connected = opts.peers.connected();
         reachableZones = new Set(connected.map(({ zone }) => zone));
         reachableZones.forEach((zone) => seenZones.add(zone));
-        for (const pool of shares.contendedPools()) {
+        for (const pool of new Set([...queues.pools(), ...shares.contendedPools()])) {
             full.delete(pool);
-            queues.ofPool(pool).forEach((queue) => {
-                queue.lacksRoom = false;
-            });
-            pump(pool, [], false);
+            pump(pool, [], "none");
         }
     }
 
+    /** Asks the limits again for every team that waits for room: a message that there is some may have been lost. */
+    function askRoom(): void {
+        queues.teams().forEach(onRoom);
+    }
+
     function reclaim(): void {
         for (const pool of shares.contendedPools()) {
-            const running = [...tries.running()].filter((one) => one.isSent && one.waiting.task.pool === pool);
+            const running = [...tries.running()].filter((one) => one.waiting.task.pool === pool);
             for (const { one, reason } of findOwnReclaims(pool, running, queues.ofPool(pool), shares)) {
                 const { id: requestId, team } = one.waiting.task;
                 const { attempt, instance: { name: instance } } = one;
@@ -554,19 +280,22 @@
         if (parsed.success) {
             loads.noteFreed(parsed.data.instance);
             full.delete(parsed.data.pool);
-            pump(parsed.data.pool, [], false);
+            pump(parsed.data.pool, [], "none");
         }
     });
 
     return {
-        run,
+        run(request) {
+            attempts.noteRequest();
+            return room.admit(request);
+        },
         runningCount: () => tries.count() + queues.count(),
         counts: () => ({ waiting: queues.count(), running: tries.count() - lingering, lingering }),
         start() {
             limits.onRoom(onRoom);
             tries.start();
             usage.start();
-            timers = [setInterval(tick, tickMs), setInterval(reclaim, reclaimTickMs)];
+            timers = [setInterval(tick, tickMs), setInterval(reclaim, reclaimTickMs), setInterval(askRoom, askRoomMs)];
         },
         async stop() {
             while (tries.count() > 0) {
@@ -575,7 +304,7 @@
             timers.forEach((timer) => clearInterval(timer));
             usage.stop();
             tries.stop();
-            deadlines.stop();
+            room.stop();
         },
     };
 }
@@ -583,16 +312,3 @@
 function wantedFor({ task, tried }: WaitingTask): Wanted {
     return { size: task.size, tried, isRepeatable: task.repeatable };
 }
-
-function describeLargest({ name, largest }: IndexedPool): string {
-    if (largest === undefined) {
-        return `pool ${name} has no instance`;
-    }
-    const { processors, memoryMb, accelerators } = largest.capacity;
-    return `the largest instance of pool ${name}, ${largest.name}, has ${processors} processors, ${memoryMb} MB`
-        + ` and ${accelerators} accelerators`;
-}
-
-function describeResult(result: TaskResult): string {
-    return "reason" in result ? `${result.kind}: ${result.reason}` : result.kind;
-}
--- a/src/dispatch/createTaskQueues.ts
+++ b/src/dispatch/createTaskQueues.ts
@@ -35,6 +35,10 @@
     find(pool: string, team: string): TeamQueue | undefined;
     ofPool(pool: string): readonly TeamQueue[];
     ofTeam(team: string): readonly TeamQueue[];
+    /** Pools for which something waits. */
+    pools(): readonly string[];
+    /** Teams of which something waits. */
+    teams(): readonly string[];
     count(): number;
 }
 
@@ -98,6 +102,8 @@
         find: (pool, team) => pools.get(pool)?.get(team),
         ofPool: (pool) => [...pools.get(pool)?.values() ?? []],
         ofTeam: (team) => [...pools.values()].flatMap((teams) => teams.get(team) ?? []),
+        pools: () => [...pools].filter(([, teams]) => teams.size > 0).map(([pool]) => pool),
+        teams: () => [...byTeam].filter(([, count]) => count > 0).map(([team]) => team),
         count: () => total,
     };
 }
--- a/src/dispatch/createTries.ts
+++ b/src/dispatch/createTries.ts
@@ -12,7 +12,8 @@
     readonly hold: Hold;
     /** Whether it was asked to stop, and why. */
     stopping: "cancelled" | "reclaimed" | undefined;
-    isSent: boolean;
+    /** When it was sent, in milliseconds of this entry's clock; `undefined` before. */
+    sentAtMs: number | undefined;
 }
 
 export interface TriesOptions {
@@ -101,7 +102,7 @@
             isLingering: false,
             isGivenUp: false,
         };
-        one.isSent = true;
+        one.sentAtMs = nowMs;
         sent.set(one.attempt, entry);
         const result = await opts.workers.runTask(addressOf(one.instance), createOrder(one), entry.controller.signal);
         begun.delete(one);
@@ -218,7 +219,14 @@
 
     return {
         begin(waiting, instance, hold) {
-            const one: Try = { attempt: randomUUID(), waiting, instance, hold, stopping: undefined, isSent: false };
+            const one: Try = {
+                attempt: randomUUID(),
+                waiting,
+                instance,
+                hold,
+                stopping: undefined,
+                sentAtMs: undefined,
+            };
             begun.add(one);
             return one;
         },
--- a/src/dispatch/findOwnReclaims.ts
+++ b/src/dispatch/findOwnReclaims.ts
@@ -9,6 +9,8 @@
 
 /** Urgent work waits this long for a slot to become free by itself, in milliseconds. */
 const urgentWaitMs = 600;
+/** A task that has not run for this long is left alone: most end soon by themselves. */
+const leastRunMs = 500;
 
 /**
  * Chooses running tasks to stop for others: only repeatable ones that are not urgent, the latest started first. A team
@@ -22,10 +24,12 @@
     shares: Shares,
 ): readonly OwnReclaim[] {
     const chosen = new Map<string, OwnReclaim>();
+    const nowMs = Date.now();
 
     function choose(team: string, count: number, reason: string): void {
-        const mayStop = running.filter(({ waiting: { task }, stopping, attempt }) =>
+        const mayStop = running.filter(({ waiting: { task }, stopping, attempt, sentAtMs }) =>
             task.team === team && task.repeatable && !task.urgent && stopping === undefined && !chosen.has(attempt)
+            && nowMs - (sentAtMs ?? nowMs) >= leastRunMs
         );
         mayStop.slice(Math.max(0, mayStop.length - count)).forEach((one) => chosen.set(one.attempt, { one, reason }));
     }
@@ -35,7 +39,7 @@
     }
     for (const queue of queues) {
         const late = queue.first(1).filter(({ task, arrivedAtMs }) =>
-            task.urgent && Date.now() - arrivedAtMs > urgentWaitMs
+            task.urgent && nowMs - arrivedAtMs > urgentWaitMs
         );
         if (late.length > 0 && shares.isAtShare(pool, queue.team)) {
             choose(queue.team, late.length, "urgent work of the same team has waited too long");
--- /dev/null
+++ b/src/dispatch/learnFromResult.ts
@@ -0,0 +1,71 @@
+import type { Reporter } from "../logging";
+import type { PoolIndex } from "../pools";
+import type { TaskResult } from "../workers";
+import type { Try } from "./createTries";
+import type { WorkerHealth } from "./createWorkerHealth";
+import type { WorkerLoads } from "./createWorkerLoads";
+
+export interface LearnOptions {
+    readonly loads: WorkerLoads;
+    readonly health: WorkerHealth;
+    readonly pools: PoolIndex;
+    readonly report: Reporter;
+}
+
+/** Keeps what a try tells of its task and its worker. */
+export function learnFromResult(one: Try, result: TaskResult, durationMs: number, opts: LearnOptions): void {
+    const { waiting } = one;
+    switch (result.kind) {
+        case "answered":
+            waiting.startedTries++;
+            noteHealth(one, true, durationMs, opts);
+            return;
+        case "failed":
+            waiting.startedTries++;
+            waiting.tried.add(one.instance.name);
+            noteHealth(one, false, durationMs, opts);
+            return;
+        case "stopped":
+            waiting.startedTries++;
+            return;
+        case "unknown":
+            waiting.startedTries++;
+            waiting.tried.add(one.instance.name);
+            if (one.stopping === undefined) {
+                noteHealth(one, false, durationMs, opts);
+            }
+            return;
+        case "notRun":
+            noteRefused(one, result.reason, opts);
+    }
+}
+
+function noteRefused(
+    { waiting, instance }: Try,
+    reason: Extract<TaskResult, { kind: "notRun"; }>["reason"],
+    { loads }: LearnOptions,
+): void {
+    switch (reason) {
+        case "busy":
+            loads.noteBusy(instance);
+            return;
+        case "tooLarge":
+            waiting.tried.add(instance.name);
+            return;
+        case "leaving":
+        case "staleAssignment":
+        case "unreachable":
+            loads.avoid(instance, reason);
+            return;
+    }
+}
+
+function noteHealth({ instance, waiting }: Try, isOk: boolean, durationMs: number, opts: LearnOptions): void {
+    const poolSize = opts.pools.find(instance.pool)?.servingCount ?? 1;
+    const slowness = Math.max(1, durationMs) / waiting.task.expectedRunMs;
+    const change = opts.health.note(instance.name, instance.pool, poolSize, isOk, slowness);
+    if (change !== undefined) {
+        const { kind, ...fields } = change;
+        opts.report({ kind: "workerHealth", change: kind, ...fields });
+    }
+}
--- a/src/shares/createShares.ts
+++ b/src/shares/createShares.ts
@@ -6,9 +6,10 @@
 import { createShareTable } from "./createShareTable";
 import { createUrgentRight, type UrgentRight } from "./createUrgentRight";
 import { fillShares } from "./fillShares";
+import { type EntryRows, findPoorerEntry } from "./findPoorerEntry";
 import { findReclaims } from "./findReclaims";
 import type { ReportRow } from "./messages";
-import type { Shares, Turn, WaitingWork } from "./shares";
+import type { Offers, Shares, Turn, WaitingWork } from "./shares";
 import type { TeamUse } from "./teamUse";
 
 export interface SharesOptions {
@@ -34,21 +35,8 @@
     readonly isLight: boolean;
 }
 
-interface PartRow {
-    readonly running: { readonly tasks: number; };
-    readonly waiting?: { readonly tasks: number; } | undefined;
-}
-
-interface Surplus {
-    readonly surplus: number;
-    readonly running: number;
-    readonly waitingTeam: string | undefined;
-}
-
 /** A team below its share that has waited this long at another entry is offered a slot, in milliseconds. */
 const lateMs = 300;
-/** Part of what an entry has more than another that it offers to it, for each time as long as a task runs. */
-const evenOutPart = 0.5;
 const lightMargin = 1e-6;
 /** Part of the last error that is corrected, and part of the correction that is kept, at each report. */
 const biasGain = 0.15;
@@ -178,6 +166,7 @@
                 waiting: dominantShare(waiting, capacity),
                 waitingTasks: waiting.tasks,
                 urgentTasks: (mine === undefined ? 0 : urgentTasksOf(mine)) + (others?.urgentTasks ?? 0),
+                urgentElsewhere: others?.urgentTasks ?? 0,
                 oldestAtMs: Math.min(oldest, mine?.waiting?.oldestAtMs ?? Infinity),
             };
         });
@@ -273,51 +262,26 @@
         return best === undefined ? undefined : { kind: "peer", team: best.team, boot: best.boot };
     }
 
-    /** How much more an entry runs than its part of all shares by what it has waiting, in tasks. */
-    function surplusOf(pool: string, rows: Iterable<readonly [string, PartRow]>): Surplus {
-        const parts = partsOf(pool);
-        let [running, fair] = [0, 0];
-        let waitingTeam: string | undefined;
-        for (const [team, row] of rows) {
-            running += row.running.tasks;
-            fair += (row.running.tasks + (row.waiting?.tasks ?? 0)) * (parts.get(team) ?? 0);
-            waitingTeam = (row.waiting?.tasks ?? 0) >= 1 ? team : waitingTeam;
-        }
-        return { surplus: running - fair, running, waitingTeam };
-    }
-
-    /**
-     * An entry that has far fewer slots than its part though it has work waiting. A slot stays with the entry whose task
-     * ended there, so without this work at an entry with few slots would wait long.
-     */
-    function findPoorer(pool: string): Turn | undefined {
-        const ownRows = [...own.get(pool) ?? []].map(([team, { running, waiting }]): [string, PartRow] => {
-            return [team, { running, waiting: waiting?.amounts }];
-        });
-        const { surplus, running } = surplusOf(pool, ownRows);
-        if (surplus < 1 || random() > surplus / running * evenOutPart) {
-            return undefined;
-        }
-        let poorest: { readonly boot: string; readonly team: string; readonly surplus: number; } | undefined;
-        for (const [boot, rows] of table.rowsByBoot(pool)) {
-            const { waitingTeam, surplus: theirs } = surplusOf(pool, rows);
-            if (waitingTeam !== undefined && theirs < (poorest?.surplus ?? -1)) {
-                poorest = { boot, team: waitingTeam, surplus: theirs };
-            }
-        }
-        return poorest === undefined ? undefined : { kind: "peer", team: poorest.team, boot: poorest.boot };
+    function partRows(pool: string): EntryRows {
+        return [...own.get(pool) ?? []].map(([team, { running, waiting }]) =>
+            [team, { running, waiting: waiting?.amounts }] as const
+        );
     }
 
-    function nextTurn(pool: string, ownTeams: readonly string[], withPeers: boolean): Turn {
+    function nextTurn(pool: string, ownTeams: readonly string[], offers: Offers): Turn {
         const mine = ownCandidates(pool, ownTeams).reduce(first, undefined);
         const isSettled = mine?.isUrgent === true || mine?.isLight === true;
-        if (withPeers && !isSettled && (mine === undefined || random() < 1 / (opts.peers.connected().length + 1))) {
+        const isAsked = mine === undefined || offers === "always"
+            || random() < 1 / (opts.peers.connected().length + 1);
+        if (offers !== "none" && !isSettled && isAsked) {
             const peer = findPeerTurn(pool, mine !== undefined);
             if (peer !== undefined) {
                 return peer;
             }
         }
-        const poorer = withPeers && !isSettled ? findPoorer(pool) : undefined;
+        const poorer = offers !== "none" && !isSettled
+            ? findPoorerEntry(partRows(pool), table.rowsByBoot(pool), partsOf(pool), random)
+            : undefined;
         if (poorer !== undefined) {
             return poorer;
         }
--- a/src/shares/index.ts
+++ b/src/shares/index.ts
@@ -1,3 +1,3 @@
 /** Who is next: weighted max-min shares of each pool over the whole fleet. */
 export { createShares, type SharesOptions } from "./createShares";
-export type { Reclaim, ShareAmounts, Shares, Turn, WaitingWork } from "./shares";
+export type { Offers, Reclaim, ShareAmounts, Shares, Turn, WaitingWork } from "./shares";
--- a/src/shares/shares.ts
+++ b/src/shares/shares.ts
@@ -18,6 +18,12 @@
     | { readonly kind: "peer"; readonly team: string; readonly boot: string; }
     | { readonly kind: "nobody"; };
 
+/**
+ * Whether a slot may go to another entry: `sometimes` where it has become free by itself, so that not all entries offer
+ * theirs for the same waiting work; `always` where a task was stopped for others.
+ */
+export type Offers = "none" | "sometimes" | "always";
+
 /** Tasks that a team above its share should give back here, for teams that have waited too long. */
 export interface Reclaim {
     readonly team: string;
@@ -29,8 +35,8 @@
     removeRunning(pool: string, team: string, size: TaskSize): void;
     /** States what waits here and could start if a worker were free; `undefined` where nothing does. */
     setWaiting(pool: string, team: string, waiting: WaitingWork | undefined): void;
-    /** Chooses among the given teams of this entry and, where asked, what connected entries have waiting. */
-    nextTurn(pool: string, ownTeams: readonly string[], withPeers: boolean): Turn;
+    /** Chooses among the given teams of this entry and, by `offers`, what connected entries have waiting. */
+    nextTurn(pool: string, ownTeams: readonly string[], offers: Offers): Turn;
     /** Counts a slot that has been offered to an entry until its next report. */
     noteOffer(pool: string, team: string, boot: string): void;
     /** Pools in which something waits, here or at a connected entry. */
--- a/src/shares/teamUse.ts
+++ b/src/shares/teamUse.ts
@@ -10,5 +10,7 @@
     readonly waiting: number;
     readonly waitingTasks: number;
     readonly urgentTasks: number;
+    /** Those of them that wait at other entries. */
+    readonly urgentElsewhere: number;
     readonly oldestAtMs: number;
 }
