--- a/test/dispatch/dispatchProperty.ts
+++ b/test/dispatch/dispatchProperty.ts
@@ -14,7 +14,7 @@
     { name: "stables", weight: 1, limit: 3 },
     { name: "farriers", weight: 2, limit: 50 },
 ];
-const faultyMs = 6000;
+const faultyMs = 2500;
 const quietMs = 25_000;
 const stepMs = 50;
 
