--- a/bench/experiments.ts
+++ b/bench/experiments.ts
@@ -1,5 +1,7 @@
 import type { Experiment } from "./experiment";
 import { onceExperiment } from "./once/onceExperiment";
+import { overheadExperiment } from "./overhead";
+import { overloadExperiment } from "./overload";
 import { schedules } from "./schedules/schedules";
 import { sharesExperiment } from "./shares";
 import { soak } from "./soak/soak";
@@ -7,6 +9,8 @@
 /** Every experiment, in the order of `npm run bench -- all`. */
 export const experiments: readonly Experiment[] = [
     sharesExperiment,
+    overloadExperiment,
+    overheadExperiment,
     soak,
     schedules,
     onceExperiment,
--- /dev/null
+++ b/bench/overload/index.ts
@@ -0,0 +1,2 @@
+/** Goodput and queues from one to five times the capacity. */
+export { overloadExperiment } from "./overloadExperiment";
--- a/bench/shares/sharesExperiment.ts
+++ b/bench/shares/sharesExperiment.ts
@@ -26,7 +26,7 @@
         const rows: ExperimentRow[] = [];
         for (const size of userSizes) {
             for (const way of ways) {
-                rows.push(await measure(size, way, seed, isQuick ? 1 : 5));
+                rows.push(await measure(size, way, seed, isQuick ? 2 : 5));
             }
         }
         return rows;
