--- a/bench/experiments.ts
+++ b/bench/experiments.ts
@@ -1,3 +1,4 @@
+import { decisionsExperiment } from "./decisions";
 import type { Experiment } from "./experiment";
 import { onceExperiment } from "./once/onceExperiment";
 import { overheadExperiment } from "./overhead";
@@ -11,6 +12,7 @@
     sharesExperiment,
     overloadExperiment,
     overheadExperiment,
+    decisionsExperiment,
     soak,
     schedules,
     onceExperiment,
--- a/src/dispatch/createDispatch.ts
+++ b/src/dispatch/createDispatch.ts
@@ -37,6 +37,8 @@
     readonly usageMs: number;
     /** True for an instance that the platform lists as leaving. */
     readonly isLeaving?: (instance: string) => boolean;
+    /** Called with each worker that is set aside. */
+    readonly onEjected?: (instance: string, pool: string) => void;
     /** Called with the tasks of other holders that are not connected, at one worker. */
     readonly onOrphans?: (instance: string, count: number) => void;
     /** From 0 up to 1; tests give a seeded one. */
@@ -98,6 +100,7 @@
         room,
         loads,
         health,
+        onEjected: (instance, pool) => opts.onEjected?.(instance, pool),
         onFreed(pool, freed) {
             full.delete(pool);
             markDirty(pool, freed);
--- a/src/dispatch/learnFromResult.ts
+++ b/src/dispatch/learnFromResult.ts
@@ -10,6 +10,7 @@
     readonly health: WorkerHealth;
     readonly pools: PoolIndex;
     readonly report: Reporter;
+    readonly onEjected: (instance: string, pool: string) => void;
 }
 
 /** Keeps what a try tells of its task and its worker. */
@@ -67,5 +68,8 @@
     if (change !== undefined) {
         const { kind, ...fields } = change;
         opts.report({ kind: "workerHealth", change: kind, ...fields });
+        if (kind === "ejected") {
+            opts.onEjected(change.instance, change.pool);
+        }
     }
 }
--- a/src/entry/createCore.ts
+++ b/src/entry/createCore.ts
@@ -96,6 +96,8 @@
             Math.floor(settings.workerConnections / settings.maxEntries) - shortCallConnections,
         ),
         usageMs: settings.usageMs,
+        onOrphans: (instance, count) => metrics.orphanedTasks.set({ instance }, count),
+        onEjected: (instance, pool) => metrics.workerEjections.inc({ instance, pool }),
         isLeaving: (instance) => members.instances()?.get(instance) === "leaving",
     });
     const once = (opts.wrapOnce ?? ((made) => made))(createOnce({ boot, platform, peers, members }));
--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -76,6 +76,9 @@
             metrics.peerReceivedBytes.set(traffic?.receivedBytes ?? 0);
             metrics.isolated.set(configuration.isolation().isIsolated ? 1 : 0);
             metrics.connectedPeers.set(peers.connected().length);
+            const { waiting, lingering } = core.dispatch.counts();
+            metrics.waitingTasks.set(waiting);
+            metrics.lingeringTasks.set(lingering);
             metrics.runningTasks.set(tasks.runningCount());
             return metrics.registry.metrics();
         },
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -26,6 +26,28 @@
             help: "Tasks taken and not ended",
             registers,
         }),
+        waitingTasks: new Gauge({
+            name: "samphirepin_waiting_tasks",
+            help: "Tasks that wait for a worker at this entry",
+            registers,
+        }),
+        lingeringTasks: new Gauge({
+            name: "samphirepin_lingering_tasks",
+            help: "Tries whose end is not known and whose room in the limit is still kept",
+            registers,
+        }),
+        orphanedTasks: new Gauge({
+            name: "samphirepin_orphaned_tasks",
+            help: "Tasks at a worker whose holder is not connected, as last read; they end by their lease",
+            labelNames: ["instance"] as const,
+            registers,
+        }),
+        workerEjections: new Counter({
+            name: "samphirepin_worker_ejections_total",
+            help: "Workers set aside by this entry because they failed or lagged behind their pool",
+            labelNames: ["instance", "pool"] as const,
+            registers,
+        }),
         configurationRevision: new Gauge({
             name: "samphirepin_configuration_revision",
             help: "Revision of the configuration in force here",
