test(dispatch): retries, the cap on set-aside workers, both queue bounds, orders to a leaving worker

Cause: the cap, the total bound and the avoidance of a worker that said it is leaving could be taken out without a scenario failing.

--- a/src/dispatch/test/dispatch.feature
+++ b/src/dispatch/test/dispatch.feature
@@ -86,12 +86,21 @@
         Then worker 1 was given at most 20 of them
 
     Scenario: not more than a part of a pool is set aside
-        Most workers of a pool fail for a while. Were they all set aside, nothing would be served when they are well.
+        Several workers of a pool fail for a while. Were they all set aside, the rest would have to carry everything.
+
+        Given 1 entry and 4 workers
+        And worker 1 fails all it starts
+        And worker 2 fails all it starts
+        When 600 repeatable tasks of 100 ms are sent, one every 5 ms
+        Then at most 1 worker is set aside
+
+    Scenario: retries are bounded
+        Every worker fails for a while. Tasks tried again and again would multiply the load on a pool in trouble.
 
         Given 1 entry and 4 workers
         And all workers fail all they start
         When 200 repeatable tasks of 50 ms are sent, one every 10 ms
-        Then at most 1 worker is set aside
+        Then at most 240 tries were started
 
     Scenario Outline: a leaving worker gets nothing new, by <sign>
         A worker is taken out. Each sign of it may be the only one that arrives.
@@ -100,6 +109,7 @@
         When worker 1 leaves by <sign>
         And 100 repeatable tasks of 50 ms are sent, one every 20 ms
         Then worker 1 started none of them
+        And worker 1 was sent at most 2 of them
         And all of them are answered
 
         Examples:
@@ -132,12 +142,17 @@
         When a task that needs 33 processors is sent
         Then it is refused at once as "NEVER_FITS", naming the largest instance
 
-    Scenario: a full queue refuses with a time to come back
-        Given 1 entry and 1 worker and queues of 20 tasks
+    Scenario Outline: a full queue refuses with a time to come back, <bound>
+        Given 1 entry and 1 worker and queues of 20 tasks <bound>
         When 200 repeatable tasks of 500 ms are sent, one every 20 ms
         Then some were refused at once as "QUEUE_FULL" with Retry-After
         And at most 20 tasks ever waited
 
+        Examples:
+            | bound    |
+            | per team |
+            | in all   |
+
     Scenario: a deadline is kept
         Given 1 entry and 1 worker
         When 30 tasks of 1000 ms are sent at once with deadlines of 1500 ms
--- a/src/dispatch/test/dispatch.steps.ts
+++ b/src/dispatch/test/dispatch.steps.ts
@@ -27,6 +27,7 @@
     readonly zones?: number;
     readonly limit?: number;
     readonly queue?: number;
+    readonly allQueues?: number;
 }
 
 setDefaultTimeout(60_000);
@@ -41,7 +42,10 @@
     this.clock.uninstall();
 });
 
-async function start(world: World, { entries = 1, workers = 1, zones = 1, limit = 1000, queue = 500 }: Fleet) {
+async function start(
+    world: World,
+    { entries = 1, workers = 1, zones = 1, limit = 1000, queue = 500, allQueues = 4000 }: Fleet,
+) {
     const random = createRandom(7);
     const names = Array.from({ length: zones }, (_, at) => `zone-${at + 1}`);
     world.world = createDispatchWorld({
@@ -49,7 +53,7 @@
         pools: { stalls: Object.fromEntries(names.map((name) => [name, workers])) },
         teams: [{ name: "stables", weight: 1, limit }],
         random: () => random.int(0, 999_999) / 1_000_000,
-        bounds: { tasksPerTeam: queue, tasks: 4000 },
+        bounds: { tasksPerTeam: queue, tasks: allQueues },
     });
     await world.clock.advance(200);
 }
@@ -118,12 +122,19 @@
 );
 
 Given(
-    "{int} entry and {int} worker and queues of {int} tasks",
+    "{int} entry and {int} worker and queues of {int} tasks per team",
     async function(this: World, entries: number, workers: number, queue: number) {
         await start(this, { entries, workers, queue });
     },
 );
 
+Given(
+    "{int} entry and {int} worker and queues of {int} tasks in all",
+    async function(this: World, entries: number, workers: number, allQueues: number) {
+        await start(this, { entries, workers, allQueues });
+    },
+);
+
 Given("an entry and a worker in each of {int} zones", async function(this: World, zones: number) {
     await start(this, { zones });
 });
@@ -327,6 +338,14 @@
     assert.equal(startsAt(this, worker(this, at).instance), 0);
 });
 
+Then("worker {int} was sent at most {int} of them", function(this: World, at: number, most: number) {
+    const { instance } = worker(this, at);
+    const placed = this.world.entries[0]!.events.filter((event) =>
+        event.kind === "placed" && event.instance === instance
+    );
+    assert.ok(placed.length <= most, `${placed.length}`);
+});
+
 Then("at most {int} worker is set aside", function(this: World, most: number) {
     const aside = new Set<string>();
     for (const event of this.world.entries[0]!.events) {
@@ -337,6 +356,10 @@
     assert.ok(aside.size <= most, [...aside].join());
 });
 
+Then("at most {int} tries were started", function(this: World, most: number) {
+    assert.ok(this.world.workers.starts.length <= most, `${this.world.workers.starts.length}`);
+});
+
 Then("all of them have ended within {int} ms", async function(this: World, withinMs: number) {
     await this.clock.advance(withinMs);
     assert.equal(this.sent.filter(({ end }) => end === undefined).length, 0);
