fix(shares): a busy refusal does not count against a team's right to urgent turns

Cause: each turn of an urgent task counted as an urgent start, also where the worker was busy and nothing ran. Change: a task counts once, at its first turn.

--- a/bench/shares/baselines.ts
+++ b/bench/shares/baselines.ts
@@ -5,6 +5,7 @@
     const waiting = new Map<string, Map<string, WaitingWork>>();
     return {
         addRunning() {},
+        noteFirstTurn() {},
         removeRunning() {},
         setWaiting(pool, team, work) {
             const teams = waiting.get(pool) ?? new Map<string, WaitingWork>();
--- a/src/dispatch/createAttempts.ts
+++ b/src/dispatch/createAttempts.ts
@@ -53,7 +53,10 @@
         const { task } = waiting;
         const one = tries.begin(waiting, instance, hold);
         loads.take(instance.name, task.size);
-        shares.addRunning(task.pool, task.team, task.size, task.urgent);
+        shares.addRunning(task.pool, task.team, task.size);
+        if (waiting.turns++ === 0) {
+            shares.noteFirstTurn(task.pool, task.team, task.urgent);
+        }
         const problem = await claim(waiting);
         const end = problem ?? checkBeforeSend(waiting, instance);
         if (end !== undefined) {
--- a/src/dispatch/createWaitingRoom.ts
+++ b/src/dispatch/createWaitingRoom.ts
@@ -58,6 +58,7 @@
                 arrivedAtMs: nowMs,
                 expiresAtMs: Math.min(task.deadlineAtMs, nowMs + maxWaitingMs),
                 tried: new Set(),
+                turns: 0,
                 startedTries: 0,
                 isClaimed: false,
                 isEnded: false,
--- a/src/dispatch/waitingTask.ts
+++ b/src/dispatch/waitingTask.ts
@@ -6,6 +6,8 @@
     readonly arrivedAtMs: number;
     /** Instances that refused it for good, or on which a try of it failed. */
     readonly tried: Set<string>;
+    /** How often its turn has come. */
+    turns: number;
     /** Tries that a worker may have started. */
     startedTries: number;
     /** True once `beforeSend` has succeeded; it is not asked again for another try. */
--- a/src/shares/createShares.ts
+++ b/src/shares/createShares.ts
@@ -317,11 +317,8 @@
     }
 
     return {
-        addRunning(pool, team, size, isUrgent) {
-            const row = ownRow(pool, team);
-            addSize(row.running, size, 1);
-            row.urgentRight.noteStart(isUrgent);
-        },
+        addRunning: (pool, team, size) => addSize(ownRow(pool, team).running, size, 1),
+        noteFirstTurn: (pool, team, isUrgent) => ownRow(pool, team).urgentRight.noteStart(isUrgent),
         removeRunning: (pool, team, size) => addSize(ownRow(pool, team).running, size, -1),
         setWaiting(pool, team, waiting) {
             const row = ownRow(pool, team);
--- a/src/shares/shares.ts
+++ b/src/shares/shares.ts
@@ -31,7 +31,9 @@
 }
 
 export interface Shares {
-    addRunning(pool: string, team: string, size: TaskSize, isUrgent: boolean): void;
+    addRunning(pool: string, team: string, size: TaskSize): void;
+    /** Counts a task's first turn for the right of urgent work; a turn that a busy worker refused comes again. */
+    noteFirstTurn(pool: string, team: string, isUrgent: boolean): void;
     removeRunning(pool: string, team: string, size: TaskSize): void;
     /** States what waits here and could start if a worker were free; `undefined` where nothing does. */
     setWaiting(pool: string, team: string, waiting: WaitingWork | undefined): void;
