--- a/bench/experiments.ts
+++ b/bench/experiments.ts
@@ -1,15 +1,23 @@
+import { decisionsExperiment } from "./decisions";
 import type { Experiment } from "./experiment";
 import { limitsExperiment, limitsSchedulesExperiment } from "./limits";
 import { onceExperiment } from "./once/onceExperiment";
 import { moves } from "./fleet/moves";
 import { waves } from "./fleet/waves";
+import { overheadExperiment } from "./overhead";
+import { overloadExperiment } from "./overload";
 import { schedules } from "./schedules/schedules";
+import { sharesExperiment } from "./shares";
 import { soak } from "./soak/soak";
 
 /** Every experiment, in the order of `npm run bench -- all`. */
 export const experiments: readonly Experiment[] = [
     limitsExperiment,
     limitsSchedulesExperiment,
+    sharesExperiment,
+    overloadExperiment,
+    overheadExperiment,
+    decisionsExperiment,
     soak,
     schedules,
     onceExperiment,
