--- a/src/http/createGateway.ts
+++ b/src/http/createGateway.ts
@@ -1,6 +1,6 @@
 import type { Context, ServiceSchema } from "moleculer";
 import ApiGateway from "moleculer-web";
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createProblem, type Problem } from "../errors";
 import type { HttpMeta } from "./httpMeta";
 
@@ -28,7 +28,6 @@
             ip: opts.host,
             port: opts.port,
             ...opts.certificates === undefined ? {} : { https: opts.certificates },
-            use: [limitArrival(opts.maxBodyMs)],
             routes: [
                 {
                     path: "/",
@@ -48,15 +47,23 @@
             ],
             onError: writeError,
         },
+        created() {
+            // Ahead of the gateway's own listener: its middlewares run only once the body has been read.
+            (this as unknown as GatewayService).server.prependListener("request", limitArrival(opts.maxBodyMs));
+        },
     };
 }
 
+interface GatewayService {
+    readonly server: Server;
+}
+
 /**
  * A client that sends its body a byte at a time would hold a connection and its buffers for minutes, and many such
  * clients all of them. It is answered and cut off when the time is over.
  */
 function limitArrival(maxBodyMs: number) {
-    return (req: IncomingMessage, res: ServerResponse, next: (error?: unknown) => void): void => {
+    return (req: IncomingMessage, res: ServerResponse): void => {
         const timer = setTimeout(() => {
             if (!req.complete && !res.headersSent) {
                 const problem = createProblem("BODY_TOO_SLOW", `the body took longer than ${maxBodyMs} ms`);
@@ -66,7 +73,6 @@
         }, maxBodyMs);
         req.once("end", () => clearTimeout(timer));
         req.once("close", () => clearTimeout(timer));
-        next();
     };
 }
 
@@ -92,6 +98,9 @@
 
 /** Errors before an action is reached: the body cannot be read or the path is not known. */
 function writeError(_req: IncomingMessage, res: ServerResponse, error: { code?: number; message: string; }): void {
+    if (res.headersSent) {
+        return;
+    }
     const problem = toProblem(error);
     res.writeHead(problem.status, { "content-type": "application/problem+json" });
     res.end(JSON.stringify(problem));
