fix(standins): a worker that restarts takes no notice

A sleeper's second reboot notice of the same number came while the worker restarted; the stand-in took it, and its second restart ended after the worker had been told to serve. A machine that restarts hears nothing, so that this cannot happen to one. Ruled out: the product's fence; the late notice was not of an older number, and after the restart it is refused. Change: both stand-ins refuse notices while they restart.

--- a/standins/fakes/createFakeWorkers.ts
+++ b/standins/fakes/createFakeWorkers.ts
@@ -191,6 +191,11 @@
                 if (notice.assignmentNumber < worker.assignmentNumber) {
                     return Left({ kind: "refused", detail: "an older assignment number" });
                 }
+                // A machine that restarts hears nothing. Were a second reboot taken here, it would end after the
+                // first and take a worker out that has been told to serve since.
+                if (worker.state === "rebooting") {
+                    return Left({ kind: "refused", detail: "it restarts" });
+                }
                 worker.assignmentNumber = notice.assignmentNumber;
                 switch (notice.kind) {
                     case "drain":
--- a/standins/worker/createWorkerServer.ts
+++ b/standins/worker/createWorkerServer.ts
@@ -109,7 +109,7 @@
     }
 
     function notify(kind: string, body: { assignmentNumber: number; pool?: string; }): boolean {
-        if (body.assignmentNumber < assignmentNumber) {
+        if (body.assignmentNumber < assignmentNumber || state === "rebooting") {
             return false;
         }
         assignmentNumber = body.assignmentNumber;
