feat(state): a wave opens once half of its first rack is back

The bound is the budget's rounds, each as long as a reboot. Change: all are open once half of the first rack is back, and an operator may leave that stage out (policy.startsWithRack).

--- a/bench/experiments.ts
+++ b/bench/experiments.ts
@@ -1,5 +1,7 @@
 import type { Experiment } from "./experiment";
 import { onceExperiment } from "./once/onceExperiment";
+import { moves } from "./fleet/moves";
+import { waves } from "./fleet/waves";
 import { schedules } from "./schedules/schedules";
 import { soak } from "./soak/soak";
 
@@ -8,4 +10,6 @@
     soak,
     schedules,
     onceExperiment,
+    moves,
+    waves,
 ];
--- a/src/plans/estimatePlan.ts
+++ b/src/plans/estimatePlan.ts
@@ -74,22 +74,25 @@
         .map(({ takenOut, mostOut }) => Math.ceil(takenOut / mostOut));
     const widest = effects.reduce((sum, { mostOut }) => sum + mostOut, 0);
     const byWidth = Math.ceil(draft.work.size / Math.max(1, Math.min(widest, intent.policy.maxInFlight)));
-    const stages = isWave ? 1 + countFirstRackRounds(state, draft, effects) : 0;
+    const stages = isWave ? 1 + countFirstRackRounds(state, intent, draft, effects) : 0;
     return (stages + Math.max(0, byWidth, ...rounds)) * roundMs;
 }
 
-function countFirstRackRounds(state: FleetState, draft: PlanDraft, effects: readonly PoolEffect[]): number {
+/** Rounds until half of the first rack is back, the first instance not counted. */
+function countFirstRackRounds(
+    state: FleetState,
+    intent: Intent,
+    draft: PlanDraft,
+    effects: readonly PoolEffect[],
+): number {
     const [first] = draft.work.keys();
     const firstInstance = first === undefined ? undefined : state.instances[first];
-    if (firstInstance === undefined) {
+    if (firstInstance === undefined || !intent.policy.startsWithRack) {
         return 0;
     }
     const inRack = [...draft.work.keys()].map((name) => state.instances[name])
         .filter((instance) => instance !== undefined && nameRack(instance) === nameRack(firstInstance));
-    return Math.max(
-        0,
-        ...effects.filter(({ mostOut }) => mostOut > 0).map(({ pool, mostOut }) =>
-            Math.ceil(inRack.filter((instance) => instance?.pool === pool).length / mostOut)
-        ),
-    );
+    const mostOut = effects.find(({ pool }) => pool === firstInstance.pool)?.mostOut ?? 0;
+    const needed = Math.ceil(inRack.length / 2) - 1;
+    return Math.ceil(needed / Math.max(1, mostOut));
 }
--- a/src/plans/intent.ts
+++ b/src/plans/intent.ts
@@ -8,6 +8,7 @@
 
 /** How far and how fast the work of the plan may go; the defaults suit a fleet of mixed work. */
 const policySchema = z.strictObject({
+    startsWithRack: z.boolean().default(true),
     maxInFlight: count.min(1).default(1000),
     stopAfterFailures: count.min(1).default(2),
     soakMs: durationMs.default(10 * 60_000),
--- a/src/state/findDrainRefusal.ts
+++ b/src/state/findDrainRefusal.ts
@@ -41,7 +41,7 @@
 }
 
 /**
- * A wave takes one instance first, then the rest of its rack, then the others.
+ * A wave takes one instance first, then others of its rack, and all once half of that rack is back.
  * A bad image or a bad rack is thereby met by few instances, and the wave stops before it reaches the others.
  */
 function findWaveRefusal(state: FleetState, plan: PlanState, instance: Instance): string | undefined {
@@ -52,10 +52,12 @@
     if (counts.done === 0 && active.length > 0) {
         return "the wave's first instance is not back yet";
     }
-    const isOpen = nameRack(instance) === firstRack;
-    const isRackLeft = [...active, ...Object.keys(waiting)].some((name) => {
+    if (!plan.policy.startsWithRack || nameRack(instance) === firstRack) {
+        return undefined;
+    }
+    const left = [...active, ...Object.keys(waiting)].filter((name) => {
         const other = state.instances[name];
         return other !== undefined && nameRack(other) === firstRack && other.state.kind !== "lost";
     });
-    return isOpen || !isRackLeft ? undefined : `the wave's first rack ${firstRack} is not done yet`;
+    return left.length <= counts.done ? undefined : `half of the wave's first rack ${firstRack} is not back yet`;
 }
--- a/src/state/plan.ts
+++ b/src/state/plan.ts
@@ -8,6 +8,8 @@
 
 /** How far and how fast a plan may go. */
 export interface PlanPolicy {
+    /** A wave goes on with the rack of its first instance before it takes others. */
+    readonly startsWithRack: boolean;
     /** Most instances of this plan out of service at once, over all pools. */
     readonly maxInFlight: number;
     /** The plan stops by itself at this many failures. */
--- a/src/state/test/state.steps.ts
+++ b/src/state/test/state.steps.ts
@@ -17,6 +17,7 @@
 }
 
 const policy = {
+    startsWithRack: true,
     maxInFlight: 10,
     stopAfterFailures: 2,
     soakMs: 1000,
