perf(standins): one lease timer for a task of the fake worker

Ruled out: a check at the exact end of the lease; it shifts schedules, and a scenario of src/once then found another symptom of its seeded defect first and failed. Change: one timer at the next multiple of 50 ms after the lease ends, so that leases end when they did before.

--- a/standins/fakes/createFakeWorkers.ts
+++ b/standins/fakes/createFakeWorkers.ts
@@ -37,6 +37,8 @@
     connect(client: string): Workers;
 }
 
+/** Leases are checked at multiples of this. */
+const leaseCheckMs = 50;
 const unreachable = { kind: "unavailable", detail: "unreachable" } as const;
 
 export function createFakeWorkers(): FakeWorkers {
@@ -111,10 +113,10 @@
                     task.end({ kind: "stopped", reason: "lease" });
                 }
                 else {
-                    leaseTimer = setTimeout(checkLease, Math.max(1, task.leaseEndsAtMs - Date.now()));
+                    leaseTimer = setTimeout(checkLease, roundUpToCheck(task.leaseEndsAtMs - Date.now()));
                 }
             };
-            leaseTimer = setTimeout(checkLease, Math.max(1, task.leaseEndsAtMs - Date.now()));
+            leaseTimer = setTimeout(checkLease, roundUpToCheck(order.leaseMs));
             worker.running.set(order.attempt, task);
             fake.onChange();
         });
@@ -250,3 +252,7 @@
         })),
     };
 }
+
+function roundUpToCheck(ms: number): number {
+    return Math.max(1, Math.ceil(ms / leaseCheckMs)) * leaseCheckMs;
+}
