--- a/bench/experiments.ts
+++ b/bench/experiments.ts
@@ -1,6 +1,7 @@
 import type { Experiment } from "./experiment";
 import { onceExperiment } from "./once/onceExperiment";
 import { moves } from "./fleet/moves";
+import { stateCost } from "./fleet/stateCost";
 import { waves } from "./fleet/waves";
 import { schedules } from "./schedules/schedules";
 import { soak } from "./soak/soak";
@@ -12,4 +13,5 @@
     onceExperiment,
     moves,
     waves,
+    stateCost,
 ];
