perf(state): one copy of the instances for a batch, members indexed once a state

Change: a batch of changes or steps works on one copy; members by pool and addresses are indexed once for each state.

--- a/src/plans/planDraft.ts
+++ b/src/plans/planDraft.ts
@@ -1,4 +1,4 @@
-import type { Change, FleetState, Instance, WorkItem } from "../state";
+import { type Change, type FleetState, indexMembers, type Instance, type WorkItem } from "../state";
 
 /** A plan while its parts are put together. */
 export interface PlanDraft {
@@ -41,5 +41,5 @@
 }
 
 export function listMembers(state: FleetState, pool: string): readonly Instance[] {
-    return Object.values(state.instances).filter((instance) => instance.pool === pool);
+    return indexMembers(state.instances).get(pool) ?? [];
 }
--- a/src/state/applyChange.ts
+++ b/src/state/applyChange.ts
@@ -1,5 +1,6 @@
 import { isDeepStrictEqual } from "node:util";
 import { type Either, Left, Right } from "purify-ts";
+import { findByUrl, putInstance } from "./instances";
 import type { PlanState } from "./plan";
 import type { Change, FleetState, Rejection } from "./state";
 
@@ -80,12 +81,12 @@
     if (state.pools[instance.pool] === undefined) {
         return reject(`there is no pool ${instance.pool}`);
     }
-    const twin = Object.values(state.instances).find(({ url }) => url === instance.url);
+    const twin = findByUrl(state.instances, instance.url);
     if (twin !== undefined) {
-        return reject(`instance ${twin.name} has the address ${instance.url} already`);
+        return reject(`instance ${twin} has the address ${instance.url} already`);
     }
     const added = { ...instance, assignmentNumber: 1, state: { kind: "serving" } as const };
-    return Right({ ...state, instances: { ...state.instances, [instance.name]: added } });
+    return Right(putInstance(state, added));
 }
 
 function reject(detail: string): Applied {
--- a/src/state/applyCommand.ts
+++ b/src/state/applyCommand.ts
@@ -1,6 +1,7 @@
 import { type Either, Left, Right } from "purify-ts";
 import { applyChanges, confirmPlan, setPlanStatus } from "./applyPlanCommand";
 import { applyStep } from "./applyStep";
+import { inBatch } from "./instances";
 import type { CommandRecord, FleetState, Rejection } from "./state";
 import type { Step } from "./step";
 
@@ -31,13 +32,15 @@
 
 /** Each step stands for itself: one that somebody else has done already does not hold up the others. */
 function applySteps(state: FleetState, steps: readonly Step[], record: CommandRecord): Applied {
-    let next = state;
-    let refusal = "there are no steps";
-    for (const step of steps) {
-        applyStep(next, step, record).caseOf({
-            Left: ({ detail }) => void (refusal = detail),
-            Right: (applied) => void (next = applied),
-        });
-    }
-    return next === state ? Left({ kind: "rejected", detail: refusal }) : Right(next);
+    return inBatch(state, (draft) => {
+        let next = draft;
+        let refusal = "there are no steps";
+        for (const step of steps) {
+            applyStep(next, step, record).caseOf({
+                Left: ({ detail }) => void (refusal = detail),
+                Right: (applied) => void (next = applied),
+            });
+        }
+        return next === draft ? Left({ kind: "rejected", detail: refusal }) : Right(next);
+    });
 }
--- a/src/state/applyPlanCommand.ts
+++ b/src/state/applyPlanCommand.ts
@@ -2,6 +2,7 @@
 import { applyChange } from "./applyChange";
 import { digestTouched } from "./digestTouched";
 import { forgetOldPlans } from "./forgetOldPlans";
+import { inBatch } from "./instances";
 import type { ConfirmedPlan, PlanState, PlanStatus } from "./plan";
 import { addHistory, setPlan } from "./planHistory";
 import type { Change, CommandRecord, FleetState, Rejection } from "./state";
@@ -10,11 +11,13 @@
 
 /** Applies changes one after the other; all, or none. */
 export function applyChanges(state: FleetState, changes: readonly Change[]): Applied {
-    let next: Applied = Right(state);
-    for (const change of changes) {
-        next = next.chain((current) => applyChange(current, change));
-    }
-    return next;
+    return inBatch(state, (draft) => {
+        let next: Applied = Right(draft);
+        for (const change of changes) {
+            next = next.chain((current) => applyChange(current, change));
+        }
+        return next;
+    });
 }
 
 /** Confirms a plan, unless that was done before or what it touches has moved on. */
--- a/src/state/applyPlannedStep.ts
+++ b/src/state/applyPlannedStep.ts
@@ -1,4 +1,5 @@
 import { type Either, Left, Right } from "purify-ts";
+import { putInstance, removeInstance } from "./instances";
 import type { PlanState } from "./plan";
 import { addHistory, setPlan } from "./planHistory";
 import type { CommandRecord, FleetState, Instance, InstanceState, Rejection } from "./state";
@@ -131,10 +132,7 @@
 }
 
 function replaceInstance(state: FleetState, name: string, outcome: Instance | undefined): FleetState {
-    const { [name]: _old, ...rest } = state.instances;
-    return outcome === undefined
-        ? { ...state, instances: rest }
-        : { ...state, instances: { ...state.instances, [name]: outcome } };
+    return outcome === undefined ? removeInstance(state, name) : putInstance(state, outcome);
 }
 
 function refuse(instance: Instance, step: PlannedStep): Either<Rejection, never> {
--- a/src/state/applyStep.ts
+++ b/src/state/applyStep.ts
@@ -2,6 +2,7 @@
 import { applyChanges } from "./applyPlanCommand";
 import { applyPlanned } from "./applyPlannedStep";
 import { findDrainRefusal } from "./findDrainRefusal";
+import { putInstance } from "./instances";
 import type { PlanState } from "./plan";
 import { addHistory, setPlan } from "./planHistory";
 import { nameRack } from "./rack";
@@ -45,7 +46,7 @@
             return reportLost(state, instance, step, context);
         case "reportRecovered":
             return instance.state.kind === "lost"
-                ? Right(setInstance(state, { ...instance, state: { kind: "serving" } }))
+                ? Right(putInstance(state, { ...instance, state: { kind: "serving" } }))
                 : reject(`${instance.name} is ${instance.state.kind}`);
         default:
             return applyPlanned(state, instance, step, context);
@@ -62,7 +63,8 @@
     if (refusal !== undefined) {
         return reject(refusal);
     }
-    const { [instance.name]: _begun, ...waiting } = plan.waiting;
+    const waiting = { ...plan.waiting };
+    delete waiting[instance.name];
     const begun: PlanState = {
         ...plan,
         waiting,
@@ -76,7 +78,7 @@
         state: { kind: "draining", plan: planId, item, sinceMs: atMs },
     };
     const line = { atMs, by, what: `drain ${instance.name}`, reason: item.kind };
-    return Right(setPlan(setInstance(state, taken), addHistory(begun, line)));
+    return Right(setPlan(putInstance(state, taken), addHistory(begun, line)));
 }
 
 function reportLost(
@@ -88,7 +90,7 @@
     if (instance.state.kind !== "serving") {
         return reject(`${instance.name} is ${instance.state.kind}`);
     }
-    const lost = setInstance(state, { ...instance, state: { kind: "lost", cause, sinceMs: context.atMs } });
+    const lost = putInstance(state, { ...instance, state: { kind: "lost", cause, sinceMs: context.atMs } });
     return Right(noteLoss(lost, instance, detail, context));
 }
 
@@ -122,10 +124,6 @@
     return Right(setPlan(changed.orDefault(state), addHistory(finished, { atMs, by, what: "finished", reason })));
 }
 
-function setInstance(state: FleetState, instance: Instance): FleetState {
-    return { ...state, instances: { ...state.instances, [instance.name]: instance } };
-}
-
 function reject(detail: string): Applied {
     return Left({ kind: "rejected", detail });
 }
--- a/src/state/digestTouched.ts
+++ b/src/state/digestTouched.ts
@@ -1,4 +1,5 @@
 import { createHash } from "node:crypto";
+import { indexMembers } from "./instances";
 import type { FleetState } from "./state";
 
 const digestLength = 12;
@@ -17,10 +18,7 @@
         case "pool":
             return digest(state.pools[name]);
         case "members":
-            return digest(
-                Object.values(state.instances).filter(({ pool }) => pool === name).map((instance) => instance.name)
-                    .sort(),
-            );
+            return digest((indexMembers(state.instances).get(name) ?? []).map((member) => member.name).sort());
         case "team":
             return digest(state.teams[name] && { ...state.teams[name], keys: {} });
         case "instance": {
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -4,6 +4,7 @@
 export { createEmptyState } from "./createEmptyState";
 export { digestTouched, writeCanonically } from "./digestTouched";
 export { findDrainRefusal } from "./findDrainRefusal";
+export { indexMembers } from "./instances";
 export type { ConfirmedPlan, HistoryLine, PlanPolicy, PlanState, PlanStatus, WorkItem } from "./plan";
 export { countFreeTokens, type PoolBudget, readPoolBudget } from "./poolBudget";
 export { nameRack } from "./rack";
--- a/src/state/poolBudget.ts
+++ b/src/state/poolBudget.ts
@@ -1,3 +1,4 @@
+import { indexMembers } from "./instances";
 import type { FleetState, Instance } from "./state";
 
 /** What of a pool's availability budget is spent. */
@@ -15,9 +16,8 @@
     const pool = state.pools[poolName];
     let members = 0;
     let unavailable = 0;
-    for (const name in state.instances) {
-        const instance = state.instances[name];
-        if (instance?.pool === poolName && !isJoining(instance)) {
+    for (const instance of indexMembers(state.instances).get(poolName) ?? []) {
+        if (!isJoining(instance)) {
             members++;
             unavailable += instance.state.kind === "serving" ? 0 : 1;
         }
