--- a/bench/experiments.ts
+++ b/bench/experiments.ts
@@ -1,8 +1,8 @@
 import type { Experiment } from "./experiment";
-import { onceExperiment } from "./once/onceExperiment";
 import { moves } from "./fleet/moves";
 import { stateCost } from "./fleet/stateCost";
 import { waves } from "./fleet/waves";
+import { onceExperiment } from "./once/onceExperiment";
 import { schedules } from "./schedules/schedules";
 import { soak } from "./soak/soak";
 
