feat(dispatch): orders say whether a task may be repeated

Cause: a drain checkpoints repeatable work after a while, and the worker could not tell which that is, so that every drain waited for the work's own end.

--- a/src/dispatch/createTries.ts
+++ b/src/dispatch/createTries.ts
@@ -85,6 +85,7 @@
             leaseMs: opts.leaseMs,
             holder: opts.boot,
             size: task.size,
+            isRepeatable: task.repeatable,
             payload: task.payload,
             ...checkpoint === undefined ? {} : { checkpoint },
         };
