--- a/bench/experiments.ts
+++ b/bench/experiments.ts
@@ -1,9 +1,12 @@
 import { decisionsExperiment } from "./decisions";
 import type { Experiment } from "./experiment";
-import { limitsExperiment, limitsSchedulesExperiment } from "./limits";
-import { onceExperiment } from "./once/onceExperiment";
 import { moves } from "./fleet/moves";
+import { moves } from "./fleet/moves";
+import { stateCost } from "./fleet/stateCost";
 import { waves } from "./fleet/waves";
+import { waves } from "./fleet/waves";
+import { limitsExperiment, limitsSchedulesExperiment } from "./limits";
+import { onceExperiment } from "./once/onceExperiment";
 import { overheadExperiment } from "./overhead";
 import { overloadExperiment } from "./overload";
 import { schedules } from "./schedules/schedules";
@@ -23,4 +26,5 @@
     onceExperiment,
     moves,
     waves,
+    stateCost,
 ];
