feat(operators): where a revision is in force, by name and since when

GET /operator/revisions/REVISION?waitMs=N waits until every entry that may still serve has confirmed the revision, and names those that have not.

--- a/src/members/createInstanceList.ts
+++ b/src/members/createInstanceList.ts
@@ -133,7 +133,7 @@
         current: () => listing,
         ageMs: () => listing === undefined ? undefined : Date.now() - askedAtMs,
         start() {
-            timer = setInterval(() => void tick(), Math.max(1, opts.listMs / 10));
+            timer = setInterval(() => void tick(), Math.max(1, opts.listMs / 5));
             void tick();
         },
         stop() {
--- a/src/operators/createOperators.ts
+++ b/src/operators/createOperators.ts
@@ -45,6 +45,7 @@
             withdrawKey: guard(keys.withdraw),
             state: guard(reads.state),
             entries: guard(reads.entries),
+            revision: guard(reads.revision),
             pools: guard(reads.pools),
             instances: guard(reads.instances),
             waves: guard(reads.waves),
--- a/src/operators/createReadHandlers.ts
+++ b/src/operators/createReadHandlers.ts
@@ -1,12 +1,32 @@
+import { z } from "zod";
+import { createProblem } from "../errors";
 import { readPoolBudget } from "../state";
 import type { Handler, OperatorsOptions } from "./operatorContext";
 
+/** Longest wait for a revision to be in force everywhere, in milliseconds. */
+const maxWaitMs = 60_000;
+
+const revisionSchema = z.object({
+    revision: z.coerce.number().int().nonnegative(),
+    waitMs: z.coerce.number().int().min(0).max(maxWaitMs).default(0),
+});
+
 /** Shows what is in force. */
-export function createReadHandlers({ peers }: OperatorsOptions) {
+export function createReadHandlers({ configuration, peers }: OperatorsOptions) {
     const state: Handler = (request) => Promise.resolve(request.state);
 
     const entries: Handler = () => Promise.resolve([peers.self, ...peers.connected()]);
 
+    /** Which entries have confirmed a revision, and which have not; `waitMs` waits until all have. */
+    const revision: Handler = async ({ params }) => {
+        const asked = revisionSchema.safeParse(params);
+        if (!asked.success) {
+            return createProblem("INVALID_REQUEST", "revision and waitMs are whole numbers");
+        }
+        const inForce = await configuration.awaitInForce(asked.data.revision, asked.data.waitMs);
+        return { ...inForce, ownRevision: configuration.state()?.revision, isolation: configuration.isolation() };
+    };
+
     const pools: Handler = (request) =>
         Promise.resolve(
             Object.keys(request.state.pools).map((name) => ({ name, ...readPoolBudget(request.state, name) })),
@@ -35,5 +55,5 @@
         );
     };
 
-    return { state, entries, pools, instances, waves };
+    return { state, entries, revision, pools, instances, waves };
 }
--- a/src/operators/operatorAliases.ts
+++ b/src/operators/operatorAliases.ts
@@ -11,6 +11,7 @@
     "DELETE /operator/keys/:id": "operators.withdrawKey",
     "GET /operator/state": "operators.state",
     "GET /operator/entries": "operators.entries",
+    "GET /operator/revisions/:revision": "operators.revision",
     "GET /operator/pools": "operators.pools",
     "GET /operator/instances": "operators.instances",
     "GET /operator/waves": "operators.waves",
--- a/standins/processes/startFleet.ts
+++ b/standins/processes/startFleet.ts
@@ -32,7 +32,8 @@
     readonly workers: readonly WorkerProcess[];
     readonly entries: EntryProcess[];
     readonly operatorCredential: string;
-    startEntry(zone: string): Promise<EntryProcess>;
+    /** Starts one more entry; its own flags go before those of the fleet. */
+    startEntry(zone: string, ownFlags?: Readonly<Record<string, string>>): Promise<EntryProcess>;
     /** Starts an entry whose process has ended again, under its name and at its addresses. */
     restartEntry(entry: EntryProcess): Promise<EntryProcess>;
     /** Sends a request to an entry as the operator. */
@@ -67,7 +68,7 @@
     }));
     const entries: EntryProcess[] = [];
 
-    async function startEntry(zone: string): Promise<EntryProcess> {
+    async function startEntry(zone: string, ownFlags: Readonly<Record<string, string>> = {}): Promise<EntryProcess> {
         const [port, peerPort] = [await findFreePort(), await findFreePort()];
         const name = `entry-${entries.length + 1}`;
         await callHttp("POST", `${platform.url}/control`, undefined, { instances: { [name]: "live" } });
@@ -79,6 +80,7 @@
             "peer-port": peerPort,
             "platform-url": platform.url,
             "operator-hash": operator.hash,
+            ...ownFlags,
         };
         const args = Object.entries(flags).flatMap(([flag, value]) => [`--${flag}`, String(value)]);
         return runEntry({ name, zone, url: `http://127.0.0.1:${port}`, args: [...args, ...opts.entryFlags ?? []] });
