fix(entry): serve only once recorded, with a log read after that

Cause: an entry listened before it had entered the record of entries. Frozen in between, it was neither asked nor named, and a revision was called in force everywhere which it lacked.

Change: the start waits for the record (5 s at most, for a platform that is down) and then reads the log once.

--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -84,6 +84,8 @@
     inForce(revision: number): InForce;
     /** Waits until a revision is in force everywhere, or the time is over; gives what is known then. */
     awaitInForce(revision: number, waitMs: number): Promise<InForce>;
+    /** Reads the log now; gives false where the platform did not answer or its log cannot be applied. */
+    refresh(): Promise<boolean>;
     isolation(): Isolation;
     /** Begins to tell peers and to hear from them. */
     start(): void;
--- a/src/configuration/createConfiguration.ts
+++ b/src/configuration/createConfiguration.ts
@@ -181,6 +181,15 @@
                 await waitForNews(Math.min(leftMs, askMs));
             }
         },
+        async refresh() {
+            const read = await platform.read(logKey);
+            const log = parseLog(read.orDefault(undefined)?.text ?? "");
+            if (read.isLeft() || log === undefined) {
+                return false;
+            }
+            const offer = await absorb(log);
+            return offer.kind === "advanced" || offer.kind === "nothingNew";
+        },
         isolation: () => ({ isIsolated, lastHeardAtMs: lastHeardAtMs() }),
         start() {
             relay?.start();
--- a/src/entry/createCore.ts
+++ b/src/entry/createCore.ts
@@ -49,6 +49,9 @@
 /** Connections to each worker that are kept for renewals, usage and notices. */
 const shortCallConnections = 1;
 
+/** How long a start waits for the record of entries before it goes on without, in milliseconds. */
+const enterWaitMs = 5000;
+
 /** Puts the parts that decide together. */
 export function createCore(opts: CoreOptions): Core {
     const { settings, platform, peers, workers, report, metrics } = opts;
@@ -132,6 +135,11 @@
             watcher.start();
             members.start();
             configuration.start();
+            // An entry that served before it is in the record would not be asked whether it has a revision in force;
+            // one that served what it read before it entered could lack a revision that is called in force everywhere.
+            // While the platform is down nothing is accepted, and the entry serves what its peers hold.
+            await members.entered(enterWaitMs);
+            await configuration.refresh();
             limits.start();
             once.start();
             shares.start();
--- a/src/members/createMembers.ts
+++ b/src/members/createMembers.ts
@@ -184,6 +184,22 @@
             void enter();
             list.start();
         },
+        entered: (waitMs) =>
+            new Promise((resolve) => {
+                const finish = () => {
+                    clearTimeout(timeout);
+                    listeners.delete(check);
+                    resolve(isEntered);
+                };
+                const check = () => {
+                    if (isEntered) {
+                        finish();
+                    }
+                };
+                const timeout = setTimeout(finish, waitMs);
+                listeners.add(check);
+                check();
+            }),
         async stop() {
             isRunning = false;
             list.stop();
--- a/src/members/members.ts
+++ b/src/members/members.ts
@@ -34,6 +34,8 @@
     onChange(listener: () => void): () => void;
     /** Enters this boot into the record, again and again until that succeeds. */
     start(): void;
+    /** Waits until this boot is in the record; gives false where it is not after that time. */
+    entered(waitMs: number): Promise<boolean>;
     /** Takes this boot out of the record. */
     stop(): Promise<void>;
 }
