--- a/bench/experiments.ts
+++ b/bench/experiments.ts
@@ -1,3 +1,4 @@
+import { configuration } from "./configuration/configuration";
 import type { Experiment } from "./experiment";
 import { onceExperiment } from "./once/onceExperiment";
 import { schedules } from "./schedules/schedules";
@@ -5,6 +6,7 @@
 
 /** Every experiment, in the order of `npm run bench -- all`. */
 export const experiments: readonly Experiment[] = [
+    configuration,
     soak,
     schedules,
     onceExperiment,
