--- a/bench/limits/limitsWorld.ts
+++ b/bench/limits/limitsWorld.ts
@@ -148,6 +148,7 @@
                 || opts.defect === "silentCountsAsGone" && isSilent(boot),
             onChange: () => () => {},
             start() {},
+            entered: () => Promise.resolve(true),
             stop: () => Promise.resolve(),
         };
     }
--- a/standins/fleet/createGate.ts
+++ b/standins/fleet/createGate.ts
@@ -62,7 +62,6 @@
         wrapPlatform: (platform) => ({
             read: wrap(platform.read),
             compareAndSwap: wrap(platform.compareAndSwap),
-            remove: wrap(platform.remove),
             watch: wrap(platform.watch),
             remove: wrap(platform.remove),
             listInstances: wrap(platform.listInstances),
