--- a/bench/experiments.ts
+++ b/bench/experiments.ts
@@ -1,4 +1,5 @@
 import { decisionsExperiment } from "./decisions";
+import { configuration } from "./configuration/configuration";
 import type { Experiment } from "./experiment";
 import { moves } from "./fleet/moves";
 import { moves } from "./fleet/moves";
@@ -21,6 +22,7 @@
     overloadExperiment,
     overheadExperiment,
     decisionsExperiment,
+    configuration,
     soak,
     schedules,
     onceExperiment,
--- a/bench/limits/limitsWorld.ts
+++ b/bench/limits/limitsWorld.ts
@@ -156,6 +156,7 @@
                 || opts.defect === "silentCountsAsGone" && isSilent(boot),
             onChange: () => () => {},
             start() {},
+            entered: () => Promise.resolve(true),
             stop: () => Promise.resolve(),
         };
     }
