--- a/bench/experiments.ts
+++ b/bench/experiments.ts
@@ -1,11 +1,9 @@
-import { decisionsExperiment } from "./decisions";
 import { configuration } from "./configuration/configuration";
+import { decisionsExperiment } from "./decisions";
 import type { Experiment } from "./experiment";
 import { moves } from "./fleet/moves";
-import { moves } from "./fleet/moves";
 import { stateCost } from "./fleet/stateCost";
 import { waves } from "./fleet/waves";
-import { waves } from "./fleet/waves";
 import { limitsExperiment, limitsSchedulesExperiment } from "./limits";
 import { onceExperiment } from "./once/onceExperiment";
 import { overheadExperiment } from "./overhead";
