--- a/src/once/test/faults.feature
+++ b/src/once/test/faults.feature
@@ -61,6 +61,18 @@
         Then every payment was started 1 times
         And for each payment one caller is told "answered" and the other "unknown"
 
+    Scenario: a refusal of work that another entry has just run
+        Two entries cannot reach each other. One runs the payment; the other looked at the claims a moment before, and now
+        refuses the same payment for its withdrawn key. Without another look it would say "not run" of what has run.
+        Given 2 entries on a paused clock
+        And the entries cannot reach each other
+        When entry 1 refuses the payment for a withdrawn key
+        Then the first caller is told "not run" with "KEY_REJECTED" at once
+        When a payment is sent through entry 0
+        And entry 1 refuses the payment for a withdrawn key
+        Then the last caller is told "unknown"
+        And the payment was started 1 times
+
     Scenario: the answer to the claim's write is lost
         The platform wrote the claim but its answer never came. The entry reads again, finds its own claim, and goes on;
         otherwise the caller's payment would be refused for good.
--- a/src/once/test/faults.steps.ts
+++ b/src/once/test/faults.steps.ts
@@ -18,6 +18,8 @@
 
 const runMs = 300;
 const settleMs = 45_000;
+/** Long enough for a refusal, and shorter than what was seen of the claims counts as fresh. */
+const refusalMs = 250;
 
 After(function(this: Partial<World>) {
     this.clock?.uninstall();
@@ -128,6 +130,21 @@
     await this.clock.tickAsync(15);
 });
 
+When("entry 1 refuses the payment for a withdrawn key", async function(this: World) {
+    send(this, 1, this.key, { keyId: "withdrawn" });
+    await this.clock.tickAsync(refusalMs);
+});
+
+Then("the first caller is told {string} with {string} at once", function(this: World, outcome: string, code: string) {
+    const { end } = this.sent[0]!;
+    assert.deepEqual(end?.kind === "problem" && [end.problem.outcome, end.problem.code], [outcome, code]);
+});
+
+Then("the last caller is told {string}", async function(this: World, outcome: string) {
+    await this.clock.tickAsync(settleMs);
+    assert.equal(outcomeOf(this.sent.at(-1)!), outcome);
+});
+
 When("it is sent again through entry 1", async function(this: World) {
     send(this, 1);
     await this.clock.tickAsync(settleMs);
