--- a/standins/processes/startProcess.ts
+++ b/standins/processes/startProcess.ts
@@ -1,6 +1,6 @@
 import { spawn } from "node:child_process";
+import { randomInt } from "node:crypto";
 import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 
 /** One child process with its output, line by line. */
 export interface Process {
@@ -53,11 +53,21 @@
     };
 }
 
+/** Ports below those that the system gives to outgoing connections, one of which could take a port before its entry. */
+const [firstPort, lastPort] = [12_000, 32_000];
+
 /** A port that was free a moment ago. */
 export async function findFreePort(): Promise<number> {
-    const server = createServer();
-    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-    const { port } = server.address() as AddressInfo;
-    await new Promise((resolve) => server.close(resolve));
-    return port;
+    for (;;) {
+        const port = randomInt(firstPort, lastPort);
+        const server = createServer();
+        const isFree = await new Promise<boolean>((resolve) => {
+            server.once("error", () => resolve(false));
+            server.listen(port, "127.0.0.1", () => resolve(true));
+        });
+        await new Promise((resolve) => server.close(resolve));
+        if (isFree) {
+            return port;
+        }
+    }
 }
