test(limits): the schedules' entries wait past the lease, as dispatch does

The entry of the schedules gave a lost task's room back exactly one lease after it had noticed; the stand-in worker looks at leases every 50 ms and a renewal may be under way, so the task ran on for a moment. dispatch waits one second longer.

Change: the schedules' entries wait as long as dispatch does. The judge is untouched.

--- a/bench/limits/limitsWorld.ts
+++ b/bench/limits/limitsWorld.ts
@@ -22,6 +22,9 @@
 /** A mechanism that a test switches off by its wiring, to see that the judge notices. */
 export type LimitsDefect = "silentCountsAsGone" | "conflictCountsAsWritten" | "leaseTooShort" | "unknownFreesRoom";
 
+/** A worker checks its leases now and then, and a renewal may be under way: dispatch waits longer than the lease. */
+const lateEndMs = 1000;
+
 export interface LimitsWorldOptions {
     readonly defect?: LimitsDefect;
     readonly leaseMs?: number;
@@ -241,7 +244,7 @@
             task.isOver = true;
             process.run(() => {
                 if (result === "unknown" && opts.defect !== "unknownFreesRoom") {
-                    limits.releaseAfter(hold, leaseMs);
+                    limits.releaseAfter(hold, leaseMs + lateEndMs);
                 }
                 else {
                     limits.release(hold);
