fix(members): the jitter of retries comes from the caller's random numbers in tests

The retries of the record drew from the runtime's own random numbers, so that a seed was not the same schedule each time.

Change: createMembers takes its random numbers like createConfiguration does.

--- a/bench/configuration/createTestFleet.ts
+++ b/bench/configuration/createTestFleet.ts
@@ -61,7 +61,7 @@
         const watcher = createWatcher({ platform: client, watchMs: 20_000, retryMs: 200 });
         const events: LogEvent[] = [];
         const report = (event: LogEvent) => void events.push(event);
-        const members = createMembers({ platform: client, watcher, peers, retryMs: 200, report });
+        const members = createMembers({ platform: client, watcher, peers, retryMs: 200, report, random });
         const configuration = createConfiguration({
             platform: client,
             watcher,
--- a/src/members/createMembers.ts
+++ b/src/members/createMembers.ts
@@ -17,6 +17,8 @@
     /** Addresses known from the settings, used besides the record. */
     readonly seedUrls?: readonly string[];
     readonly report?: Reporter;
+    /** From 0 up to 1, for the jitter of retries; tests give a seeded one. */
+    readonly random?: () => number;
 }
 
 const defaultListMs = 10_000;
@@ -141,7 +143,7 @@
     }
 
     async function pause(): Promise<void> {
-        await new Promise((resolve) => setTimeout(resolve, opts.retryMs * (0.5 + Math.random())));
+        await new Promise((resolve) => setTimeout(resolve, opts.retryMs * (0.5 + (opts.random ?? Math.random)())));
     }
 
     async function checkListing(listing: Listing): Promise<void> {
