test(matrix): a defect for each promise, a leaving worker, stops that end the process

Cause: the judge itself was not tested, nothing began to leave, and a stopped entry's process went on, so that a stop which did not wait was not seen.

The instance list is read every 3 s where it is small (was 10 s), so that a leaving worker's last new work comes a few seconds after the sign.

--- a/matrix/act.ts
+++ b/matrix/act.ts
@@ -30,6 +30,8 @@
             return;
         case "stopEntry":
             return stopEntry(world, judge);
+        case "leaveWorker":
+            return leaveWorker(world, judge);
     }
 }
 
@@ -116,9 +118,20 @@
         judge.noteStop(entry.boot);
         entry.isStopping = true;
         world.emit({ boot: entry.boot, kind: "entryStop", when: "before" });
-        await Promise.race([
-            new Promise<void>((resolve) => entry.host.run(() => void entry.core.stop().then(resolve))),
-            sleep(60_000),
-        ]);
+        await new Promise<void>((resolve) => entry.host.run(() => void entry.core.stop().then(resolve)));
+        entry.host.kill();
+        world.network.remove(entry.boot);
     }
 }
+
+/** The platform begins to take a worker away; its list is the only sign. */
+async function leaveWorker(world: World, judge: Judge): Promise<void> {
+    const instance = "worker-zone-a-1";
+    world.platform.instances.set(instance, "leaving");
+    judge.noteLeaving(instance);
+    const entry = runningEntry(world);
+    if (entry !== undefined) {
+        world.emit({ boot: entry.boot, kind: "leave", when: "before" });
+    }
+    return Promise.resolve();
+}
--- a/matrix/createTap.ts
+++ b/matrix/createTap.ts
@@ -24,7 +24,7 @@
         | "confirm"
         | "entryStart"
         | "entryStop"
-        | "keyWithdrawal";
+        | "leave";
     readonly when: "before" | "after";
     /** For a write of the log: the kinds of the changes or steps in its newest records. */
     readonly commands?: readonly string[];
--- a/matrix/createWorld.ts
+++ b/matrix/createWorld.ts
@@ -41,6 +41,7 @@
     const platform = createFakePlatform();
     const network = createFakeNetwork();
     const workers = createFakeWorkers();
+    workers.takesAnyPool = defect?.takesAnyPool ?? false;
     const entries: SimEntry[] = [];
     const listeners = new Set<(event: StepEvent) => void>();
     const keys = Object.fromEntries(Object.keys(teamLimits).map((team) => [team, createSecret()])) as Record<
@@ -119,7 +120,9 @@
     }
     await pass(1000);
     const setUp: Change[] = [
-        ...pools.map((name) => ({ kind: "setPool", pool: { name, maxUnavailable } }) as const),
+        ...pools.map((name) =>
+            ({ kind: "setPool", pool: { name, maxUnavailable: defect?.budget ?? maxUnavailable } }) as const
+        ),
         ...Object.entries(teamLimits).map(([name, tasks]) =>
             ({
                 kind: "setTeam",
--- a/matrix/faults.ts
+++ b/matrix/faults.ts
@@ -6,6 +6,8 @@
     readonly name: string;
     /** How long it lasts, in milliseconds. */
     readonly durationMs: number;
+    /** True where entries cannot read the instance list, or not the newest one. */
+    readonly hidesList?: boolean;
     /** Strikes around the entry that is at the step. */
     strike(world: World, entry: SimEntry, judge: Judge): { undo(): void; };
 }
@@ -37,7 +39,8 @@
     {
         name: "process killed",
         durationMs: usualMs,
-        strike(world, entry) {
+        strike(world, entry, judge) {
+            judge.noteKill(entry.boot);
             entry.host.kill();
             world.network.remove(entry.boot);
             return {
@@ -50,6 +53,7 @@
     {
         name: "frozen and woken",
         durationMs: 3000,
+        hidesList: true,
         strike(_world, entry) {
             entry.host.freeze();
             return { undo: () => entry.host.wake() };
@@ -58,6 +62,7 @@
     {
         name: "cut from the platform",
         durationMs: usualMs,
+        hidesList: true,
         strike(world, entry) {
             world.platform.cutOff.add(entry.boot);
             return { undo: () => void world.platform.cutOff.delete(entry.boot) };
@@ -66,6 +71,7 @@
     {
         name: "zone cut off",
         durationMs: usualMs,
+        hidesList: true,
         strike(world, { zone }) {
             const inside = namesIn(world, zone);
             const outside = zones.filter((other) => other !== zone).flatMap((other) => namesIn(world, other));
@@ -83,6 +89,7 @@
     {
         name: "platform down",
         durationMs: usualMs,
+        hidesList: true,
         strike(world) {
             world.platform.isDown = true;
             return {
@@ -95,6 +102,7 @@
     {
         name: "platform slow",
         durationMs: usualMs,
+        hidesList: true,
         strike(world) {
             world.platform.delayMs = slowMs;
             return {
@@ -127,6 +135,7 @@
     {
         name: "instance list lagging",
         durationMs: usualMs,
+        hidesList: true,
         strike(world) {
             const kept = new Map(world.platform.instances);
             world.platform.staleInstances = kept;
@@ -140,6 +149,7 @@
     {
         name: "lease lapsed while paused",
         durationMs: pastLeaseMs,
+        hidesList: true,
         strike(_world, entry) {
             entry.host.freeze();
             return { undo: () => entry.host.wake() };
--- a/matrix/judge.ts
+++ b/matrix/judge.ts
@@ -56,6 +56,7 @@
     const outSince = new Set<string>();
     const acceptedRevisions: number[] = [];
     const stopped = new Set<string>();
+    const killed = new Set<string>();
     let seenStarts = 0;
 
     function blame(promise: Promised, detail: string): void {
@@ -192,10 +193,20 @@
         noteBack: (instance: string) => leavingSinceMs.delete(instance),
         noteLost: (instance: string) => lostAtMs.set(instance, Date.now()),
         noteStop: (boot: string) => stopped.add(boot),
+        noteKill: (boot: string) => killed.add(boot),
+        /** A fault keeps the instance list from being read until then. */
+        noteListHidden(untilMs: number): void {
+            leavingSinceMs.forEach((since, instance) => leavingSinceMs.set(instance, Math.max(since, untilMs)));
+        },
         noteAccepted: (revision: number) => acceptedRevisions.push(revision),
         /** To be called when everything is healed and quiet. */
         judgeFinally(): void {
             look();
+            for (const call of calls) {
+                if (call.end === undefined && stopped.has(call.boot) && !killed.has(call.boot)) {
+                    blame("planned stop", `${call.payload} at ${call.boot} was never answered`);
+                }
+            }
             const alive = world.entries.filter(({ host, isStopping }) => host.state === "running" && !isStopping);
             const newest = Math.max(0, ...acceptedRevisions);
             for (const { boot, core, revisions } of alive) {
--- a/matrix/rows.ts
+++ b/matrix/rows.ts
@@ -1,7 +1,15 @@
 import type { StepEvent } from "./createTap";
 
 /** What operators and the platform do while callers send work. */
-export type Activity = "none" | "configure" | "withdrawKey" | "move" | "wave" | "startEntry" | "stopEntry";
+export type Activity =
+    | "none"
+    | "configure"
+    | "withdrawKey"
+    | "move"
+    | "wave"
+    | "startEntry"
+    | "stopEntry"
+    | "leaveWorker";
 
 /** One step of the matrix: the fault strikes when an entry reaches it. */
 export interface Row {
@@ -12,7 +20,7 @@
     isReached(event: StepEvent): boolean;
 }
 
-const singleActivities: readonly Activity[] = ["configure", "withdrawKey", "startEntry", "stopEntry"];
+const singleActivities: readonly Activity[] = ["configure", "withdrawKey", "startEntry", "stopEntry", "leaveWorker"];
 const singleKinds: readonly StepEvent["kind"][] = ["plan", "confirm"];
 
 function row(
@@ -81,5 +89,6 @@
     row("wave: proving", "logWrite", { activity: "wave", command: "beginProving" }),
     row("wave: back in service", "logWrite", { activity: "wave", command: "serve" }),
     row("starting an entry", "entryStart", { activity: "startEntry", when: "after" }),
+    row("a worker begins to leave", "leave", { activity: "leaveWorker" }),
     row("stopping an entry", "entryStop", { activity: "stopEntry" }),
 ];
--- a/matrix/runCell.ts
+++ b/matrix/runCell.ts
@@ -51,6 +51,9 @@
             struck++;
             const { undo } = fault.strike(world, entry, judge);
             setTimeout(undo, fault.durationMs);
+            if (fault.hidesList === true) {
+                judge.noteListHidden(Date.now() + fault.durationMs);
+            }
         });
     }
     startLoad(world, judge, seed, loadMs);
--- a/src/members/createMembers.ts
+++ b/src/members/createMembers.ts
@@ -21,7 +21,7 @@
     readonly random?: () => number;
 }
 
-const defaultListMs = 10_000;
+const defaultListMs = 3000;
 
 /** Tries to read the list before this boot enters the record without having seen it. */
 const maxListTries = 5;
--- a/standins/fakes/createFakeWorkers.ts
+++ b/standins/fakes/createFakeWorkers.ts
@@ -27,6 +27,8 @@
     /** Every start of a task, for judges. */
     readonly starts: { readonly order: TaskOrder; readonly instance: string; readonly atMs: number; }[];
     delayMs: number;
+    /** Workers do not look at an order's pool and assignment number. */
+    takesAnyPool: boolean;
     rebootMs: number;
     /** How long a task runs, in milliseconds; by default what its payload `run N` says. */
     runMs: (order: TaskOrder) => number;
@@ -48,6 +50,7 @@
         cuts: new Set(),
         starts: [],
         delayMs: 1,
+        takesAnyPool: false,
         rebootMs: 1000,
         runMs: (order) => Number(/^run (\d+)/.exec(order.payload)?.[1] ?? 0),
         onChange: () => {},
@@ -79,7 +82,8 @@
     }
 
     function refuse(worker: FakeWorker, order: TaskOrder): TaskResult | undefined {
-        if (order.assignmentNumber < worker.assignmentNumber || worker.pool !== "" && order.pool !== worker.pool) {
+        const isOtherPool = worker.pool !== "" && order.pool !== worker.pool;
+        if (!fake.takesAnyPool && (isOtherPool || order.assignmentNumber < worker.assignmentNumber)) {
             return { kind: "notRun", reason: "staleAssignment" };
         }
         if (worker.state !== "serving") {
