feat(cli): commands end when the change is in force everywhere, or name who has not confirmed

Cause: confirm, key grant and key withdraw ended with the acceptance; show teams and show limits had no interface behind them; follow read fields that plans do not have.

Change: these commands wait (--wait-ms) and end with exit code 5 and the entries that have not confirmed; GET /operator/teams and /operator/limits; plans are printed with their effects.

--- a/matrix/runCell.ts
+++ b/matrix/runCell.ts
@@ -4,6 +4,7 @@
 import type { Fault } from "./faults";
 import { createJudge, type Violation } from "./judge";
 import type { Row } from "./rows";
+import { seedRandomness } from "./seedRandomness";
 import { startLoad } from "./startLoad";
 
 /** One fault at one step; `occurrence` is the time the step is reached at which it strikes, 1 for the first. */
@@ -29,12 +30,14 @@
 
 /** Runs the fleet with work and the rows' activities, strikes, heals, lets it settle, and judges. */
 export async function runCell(strikes: readonly Strike[], seed: number, defect?: Defect): Promise<CellResult> {
+    const randomness = seedRandomness(seed);
     const world = await createWorld(defect);
     try {
         return await runIn(world, strikes, seed);
     }
     finally {
         world.hosts.uninstall();
+        randomness.restore();
     }
 }
 
--- a/src/cli/callAndPrint.ts
+++ b/src/cli/callAndPrint.ts
@@ -3,18 +3,19 @@
 import { ExitCode } from "./exitCode";
 import { writeAnswer } from "./output";
 
-/** Sends one request and prints its answer, as JSON or as the command renders it. */
+/** Sends one request and prints its answer, as JSON or as the command renders it; `next` may then do more with it. */
 export async function callAndPrint<T>(
     flags: Invocation["flags"],
     call: EntryRequest,
     render: (answer: T) => void,
+    next: (answer: T) => Promise<ExitCode> = () => Promise.resolve(ExitCode.Done),
 ): Promise<ExitCode> {
     const answer = await callEntry(flags as never, call);
-    return answer.caseOf<ExitCode>({
-        Left: (failure) => reportFailure(failure, flags["json"] === true),
+    return answer.caseOf<Promise<ExitCode>>({
+        Left: (failure) => Promise.resolve(reportFailure(failure, flags["json"] === true)),
         Right: (body) => {
             writeAnswer(body as T, flags["json"] === true, render);
-            return ExitCode.Done;
+            return next(body as T);
         },
     });
 }
--- a/src/cli/commands/follow.ts
+++ b/src/cli/commands/follow.ts
@@ -5,8 +5,6 @@
 import { writeJson, writeLine } from "../output";
 
 const pollMs = 500;
-const endedStates = new Set(["done", "finished", "cancelled", "stopped", "failed"]);
-
 /** `samphirepin follow`: prints the progress of a confirmed plan until it ends. */
 export const follow = defineCommand({
     id: "follow",
@@ -27,8 +25,8 @@
             }
             const progress = answer.extract() as Progress;
             printed = writeProgress(progress, flags, printed);
-            if (flags["once"] === true || endedStates.has(progress.state)) {
-                return progress.state === "failed" || progress.state === "stopped" ? ExitCode.Refused : ExitCode.Done;
+            if (flags["once"] === true || progress.status.kind !== "running") {
+                return progress.status.kind === "stopped" ? ExitCode.Refused : ExitCode.Done;
             }
             await new Promise((resolve) => setTimeout(resolve, pollMs));
         }
@@ -37,18 +35,16 @@
 
 interface Progress {
     readonly id: string;
-    readonly state: string;
-    readonly done?: number;
-    readonly total?: number;
-    readonly detail?: string;
+    readonly status: { readonly kind: string; readonly reason?: string; };
+    readonly counts?: { readonly done: number; readonly failed: number; readonly skipped: number; };
+    readonly waiting?: Readonly<Record<string, unknown>> | number;
+    readonly active?: readonly string[];
 }
 
 /** Writes only what is new; gives what stands printed. */
 function writeProgress(progress: Progress, flags: Invocation["flags"], printed: string): string {
-    const { id, state, done, total, detail } = progress;
-    const count = total === undefined ? "" : ` ${done ?? 0} of ${total}`;
-    const line = `plan ${id}: ${state}${count}${detail === undefined ? "" : `: ${detail}`}`;
-    if (flags["json"] === true) {
+    const line = describeProgress(progress);
+    if (flags["json"] === true && line !== printed) {
         writeJson(progress);
     }
     else if (line !== printed) {
@@ -56,3 +52,15 @@
     }
     return line;
 }
+
+function describeProgress({ id, status, counts, waiting, active }: Progress): string {
+    const reason = status.reason === undefined ? "" : ` (${status.reason})`;
+    if (counts === undefined) {
+        return `plan ${id}: ${status.kind}${reason}`;
+    }
+    const left = typeof waiting === "number" ? waiting : Object.keys(waiting ?? {}).length;
+    return `plan ${id}: ${status.kind}${reason}; ${counts.done} done, ${
+        active?.length ?? 0
+    } under way, ${left} waiting, `
+        + `${counts.failed} failed, ${counts.skipped} left out`;
+}
--- a/src/cli/commands/keyGrant.ts
+++ b/src/cli/commands/keyGrant.ts
@@ -1,4 +1,5 @@
 import { Args } from "@oclif/core";
+import { awaitInForce, waitFlags } from "../awaitInForce";
 import { callAndPrint } from "../callAndPrint";
 import { entryFlags } from "../callEntry";
 import { defineCommand } from "../defineCommand";
@@ -8,16 +9,17 @@
 export const keyGrant = defineCommand({
     id: "key grant",
     summary: "grant a new key to a team; it is shown once",
-    flags: entryFlags,
+    flags: { ...entryFlags, ...waitFlags },
     args: { team: Args.string({ description: "name of the team", required: true }) },
     examples: ["key grant stables"],
     run: ({ flags, args }) =>
         callAndPrint(
             flags,
             { method: "POST", path: "/operator/keys", body: { team: args["team"] } },
-            ({ keyId, key }: { keyId: string; key: string; }) => {
+            ({ keyId, key }: { keyId: string; key: string; revision: number; }) => {
                 writeLine(`key ${keyId} (withdraw it by this name):`);
                 writeLine(key);
             },
+            ({ revision }) => awaitInForce(flags, revision),
         ),
 });
--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -62,7 +62,7 @@
         metrics,
         isStopping: () => isStopping,
     }));
-    broker.createService(createOperators({ configuration, peers, operatorHash }));
+    broker.createService(createOperators({ configuration, peers, limits: core.limits, operatorHash }));
     broker.createService(createGateway({
         host,
         port: settings.port,
--- a/src/operators/createOperators.ts
+++ b/src/operators/createOperators.ts
@@ -48,6 +48,8 @@
             revision: guard(reads.revision),
             pools: guard(reads.pools),
             instances: guard(reads.instances),
+            teams: guard(reads.teams),
+            limits: guard(reads.limits),
             waves: guard(reads.waves),
         },
     };
--- a/src/operators/createReadHandlers.ts
+++ b/src/operators/createReadHandlers.ts
@@ -12,7 +12,7 @@
 });
 
 /** Shows what is in force. */
-export function createReadHandlers({ configuration, peers }: OperatorsOptions) {
+export function createReadHandlers({ configuration, peers, limits }: OperatorsOptions) {
     const state: Handler = (request) => Promise.resolve(request.state);
 
     const entries: Handler = () => Promise.resolve([peers.self, ...peers.connected()]);
@@ -34,6 +34,18 @@
 
     const instances: Handler = (request) => Promise.resolve(Object.values(request.state.instances));
 
+    /** Teams with the ids of their keys, which are no secret. */
+    const teams: Handler = (request) =>
+        Promise.resolve(
+            Object.values(request.state.teams).map(({ keys, ...team }) => ({ ...team, keyIds: Object.keys(keys) })),
+        );
+
+    /** How each team's limit is divided over the entries, and whether the limit is in force. */
+    const readLimits: Handler = async () =>
+        (await limits.readDivisions())
+            .mapLeft(({ detail }) => createProblem("PLATFORM_UNAVAILABLE", detail, { retryAfterSeconds: 5 }))
+            .extract();
+
     /** Plans that reboot instances, with how far they are; the newest first. */
     const waves: Handler = (request) => {
         const isWave = (plan: string) =>
@@ -55,5 +67,5 @@
         );
     };
 
-    return { state, entries, revision, pools, instances, waves };
+    return { state, entries, revision, pools, instances, teams, limits: readLimits, waves };
 }
--- a/src/operators/operatorAliases.ts
+++ b/src/operators/operatorAliases.ts
@@ -14,5 +14,7 @@
     "GET /operator/revisions/:revision": "operators.revision",
     "GET /operator/pools": "operators.pools",
     "GET /operator/instances": "operators.instances",
+    "GET /operator/teams": "operators.teams",
+    "GET /operator/limits": "operators.limits",
     "GET /operator/waves": "operators.waves",
 } as const;
--- a/src/operators/operatorContext.ts
+++ b/src/operators/operatorContext.ts
@@ -2,12 +2,14 @@
 import type { Configuration } from "../configuration";
 import type { Problem } from "../errors";
 import type { HttpMeta } from "../http";
+import type { Limits } from "../limits";
 import type { Peers } from "../peers";
 import type { FleetState } from "../state";
 
 export interface OperatorsOptions {
     readonly configuration: Configuration;
     readonly peers: Peers;
+    readonly limits: Pick<Limits, "readDivisions">;
     /** SHA-256 of a credential that is accepted besides those in the state. */
     readonly operatorHash: string | undefined;
 }
--- a/src/operators/test/operators.steps.ts
+++ b/src/operators/test/operators.steps.ts
@@ -1,5 +1,6 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { Right } from "purify-ts";
 import { createFakeNetwork, createFakePlatform } from "../../../standins/fakes";
 import { type Configuration, createConfiguration } from "../../configuration";
 import type { Problem } from "../../errors";
@@ -33,7 +34,15 @@
             const configuration = createConfiguration({ platform, watcher });
             const zone = { region: "north", zone: "zone-a" };
             const peers = this.network.connect({ boot: `boot-${at}`, instance: `entry-${at}`, peerUrl: "", ...zone });
-            return { configuration, handlers: createPlanHandlers({ configuration, peers, operatorHash: undefined }) };
+            return {
+                configuration,
+                handlers: createPlanHandlers({
+                    configuration,
+                    peers,
+                    limits: { readDivisions: () => Promise.resolve(Right([])) },
+                    operatorHash: undefined,
+                }),
+            };
         });
         await change(this, [
             { kind: "setPool", pool: { name: pool, maxUnavailable: 1 } },
