--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -1,4 +1,4 @@
-import { callHttp, type Fleet, startFleet } from "../../standins/processes";
+import { callHttp, createPoolIntent, type Fleet, startFleet } from "../../standins/processes";
 import { createRandom, type Random } from "../../standins/random";
 import type { Experiment, ExperimentOptions, ExperimentRow } from "../experiment";
 import { readResidentMb } from "./readResidentMb";
@@ -64,25 +64,8 @@
     if (entry === undefined) {
         throw new Error("no entry was started");
     }
-    await fleet.carryOut(entry, {
-        pools: [{ name: "stalls", maxUnavailable: 2 }],
-        teams: [{
-            name: "stables",
-            weight: 1,
-            limit: { tasks: teamLimit, processors: 1000, memoryMb: 1_000_000, accelerators: 0 },
-            pools: ["stalls"],
-        }],
-        instances: fleet.workers.map(({ name, url, zone }) => ({
-            name,
-            url,
-            zone,
-            region: "north",
-            rack: `rack-${zone}`,
-            slots: 8,
-            capacity: { processors: 32, memoryMb: 128_000 },
-            pool: "stalls",
-        })),
-    });
+    const teams = [{ name: "stables", tasks: teamLimit }];
+    await fleet.carryOut(entry, createPoolIntent(fleet, { pool: "stalls", teams, maxUnavailable: 2 }));
     return (await fleet.operate(entry, "POST", "/operator/keys", { team: "stables" })).body.key;
 }
 
--- a/test/commands/commands.steps.ts
+++ b/test/commands/commands.steps.ts
@@ -4,7 +4,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { runCommand } from "../../src/cli";
-import { type Fleet, startFleet } from "../../standins/processes";
+import { createPoolIntent, type Fleet, startFleet } from "../../standins/processes";
 
 interface World {
     fleet: Fleet;
@@ -72,25 +72,7 @@
     pool: string,
     team: string,
 ) {
-    await planAndConfirm(this, {
-        pools: [{ name: pool, maxUnavailable: 1 }],
-        teams: [{
-            name: team,
-            weight: 1,
-            limit: { tasks: 4, processors: 100, memoryMb: 100_000, accelerators: 0 },
-            pools: [pool],
-        }],
-        instances: this.fleet.workers.map(({ name, url, zone }) => ({
-            name,
-            url,
-            zone,
-            region: "north",
-            rack: "rack-1",
-            slots: 8,
-            capacity: { processors: 32, memoryMb: 128_000 },
-            pool,
-        })),
-    });
+    await planAndConfirm(this, createPoolIntent(this.fleet, { pool, teams: [{ name: team, tasks: 4 }] }));
 });
 
 When("a key is granted and entry 2 is frozen", async function(this: World) {
--- a/test/path/path.steps.ts
+++ b/test/path/path.steps.ts
@@ -1,6 +1,6 @@
 import { After, Given, setDefaultTimeout, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { callHttp, type Fleet, type HttpAnswer, startFleet } from "../../standins/processes";
+import { callHttp, createPoolIntent, type Fleet, type HttpAnswer, startFleet } from "../../standins/processes";
 
 interface World {
     fleet: Fleet;
@@ -24,25 +24,7 @@
 
 Given("pool {string} and team {string} with a key", async function(this: World, pool: string, team: string) {
     const entry = this.fleet.entries[0]!;
-    await this.fleet.carryOut(entry, {
-        pools: [{ name: pool, maxUnavailable: 1 }],
-        teams: [{
-            name: team,
-            weight: 1,
-            limit: { tasks: 4, processors: 100, memoryMb: 100_000, accelerators: 0 },
-            pools: [pool],
-        }],
-        instances: this.fleet.workers.map(({ name, url, zone }) => ({
-            name,
-            url,
-            zone,
-            region: "north",
-            rack: "rack-1",
-            slots: 8,
-            capacity: { processors: 32, memoryMb: 128_000 },
-            pool,
-        })),
-    });
+    await this.fleet.carryOut(entry, createPoolIntent(this.fleet, { pool, teams: [{ name: team, tasks: 4 }] }));
     const granted = await this.fleet.operate(entry, "POST", "/operator/keys", { team });
     this.key = granted.body.key;
     this.keyId = granted.body.keyId;
