refactor(tasks): one schema for a task in messages between entries

Change: taskMessageSchema in src/tasks, extended by each with its own fields; the checked shapes are the same as before.

The whole suite was not run again on this commit.

--- a/src/forwarding/messages.ts
+++ b/src/forwarding/messages.ts
@@ -1,23 +1,12 @@
 import { z } from "zod";
 import { endSchema } from "../once";
-import type { TaskEnd } from "../tasks";
+import { type TaskEnd, taskMessageSchema } from "../tasks";
 
 /** Topics of the messages between entries about forwarded tasks. */
 export const forwardingTopics = { run: "forwarding/run", cancel: "forwarding/cancel" } as const;
 
-/** A task on its way to an entry that has room; the deadline travels as what is left of it, since clocks differ. */
-export const runSchema = z.object({
-    id: z.string().max(256),
-    team: z.string().max(256),
-    keyId: z.string().max(128).optional(),
-    pool: z.string().max(128),
-    size: z.object({ processors: z.number(), memoryMb: z.number(), accelerators: z.number() }),
-    expectedRunMs: z.number(),
-    remainingMs: z.number().nonnegative(),
-    urgent: z.boolean(),
-    repeatable: z.boolean(),
-    payload: z.string(),
-});
+/** A task on its way to an entry that has room. */
+export const runSchema = taskMessageSchema.extend({ repeatable: z.boolean() });
 export type RunMessage = z.infer<typeof runSchema>;
 
 export const cancelSchema = z.object({ id: z.string().max(256) });
--- a/src/once/messages.ts
+++ b/src/once/messages.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { taskMessageSchema } from "../tasks";
 
 /** Topics of the messages between entries about claims and outcomes. */
 export const topics = {
@@ -61,17 +62,8 @@
 ]);
 export type AskAnswer = z.infer<typeof askAnswerSchema>;
 
-/** A ticketed task on its way to its home; the deadline travels as what is left of it, since clocks differ. */
-export const runMessageSchema = z.object({
-    id: z.string().max(256),
-    team: z.string().max(256),
-    keyId: z.string().max(128).optional(),
-    pool: z.string().max(128),
-    size: z.object({ processors: z.number(), memoryMb: z.number(), accelerators: z.number() }),
-    expectedRunMs: z.number(),
-    remainingMs: z.number().nonnegative(),
-    urgent: z.boolean(),
+/** A ticketed task on its way to its home. */
+export const runMessageSchema = taskMessageSchema.extend({
     idempotencyKey: z.string().max(512),
-    payload: z.string(),
     waitMs: z.number().positive().max(60_000),
 });
--- a/src/tasks/index.ts
+++ b/src/tasks/index.ts
@@ -2,3 +2,4 @@
 export { createTasks, type TasksOptions } from "./createTasks";
 export type { TaskEnd, TaskRequest, Tasks } from "./task";
 export { taskBodySchema } from "./taskBody";
+export { taskMessageSchema } from "./taskMessage";
