feat(machines): machines follow the work that arrives; an upkeep counts once it has begun

Cause: moves went by tasks that waited already, so each turn of a queue found its machines a second and a half late; idle machines were parked after a fixed time, also before any demand had been seen. A wave was called complete when its last order had been recorded, though the platform had refused it.

Ruled out: more moves a round alone (4 to 10).

Change: a meter of arriving work decides with what waits; machines beyond that are parked after 1.2 s; begun upkeeps are recorded after the platform's answer.

--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -138,6 +138,17 @@
         readonly token: number;
         readonly outcome: string;
     }
+    /** Room of a pool, once a second; processors in whole cores. */
+    | {
+        readonly kind: "room";
+        readonly pool: string;
+        readonly workers: number;
+        readonly cores: number;
+        readonly longRunningCores: number;
+        readonly shortCores: number;
+        readonly waitingCores: number;
+        readonly comingCores: number;
+    }
     | { readonly kind: "duty"; readonly change: "gained" | "lost"; readonly token: number; readonly reason: string; }
     | {
         readonly kind: "dependency";
--- a/src/machines/chooseMoves.ts
+++ b/src/machines/chooseMoves.ts
@@ -7,14 +7,22 @@
     readonly idleMs: number;
 }
 
-/** What a pool needs and has. */
+/** What a pool needs and has; processors in thousandths. */
 export interface PoolDemand {
     readonly pool: string;
     readonly isStandby: boolean;
-    /** Processors that ready tasks wait for, in thousandths. */
+    /** Processors that ready tasks wait for. */
     readonly waitingCpuMillis: number;
-    /** Processors that are free on its workers, or will be when machines on their way have joined, in thousandths. */
+    /** Processors that the work arriving now keeps busy. */
+    readonly offeredCpuMillis: number;
+    /** Processors in use by tasks that end by themselves. */
+    readonly busyCpuMillis: number;
+    /** Processors that are free on its workers. */
     readonly freeCpuMillis: number;
+    /** Processors of machines on their way to it. */
+    readonly comingCpuMillis: number;
+    /** Whether any work has arrived for it since this owner took over. */
+    readonly isKnown: boolean;
 }
 
 export interface MoveChoice {
@@ -34,29 +42,39 @@
 }
 
 /**
- * Processors that have to wait in a pool before a machine is sent there, in thousandths. A move costs about as much as
- * 1.1 s of a machine in a pool, so a machine pays where it finds a second of work for a sixth of its processors.
+ * Processors that have to be missing in a pool before a machine is sent there, in thousandths. A move costs about as much
+ * as 1.1 s of a machine in a pool, so a machine pays where it finds a second of work for a sixth of its processors.
  */
 const shortageCpuMillis = 5000;
 
 /**
- * A machine without work for this long is parked in the standby pool, in milliseconds. Each queue's turn comes back
- * within seconds; parking sooner costs two moves and leaves the next turn short.
+ * A machine beyond what its pool needs is parked in the standby pool after this time without work, in milliseconds. From
+ * there it joins any pool as fast as from a pool that does not need it, and costs nothing meanwhile.
  */
-const parkAfterMs = 6000;
+const parkAfterMs = 1200;
+
+/** The same where nothing is known yet of a pool's demand: what operators have set stands until it shows. */
+const parkUnknownAfterMs = 20_000;
+
+/** Room kept free in a pool beyond what is in use and arrives, in thousandths: the first tasks of a turn find it. */
+const reserveCpuMillis = 12_000;
+
+/** Processors that a pool lacks (above 0) or could do without (below 0), in thousandths. */
+function findShortage(pool: PoolDemand): number {
+    const arriving = Math.max(0, pool.offeredCpuMillis - pool.busyCpuMillis);
+    return Math.max(pool.waitingCpuMillis, arriving) - pool.freeCpuMillis - pool.comingCpuMillis;
+}
 
 /**
  * Which machines should change pools now.
  *
- * Demand turns from queue to queue: in its turn each asks several times what its pool holds, for about as long as a
- * machine takes to join. Idle machines go, one by one, to the pool that is shortest of processors; those that have
- * stood idle longest go first, and those that are off before those that a pool may need again.
+ * Demand turns from queue to queue: in its turn each asks several times what its pool holds. Idle machines go, one by
+ * one, to the pool that is shortest of processors, whether for what waits or for what arrives; those that are off go
+ * first, then those that have stood idle longest. Machines that no pool needs are parked.
  */
 export function chooseMoves(opts: MoveOptions): readonly MoveChoice[] {
     const shortage = new Map(
-        opts.pools.filter(({ isStandby }) => !isStandby).map((
-            { pool, waitingCpuMillis, freeCpuMillis },
-        ) => [pool, waitingCpuMillis - freeCpuMillis]),
+        opts.pools.filter(({ isStandby }) => !isStandby).map((pool) => [pool.pool, findShortage(pool)]),
     );
     const standby = opts.pools.find(({ isStandby }) => isStandby)?.pool;
     const idle = [...opts.idle].sort((a, b) =>
@@ -67,9 +85,9 @@
         const [to, short] = [...shortage].reduce((most, pool) => pool[1] > most[1] ? pool : most, ["", 0]);
         const index = short < shortageCpuMillis
             ? -1
-            : idle.findIndex(({ id, pool }) =>
+            : idle.findIndex(({ id, pool, cpuMillis }) =>
                 pool !== to && !opts.impossible.has(`${id} ${to}`)
-                && (pool === standby || (shortage.get(pool) ?? 0) <= 0)
+                && (pool === standby || (shortage.get(pool) ?? 0) + cpuMillis <= 0)
             );
         const [machine] = index < 0 ? [] : idle.splice(index, 1);
         if (machine === undefined) {
@@ -79,15 +97,28 @@
         shortage.set(machine.pool, (shortage.get(machine.pool) ?? 0) + machine.cpuMillis);
         choices.push({ machine: machine.id, from: machine.pool, to, reason: `${Math.round(short)} cpu millis wait` });
     }
-    return [...choices, ...park(idle, standby, opts.maxMoves - choices.length)];
+    return [...choices, ...park(idle, standby, shortage, opts, opts.maxMoves - choices.length)];
 }
 
-function park(idle: readonly IdleMachine[], standby: string | undefined, most: number): readonly MoveChoice[] {
+function park(
+    idle: readonly IdleMachine[],
+    standby: string | undefined,
+    shortage: Map<string, number>,
+    { pools }: MoveOptions,
+    most: number,
+): readonly MoveChoice[] {
+    const choices: MoveChoice[] = [];
     if (standby === undefined) {
-        return [];
+        return choices;
+    }
+    const known = new Set(pools.filter(({ isKnown }) => isKnown).map(({ pool }) => pool));
+    for (const { id, pool, cpuMillis, idleMs } of idle) {
+        const without = (shortage.get(pool) ?? 0) + cpuMillis + reserveCpuMillis;
+        const isDue = idleMs >= (known.has(pool) ? parkAfterMs : parkUnknownAfterMs);
+        if (choices.length < most && pool !== standby && isDue && without <= 0) {
+            shortage.set(pool, without - reserveCpuMillis);
+            choices.push({ machine: id, from: pool, to: standby, reason: `idle for ${Math.round(idleMs)} ms` });
+        }
     }
-    return idle
-        .filter(({ pool, idleMs }) => pool !== standby && idleMs >= parkAfterMs)
-        .slice(0, Math.max(0, most))
-        .map(({ id, pool, idleMs }) => ({ machine: id, from: pool, to: standby, reason: `idle for ${idleMs} ms` }));
+    return choices;
 }
--- a/src/machines/chooseUpkeep.ts
+++ b/src/machines/chooseUpkeep.ts
@@ -4,12 +4,14 @@
 export interface UpkeepOptions {
     readonly wave: Wave;
     readonly machines: ReadonlyMap<string, Machine>;
-    /** Machines whose upkeep has been ordered for this wave. */
-    readonly ordered: ReadonlySet<string>;
+    /** Machines whose upkeep for this wave has begun. */
+    readonly begun: ReadonlySet<string>;
+    /** Machines that have been gone from the platform's list long enough to count as removed. */
+    readonly removed: ReadonlySet<string>;
     /** Machines whose upkeep was ordered and that have not been seen back. */
     readonly down: ReadonlySet<string>;
-    /** Runs that a machine still has. */
-    readonly runsOn: (machine: Machine) => number;
+    /** Runs that a machine still has; `undefined` where that is not known. */
+    readonly runsOn: (machine: Machine) => number | undefined;
 }
 
 export interface UpkeepChoice {
@@ -28,15 +30,14 @@
 
 /** Which machines of a wave go down now, and which are to be emptied for it: empty ones first, then the least used. */
 export function chooseUpkeep(opts: UpkeepOptions): UpkeepChoice {
-    const { wave, machines, ordered, down } = opts;
-    const open = wave.machines
-        .filter((id) => !ordered.has(id))
-        .map((id) => machines.get(id))
-        .filter((machine) => machine !== undefined);
+    const { wave, machines, begun, removed, down } = opts;
+    const countRuns = (machine: Machine) => opts.runsOn(machine) ?? Number.MAX_SAFE_INTEGER;
+    const open = wave.machines.filter((id) => !begun.has(id) && !removed.has(id));
     const room = Math.max(0, wave.maxDown - wave.machines.filter((id) => down.has(id)).length);
     const sorted = open
-        .filter(({ state }) => state === "up")
-        .sort((a, b) => opts.runsOn(a) - opts.runsOn(b));
+        .map((id) => machines.get(id))
+        .filter((machine): machine is Machine => machine?.state === "up")
+        .sort((a, b) => countRuns(a) - countRuns(b));
     const now = sorted.filter((machine) => opts.runsOn(machine) === 0).slice(0, room).map(({ id }) => id);
     return {
         now,
--- /dev/null
+++ b/src/machines/createDemandMeter.ts
@@ -0,0 +1,52 @@
+/** Follows how much work arrives for each pool. */
+export interface DemandMeter {
+    /** Work has arrived: processors times time, in core-milliseconds. */
+    note(pool: string, coreMs: number, nowMs: number): void;
+    /** Processors that the work arriving now keeps busy, in thousandths. */
+    offeredCpuMillis(pool: string, nowMs: number): number;
+}
+
+/** Follows the beginning of a queue's turn: half a second of arrivals shows it. */
+const fastMs = 500;
+
+/** Follows its end: machines stay until arrivals have been low for about this long. */
+const slowMs = 2000;
+
+interface Rates {
+    fast: number;
+    slow: number;
+    atMs: number;
+}
+
+/**
+ * Measures arrivals as two decaying rates and goes by the higher one, so that a rise is believed at once and a fall only
+ * when it lasts. Demand of a queue jumps to five times its mean within a second; the tasks that wait at that moment are
+ * a small part of those that come while a machine joins, so going by what waits alone is always a second and a half late.
+ */
+export function createDemandMeter(): DemandMeter {
+    const rates = new Map<string, Rates>();
+
+    function decay(pool: string, nowMs: number): Rates {
+        const known = rates.get(pool) ?? { fast: 0, slow: 0, atMs: nowMs };
+        const spanMs = Math.max(0, nowMs - known.atMs);
+        const next = {
+            fast: known.fast * Math.exp(-spanMs / fastMs),
+            slow: known.slow * Math.exp(-spanMs / slowMs),
+            atMs: nowMs,
+        };
+        rates.set(pool, next);
+        return next;
+    }
+
+    return {
+        note(pool, coreMs, nowMs) {
+            const rate = decay(pool, nowMs);
+            rate.fast += coreMs / fastMs;
+            rate.slow += coreMs / slowMs;
+        },
+        offeredCpuMillis(pool, nowMs) {
+            const { fast, slow } = decay(pool, nowMs);
+            return 1000 * Math.max(fast, slow);
+        },
+    };
+}
--- a/src/machines/createMachineOrders.ts
+++ b/src/machines/createMachineOrders.ts
@@ -7,7 +7,7 @@
 interface OrdersRecord {
     /** Time of the last order to each machine, milliseconds since 1970. */
     readonly orderedAtMs: Readonly<Record<string, number>>;
-    /** Machines of each wave whose upkeep has been ordered. */
+    /** Machines of each wave whose upkeep has certainly begun. */
     readonly waves: Readonly<Record<string, readonly string[]>>;
 }
 
@@ -29,12 +29,10 @@
     load(): Promise<boolean>;
     /** Whether an order of an earlier owner may still be under way to this machine. */
     isBlocked(machine: string): boolean;
-    /** Machines of a wave whose upkeep has been ordered. */
-    ordered(wave: number): ReadonlySet<string>;
+    /** Machines of a wave whose upkeep has certainly begun. */
+    begun(wave: number): ReadonlySet<string>;
     /** Records and sends orders; gives what became of each. */
     send(orders: readonly MachineOrder[]): Promise<ReadonlyMap<string, MachineOrderResult>>;
-    /** An upkeep that was recorded has turned out not to have begun. */
-    forget(wave: number, machine: string): void;
 }
 
 export const machineOrdersKey = "samphirepin/machines";
@@ -46,8 +44,9 @@
 const keepMs = 60_000;
 
 /**
- * Sends orders to machines, and records them first: the next owner must not order a machine right after this one did,
- * and has to know which machines of a wave have had their upkeep.
+ * Sends orders to machines, and records them first: the next owner must not order a machine right after this one did.
+ * An upkeep counts only once the platform has answered that it has begun; a wave would else be called complete while an
+ * order was lost.
  */
 export function createMachineOrders(opts: MachineOrdersOptions): MachineOrders {
     const { store, tenure } = opts;
@@ -84,6 +83,16 @@
         return false;
     }
 
+    /** Written with the next orders; an owner that does not find it orders again, which is harmless. */
+    function noteBegun(orders: readonly MachineOrder[], results: ReadonlyMap<string, MachineOrderResult>): void {
+        for (const order of orders) {
+            if (order.kind === "maintain" && results.get(order.machine)?.kind === "done") {
+                const key = String(order.wave);
+                waves.set(key, (waves.get(key) ?? new Set()).add(order.machine));
+            }
+        }
+    }
+
     async function sendOne(order: MachineOrder): Promise<MachineOrderResult> {
         if (!tenure.isValid()) {
             return { kind: "notNow", detail: "the tenure has ended" };
@@ -120,15 +129,9 @@
             const atMs = orderedAtMs.get(machine);
             return atMs !== undefined && !own.has(machine) && Date.now() - atMs < opts.turnMs + clockSkewMs;
         },
-        ordered: (wave) => waves.get(String(wave)) ?? new Set(),
+        begun: (wave) => waves.get(String(wave)) ?? new Set(),
         async send(orders) {
-            for (const order of orders) {
-                orderedAtMs.set(order.machine, Date.now());
-                if (order.kind === "maintain") {
-                    const key = String(order.wave);
-                    waves.set(key, (waves.get(key) ?? new Set()).add(order.machine));
-                }
-            }
+            orders.forEach(({ machine }) => orderedAtMs.set(machine, Date.now()));
             const results = new Map<string, MachineOrderResult>();
             if (!await save()) {
                 orders.forEach(({ machine }) => results.set(machine, { kind: "notNow", detail: "not recorded" }));
@@ -136,10 +139,8 @@
             }
             orders.forEach(({ machine }) => own.add(machine));
             await Promise.all(orders.map(async (order) => results.set(order.machine, await sendOne(order))));
+            noteBegun(orders, results);
             return results;
         },
-        forget(wave, machine) {
-            waves.get(String(wave))?.delete(machine);
-        },
     };
 }
--- a/src/schedule/orderWork.ts
+++ b/src/schedule/orderWork.ts
@@ -23,7 +23,7 @@
  * A submission that has waited this long goes before all others of its rank, in milliseconds: those that are large or
  * already late are put back again and again by newer ones, and would starve while a pool stays full.
  */
-const starvingMs = 12_000;
+const starvingMs = 30_000;
 
 interface Ranked {
     readonly entry: SubmissionEntry;
--- a/src/scheduler/createFleetKeeper.ts
+++ b/src/scheduler/createFleetKeeper.ts
@@ -4,6 +4,7 @@
 import {
     chooseMoves,
     chooseUpkeep,
+    type DemandMeter,
     type IdleMachine,
     type Machine,
     type MachineOrder,
@@ -22,6 +23,7 @@
     readonly tenure: Tenure;
     readonly machines: Machines;
     readonly orders: MachineOrders;
+    readonly meter: DemandMeter;
     readonly policy: () => Policy | undefined;
     readonly waves: () => readonly Wave[];
     readonly reportWave: (wave: number, isComplete: boolean) => Promise<boolean>;
@@ -45,7 +47,7 @@
 const busyListMs = 300;
 
 /** Moves ordered in one round; the platform bounds orders a second over all entries. */
-const maxMovesPerRound = 4;
+const maxMovesPerRound = 10;
 
 /** A machine whose order met an obstacle is left alone for this long, in milliseconds. */
 const obstacleMs = 1000;
@@ -56,6 +58,12 @@
 /** How long a machine may wait to be empty before its upkeep begins all the same, in milliseconds. */
 const maxEmptyingMs = 2500;
 
+/** A machine missing from the platform's list for this long counts as removed, in milliseconds. */
+const removedAfterMs = 5000;
+
+/** How often the room of each pool is logged, in milliseconds. */
+const reportMs = 1000;
+
 interface Journey {
     readonly toPool: string;
     readonly workerBefore: string | undefined;
@@ -70,8 +78,12 @@
     const journeys = new Map<string, Journey>();
     const obstacles = new Map<string, number>();
     const impossible = new Set<string>();
+    const absentSince = new Map<string, number>();
     const emptyingSince = new Map<string, number>();
+    /** Pools for which work has arrived. */
+    const known = new Set<string>();
     const reportedWaves = new Map<number, boolean>();
+    let reportedAtMs = Number.NEGATIVE_INFINITY;
     let listedAtMs = Number.NEGATIVE_INFINITY;
     let isStopped = false;
     let timer: NodeJS.Timeout | undefined;
@@ -104,7 +116,8 @@
         return !journeys.has(id) && !isObstructed && !orders.isBlocked(id);
     }
 
-    function listIdle(standby: string | undefined, wanted: ReadonlySet<string>): readonly IdleMachine[] {
+    function listIdle(wanted: ReadonlySet<string>): readonly IdleMachine[] {
+        const standby = findStandby();
         const nowMs = clocks.steadyMs();
         const idle: IdleMachine[] = [];
         for (const machine of machines.values()) {
@@ -141,15 +154,43 @@
                 .reduce((sum, { capacity, used }) => sum + Math.max(0, capacity.cpuMillis - used.cpuMillis), 0);
             const coming = [...journeys].filter(([, journey]) => journey.toPool === name)
                 .reduce((sum, [id]) => sum + (machines.get(id)?.capacity.cpuMillis ?? 0), 0);
+            const offeredCpuMillis = opts.meter.offeredCpuMillis(name, clocks.steadyMs());
+            if (offeredCpuMillis > 0) {
+                known.add(name);
+            }
             return {
                 pool: name,
                 isStandby,
                 waitingCpuMillis: waiting.get(name) ?? 0,
-                freeCpuMillis: free + coming,
+                offeredCpuMillis,
+                busyCpuMillis: 1000 * sumRoom(pools.get(name) ?? []).shortCores,
+                freeCpuMillis: free,
+                comingCpuMillis: coming,
+                isKnown: known.has(name),
             };
         });
     }
 
+    function reportRoom(demand: readonly PoolDemand[]): void {
+        const nowMs = clocks.steadyMs();
+        if (nowMs - reportedAtMs < reportMs) {
+            return;
+        }
+        reportedAtMs = nowMs;
+        const pools = groupByPool(board);
+        for (const { pool, isStandby, waitingCpuMillis: waiting, comingCpuMillis } of demand) {
+            if (!isStandby) {
+                opts.report({
+                    kind: "room",
+                    pool,
+                    ...sumRoom(pools.get(pool) ?? []),
+                    waitingCores: toCores(waiting),
+                    comingCores: toCores(comingCpuMillis),
+                });
+            }
+        }
+    }
+
     async function send(list: readonly MachineOrder[]): Promise<void> {
         const nowMs = clocks.steadyMs();
         for (const order of list) {
@@ -197,9 +238,22 @@
         if (worker !== undefined) {
             worker.isReserved = false;
         }
-        if (order.kind === "maintain") {
-            orders.forget(order.wave, order.machine);
+    }
+
+    /**
+     * A worker that has not been asked yet, as right after a change of owners, may run anything; taking its machine down
+     * for empty would end tasks whose steps bear no more of them away.
+     */
+    function countRuns(machine: Machine): number | undefined {
+        if (machine.pool === findStandby()) {
+            return 0;
         }
+        const worker = workerOf(machine);
+        return worker?.isHeld === true && worker.strays === 0 ? worker.runs.size : undefined;
+    }
+
+    function findStandby(): string | undefined {
+        return [...opts.policy()?.services.values() ?? []].find(({ isStandby }) => isStandby)?.name;
     }
 
     function decideUpkeep(wave: Wave): readonly MachineOrder[] {
@@ -208,9 +262,10 @@
         const choice = chooseUpkeep({
             wave,
             machines,
-            ordered: orders.ordered(wave.wave),
+            begun: orders.begun(wave.wave),
+            removed: findRemoved(wave),
             down,
-            runsOn: (machine) => workerOf(machine)?.runs.size ?? 0,
+            runsOn: countRuns,
         });
         void noteWave(wave, choice.isComplete && listedAtMs > 0);
         choice.prepare.filter(isFree).forEach(empty);
@@ -233,6 +288,24 @@
         }
     }
 
+    /** A machine that changes its pool may be missing from a list for a moment; one that was taken away stays missing. */
+    function findRemoved(wave: Wave): ReadonlySet<string> {
+        const nowMs = clocks.steadyMs();
+        const removed = new Set<string>();
+        for (const id of wave.machines) {
+            if (machines.has(id)) {
+                absentSince.delete(id);
+                continue;
+            }
+            const sinceMs = absentSince.get(id) ?? nowMs;
+            absentSince.set(id, sinceMs);
+            if (nowMs - sinceMs > removedAfterMs) {
+                removed.add(id);
+            }
+        }
+        return removed;
+    }
+
     async function noteWave(wave: Wave, isComplete: boolean): Promise<void> {
         if (reportedWaves.get(wave.wave) === isComplete || reportedWaves.get(wave.wave) === true) {
             return;
@@ -259,12 +332,14 @@
         const upkeep = open.flatMap(decideUpkeep);
         const wanted = new Set(
             open.flatMap((wave) =>
-                wave.machines.filter((id) => !orders.ordered(wave.wave).has(id) && emptyingSince.has(id))
+                wave.machines.filter((id) => !orders.begun(wave.wave).has(id) && emptyingSince.has(id))
             ),
         );
+        const demand = measureDemand(policy);
+        reportRoom(demand);
         const moves = chooseMoves({
-            pools: measureDemand(policy),
-            idle: listIdle([...policy.services.values()].find(({ isStandby }) => isStandby)?.name, wanted),
+            pools: demand,
+            idle: listIdle(wanted),
             impossible,
             maxMoves: maxMovesPerRound,
         });
@@ -293,3 +368,25 @@
         },
     };
 }
+
+function toCores(cpuMillis: number): number {
+    return Math.round(cpuMillis / 1000);
+}
+
+function sumRoom(workers: readonly Worker[]) {
+    let [cores, longRunningCores, shortCores] = [0, 0, 0];
+    for (const { capacity, runs } of workers) {
+        cores += capacity.cpuMillis;
+        for (const { task: { step } } of runs) {
+            const cpuMillis = step.isFiller ? 0 : step.size.cpuMillis;
+            longRunningCores += step.isLongRunning ? cpuMillis : 0;
+            shortCores += step.isLongRunning ? 0 : cpuMillis;
+        }
+    }
+    return {
+        workers: workers.length,
+        cores: toCores(cores),
+        longRunningCores: toCores(longRunningCores),
+        shortCores: toCores(shortCores),
+    };
+}
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -1,7 +1,7 @@
 import type { Clocks } from "../clock";
 import type { Tenure } from "../duties";
 import type { Reporter } from "../logging";
-import { createMachineOrders, type Machines } from "../machines";
+import { createDemandMeter, createMachineOrders, type Machines } from "../machines";
 import type { Policy, Wave } from "../policy";
 import { createProgressWriter, decodeProgress, progressKey, progressPrefix, type TaskProgress } from "../progress";
 import { applyEnd, createLooks, createRuns, type TaskWorkers } from "../runs";
@@ -12,6 +12,7 @@
     createEstimates,
     isComplete,
     planStarts,
+    remainingWork,
     removeRun,
     type Run,
     type SubmissionEntry,
@@ -89,10 +90,12 @@
     const { store, tenure, clocks, report } = opts;
     const board = createBoard();
     const estimates = createEstimates();
+    const meter = createDemandMeter();
     const finished = new Map<string, { readonly state: FinalState; readonly atMs: number; }>();
     let progress = new Map<string, { readonly tasks: readonly TaskProgress[]; readonly revision: number; }>();
     let isStopped = false;
     let isPlanning = false;
+    let hasWorkers = false;
     let timer: NodeJS.Timeout | undefined;
 
     function fence(): void {
@@ -184,6 +187,7 @@
         tenure,
         machines: opts.machines,
         orders,
+        meter,
         policy: opts.policy,
         waves: opts.waves,
         reportWave: opts.reportWave,
@@ -231,6 +235,7 @@
             restoreProgress(board, entry, stored.tasks, findWorker, nowMs);
         }
         addDueOccurrences(entry, Date.now(), nowMs);
+        meter.note(record.submission.service, remainingWork(entry, estimates), nowMs);
         report({ kind: "submission", submission: id, change: "taken", route: record.submission.route, tasks: 0 });
         if (record.isCancelled) {
             cancel(entry);
@@ -385,7 +390,10 @@
         pauseMs: submissionGatherMs,
         nowMs: clocks.suspendAwareMs,
         onItem: takeSubmission,
-        onBatch: planSoon,
+        onBatch() {
+            startWorkers();
+            planSoon();
+        },
         isItemKept: false,
     });
     const workers = createFollower({
@@ -398,6 +406,17 @@
         onBatch: planSoon,
     });
 
+    /**
+     * Workers are asked only when all submissions are on the board. An end that a worker lists for a submission not yet
+     * read would be taken for one of no interest and acknowledged; the task would then run a second time.
+     */
+    function startWorkers(): void {
+        if (!hasWorkers) {
+            hasWorkers = true;
+            workers.start();
+        }
+    }
+
     /** Reads what earlier owners recorded; from now on nobody else can write it. */
     async function load(): Promise<boolean> {
         while (!isStopped && tenure.isValid()) {
@@ -420,7 +439,6 @@
             if (!await load() || isStopped) {
                 return;
             }
-            workers.start();
             submissions.start();
             keeper.start();
             timer = setInterval(tick, tickMs);
