fix(machines): an upkeep counts as going on until answered and over

A list read before the order arrived showed the machine up under another worker than remembered, and the upkeep was taken for over before it had begun; orders are no longer waited for.

Change: an upkeep ends at the earliest its length after the platform's answer; one without an answer is ordered again and counts meanwhile. Changes in the list are logged.

--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -125,7 +125,7 @@
                 maxLeaseMs: settings.maxRunLeaseMs,
                 keepFinishedMs: settings.keepFinishedMs,
                 machineTurnMs: settings.machineTurnMs,
-                hasPacing: true,
+                maintenanceMs: settings.maintenanceMs,
             },
             policy: policyFeed.policy,
             waves: policyFeed.waves,
--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -149,6 +149,14 @@
         readonly waitingCores: number;
         readonly comingCores: number;
     }
+    /** The platform's list shows a machine in another state, pool or life than before. */
+    | {
+        readonly kind: "machine";
+        readonly machine: string;
+        readonly state: string;
+        readonly pool: string;
+        readonly worker: string;
+    }
     | { readonly kind: "duty"; readonly change: "gained" | "lost"; readonly token: number; readonly reason: string; }
     | {
         readonly kind: "dependency";
--- a/src/machines/chooseMoves.ts
+++ b/src/machines/chooseMoves.ts
@@ -23,7 +23,7 @@
     readonly freeCpuMillis: number;
     /** Processors of machines on their way to it. */
     readonly comingCpuMillis: number;
-    /** Whether any work has arrived for it since this owner took over. */
+    /** Whether its demand has been followed for long enough to tell what it can do without. */
     readonly isKnown: boolean;
 }
 
@@ -64,7 +64,7 @@
 /** Processors that a pool lacks (above 0) or could do without (below 0), in thousandths. */
 function findShortage(pool: PoolDemand): number {
     const arriving = Math.max(0, pool.offeredCpuMillis - pool.busyCpuMillis);
-    const wanted = Math.max(pool.waitingCpuMillis, arriving) - pool.freeCpuMillis;
+    const wanted = pool.waitingCpuMillis + arriving - pool.freeCpuMillis;
     const stuck = pool.unplaceableCpuMillis > 0 ? Math.max(pool.unplaceableCpuMillis, shortageCpuMillis) : 0;
     return (stuck > 0 ? Math.max(wanted, stuck) : wanted) - pool.comingCpuMillis;
 }
--- a/src/scheduler/createFleetKeeper.ts
+++ b/src/scheduler/createFleetKeeper.ts
@@ -28,6 +28,8 @@
     readonly meter: DemandMeter;
     readonly policy: () => Policy | undefined;
     readonly waves: () => readonly Wave[];
+    /** How long an upkeep takes, in milliseconds. */
+    readonly maintenanceMs: number;
     readonly reportWave: (wave: number, isComplete: boolean) => Promise<boolean>;
     stop(run: Run, reason: string): void;
     onLifeEnded(worker: Worker, reason: string): void;
@@ -66,10 +68,17 @@
 /** How often the room of each pool is logged, in milliseconds. */
 const reportMs = 1000;
 
+/** A pool's machines are left to it for this long after its first work, in milliseconds: its turn may just begin. */
+const knownAfterMs = 6000;
+
 interface Journey {
     readonly toPool: string;
     readonly workerBefore: string | undefined;
     readonly orderedAtMs: number;
+    /** When the order was answered as done; it takes its time from then at the earliest. */
+    answeredAtMs: number | undefined;
+    /** The order got no answer; it may be carried out yet. */
+    isUnanswered: boolean;
     readonly wave: number | undefined;
     /** The platform's list has shown it away since. */
     wasAway: boolean;
@@ -84,8 +93,8 @@
     const impossible = new Set<string>();
     const absentSince = new Map<string, number>();
     const emptyingSince = new Map<string, number>();
-    /** Pools for which work has arrived. */
-    const known = new Set<string>();
+    /** When work first arrived for a pool. */
+    const firstDemandAtMs = new Map<string, number>();
     const reportedWaves = new Map<number, boolean>();
     let reportedAtMs = Number.NEGATIVE_INFINITY;
     let listedAtMs = Number.NEGATIVE_INFINITY;
@@ -99,6 +108,7 @@
             return;
         }
         listedAtMs = sentAtMs;
+        result.machines.forEach(reportChange);
         machines.clear();
         result.machines.forEach((machine) => machines.set(machine.id, machine));
         for (const [id, journey] of journeys) {
@@ -107,15 +117,36 @@
                 continue;
             }
             journey.wasAway ||= machine?.state !== "up";
-            const isOther = journey.wasAway || machine?.workerId !== journey.workerBefore;
-            const isBack = machine?.state === "up" && isOther;
-            const isOverdue = clocks.steadyMs() - journey.orderedAtMs > onItsWayMs;
-            if (isBack || isOverdue) {
+            if (isOver(journey, machine, sentAtMs)) {
                 journeys.delete(id);
             }
         }
     }
 
+    /**
+     * An upkeep that was ordered counts as going on until it has been answered and its time has passed: the list lags, and
+     * an order without an answer may be carried out seconds later. Another machine taken down meanwhile would be one
+     * more than the operator allows.
+     */
+    function isOver(journey: Journey, machine: Machine | undefined, listSentAtMs: number): boolean {
+        const isOther = journey.wasAway || machine?.workerId !== journey.workerBefore;
+        const isBack = machine?.state === "up" && isOther;
+        const isOverdue = clocks.steadyMs() - journey.orderedAtMs > onItsWayMs;
+        if (journey.wave === undefined) {
+            return isBack || isOverdue;
+        }
+        const isLongEnough = journey.answeredAtMs !== undefined
+            && listSentAtMs - journey.answeredAtMs > opts.maintenanceMs;
+        return isLongEnough && (isBack || isOverdue);
+    }
+
+    function reportChange({ id, state, pool, workerId }: Machine): void {
+        const known = machines.get(id);
+        if (known !== undefined && (known.state !== state || known.pool !== pool || known.workerId !== workerId)) {
+            opts.report({ kind: "machine", machine: id, state, pool, worker: workerId ?? "" });
+        }
+    }
+
     function workerOf(machine: Machine | undefined): Worker | undefined {
         return machine?.workerId === undefined ? undefined : board.workers.get(machine.workerId);
     }
@@ -168,8 +199,8 @@
             const coming = [...journeys].filter(([, journey]) => journey.toPool === name)
                 .reduce((sum, [id]) => sum + (machines.get(id)?.capacity.cpuMillis ?? 0), 0);
             const offeredCpuMillis = opts.meter.offeredCpuMillis(name, nowMs);
-            if (offeredCpuMillis > 0) {
-                known.add(name);
+            if (offeredCpuMillis > 0 && !firstDemandAtMs.has(name)) {
+                firstDemandAtMs.set(name, nowMs);
             }
             return {
                 pool: name,
@@ -180,7 +211,7 @@
                 busyCpuMillis: 1000 * sumRoom(pools.get(name) ?? []).shortCores,
                 freeCpuMillis: free,
                 comingCpuMillis: coming,
-                isKnown: known.has(name),
+                isKnown: nowMs - (firstDemandAtMs.get(name) ?? nowMs) > knownAfterMs,
             };
         });
     }
@@ -215,8 +246,10 @@
             }
             journeys.set(order.machine, {
                 toPool: order.kind === "move" ? order.pool : machine?.pool ?? "",
-                workerBefore: machine?.workerId,
+                workerBefore: journeys.get(order.machine)?.workerBefore ?? machine?.workerId,
                 orderedAtMs: nowMs,
+                answeredAtMs: undefined,
+                isUnanswered: false,
                 wave: order.kind === "maintain" ? order.wave : undefined,
                 wasAway: false,
             });
@@ -226,16 +259,22 @@
     }
 
     function applyResult(order: MachineOrder, result: MachineOrderResult): void {
-        const workerId = journeys.get(order.machine)?.workerBefore;
+        const journey = journeys.get(order.machine);
+        const workerId = journey?.workerBefore;
         const worker = workerId === undefined ? undefined : board.workers.get(workerId);
         switch (result.kind) {
             case "done":
+                if (journey !== undefined) {
+                    journey.answeredAtMs = clocks.steadyMs();
+                }
                 if (worker !== undefined) {
                     opts.onLifeEnded(worker, `its machine was ordered: ${order.kind}`);
                 }
                 return;
             case "noAnswer":
-                // It may be done yet: the machine counts as on its way until the list shows it, or time is over.
+                if (journey !== undefined) {
+                    journey.isUnanswered = true;
+                }
                 return;
             case "impossible":
                 impossible.add(order.kind === "move" ? `${order.machine} ${order.pool}` : order.machine);
@@ -288,7 +327,13 @@
         });
         void noteWave(wave, choice.isComplete && listedAtMs > 0);
         choice.prepare.filter(isFree).forEach(empty);
-        return choice.now.filter(isFree).map((machine) => ({ kind: "maintain", machine, wave: wave.wave }));
+        const unanswered = [...journeys].filter(([, journey]) => journey.wave === wave.wave && journey.isUnanswered);
+        const again = unanswered.map(([id]) => id);
+        return [...choice.now.filter(isFree), ...again].map((machine) => ({
+            kind: "maintain",
+            machine,
+            wave: wave.wave,
+        }));
     }
 
     /** Takes work off a machine that is to go down, as far as the availability of each step allows. */
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -36,8 +36,8 @@
     readonly keepFinishedMs: number;
     /** Two owners must not take turns on a machine within this time, in milliseconds. */
     readonly machineTurnMs: number;
-    /** Whether a worker that runs fillers lets their pace be set. */
-    readonly hasPacing: boolean;
+    /** How long the upkeep of a machine takes, in milliseconds. */
+    readonly maintenanceMs: number;
 }
 
 export interface SchedulerOptions {
@@ -198,6 +198,7 @@
         meter,
         policy: opts.policy,
         waves: opts.waves,
+        maintenanceMs: opts.bounds.maintenanceMs,
         reportWave: opts.reportWave,
         stop: runs.stop,
         onLifeEnded,
--- a/standins/scheduling/createSchedulingWorld.ts
+++ b/standins/scheduling/createSchedulingWorld.ts
@@ -105,6 +105,7 @@
     const entries: SchedulingEntry[] = [];
     const machineOrders: string[] = [];
     let mostDown = 0;
+    const away = new Set<string>();
     let machineList: readonly Machine[] = [];
     let listLagMs = 0;
     const listHistory: { readonly atMs: number; readonly machines: readonly Machine[]; }[] = [];
@@ -145,9 +146,15 @@
             workers.get(machine.workerId).crash();
             store.remove(workerPrefix + machine.workerId);
         }
-        replace({ state: "maintenance", workerId: undefined });
-        mostDown = Math.max(mostDown, machineList.filter(({ state }) => state === "maintenance").length);
+        replace({ state: machine.workerId === undefined ? "up" : "maintenance", workerId: undefined });
+        away.add(machine.id);
+        mostDown = Math.max(mostDown, away.size);
         setTimeout(() => {
+            away.delete(machine.id);
+            if (world.policy.services.get(pool)?.isStandby === true) {
+                replace({ state: "up", pool });
+                return;
+            }
             world.addWorker(`${workerId}+`, pool);
             replace({ state: "up", pool, workerId: `${workerId}+` });
         }, restartMs);
@@ -234,7 +241,7 @@
                 holder: name,
                 clocks,
                 report: (event) => log.push(event),
-                bounds: { maxLeaseMs: 6000, keepFinishedMs: 120_000, machineTurnMs: 3000, hasPacing: true },
+                bounds: { maxLeaseMs: 6000, keepFinishedMs: 120_000, machineTurnMs: 3000, maintenanceMs: restartMs },
                 policy: () => world.policy,
                 waves: () => world.waves,
                 reportWave: () => Promise.resolve(true),
--- a/test/scheduling/scheduling.feature
+++ b/test/scheduling/scheduling.feature
@@ -194,6 +194,17 @@
         Then each machine went down once
         And at most 1 machine was down at once
 
+    Scenario: machines that are off are due for a wave
+        The list shows a machine that is off as up, also while its upkeep goes on. Taken for back at once, the next one
+        would go down beside as many as the operator allows.
+
+        Given 1 entry and 1 worker
+        And 4 idle machines in the standby pool
+        And a wave over the standby pool, 1 at once
+        When 20000 ms pass
+        Then each machine of the standby pool went down once
+        And at most 1 machine was down at once
+
     Scenario: a step that bears one task on each worker
         Its pool has fewer workers than the step has tasks. By processors the pool looks half empty; without a machine
         from another pool the last task would wait for good.
--- a/test/scheduling/scheduling.steps.ts
+++ b/test/scheduling/scheduling.steps.ts
@@ -52,7 +52,7 @@
     return Array.from({ length: world.entries }, (_, at) => `entry-${at + 1}`);
 }
 
-Given("{int} entry/entries and {int} workers", async function(this: World, entries: number, workers: number) {
+Given("{int} entry/entries and {int} worker(s)", async function(this: World, entries: number, workers: number) {
     this.entries = entries;
     this.workers = workers;
     for (let number = 1; number <= workers; number++) {
@@ -215,6 +215,16 @@
     })));
 });
 
+Given("a wave over the standby pool, {int} at once", function(this: World, maxDown: number) {
+    const machines = Array.from({ length: 4 }, (_, at) => `spare-${at + 1}`);
+    this.world.waves = [{ wave: 1, machines, completeByS: 20, maxDown }];
+});
+
+Then("each machine of the standby pool went down once", function(this: World) {
+    const expected = Array.from({ length: 4 }, (_, at) => `maintain spare-${at + 1} 1`);
+    assert.deepEqual([...this.world.machineOrders].sort(), expected);
+});
+
 When("a submission comes whose {int} tasks bear no other on their worker", function(this: World, count: number) {
     this.ids.push("b".repeat(16));
     this.workMs.set("b".repeat(16), 5000);
