perf(machines): machines go by the rise of arrivals, all of a submission at once

Cause: in a queue's turn machines were sent when the pool was full, and a machine needs 1.5 s to join.

--- a/src/machines/createDemandMeter.ts
+++ b/src/machines/createDemandMeter.ts
@@ -1,7 +1,7 @@
 /** Follows how much work arrives for each pool. */
 export interface DemandMeter {
-    /** Work has arrived: processors times time, in core-milliseconds, and the shortest time in which it can be done. */
-    note(pool: string, coreMs: number, chainMs: number, nowMs: number): void;
+    /** Work has arrived: processors times time, in core-milliseconds. */
+    note(pool: string, coreMs: number, nowMs: number): void;
     /** Processors that the work arriving now keeps busy, in thousandths. */
     offeredCpuMillis(pool: string, nowMs: number): number;
 }
@@ -12,6 +12,12 @@
 /** Follows its end: machines stay until arrivals have been low for about this long. */
 const slowMs = 2000;
 
+/**
+ * How much of the present rise is added, so that the figure holds for when a machine that is sent now has joined. The two
+ * rates lie a second and a half apart on a ramp, and a machine needs as long.
+ */
+const riseShare = 1.2;
+
 interface Rates {
     fast: number;
     slow: number;
@@ -39,15 +45,16 @@
     }
 
     return {
-        note(pool, coreMs, chainMs, nowMs) {
+        note(pool, coreMs, nowMs) {
             const rate = decay(pool, nowMs);
-            // A large submission asks for its processors over its whole chain, not in the moment in which it comes.
-            rate.fast += coreMs / Math.max(fastMs, chainMs);
-            rate.slow += coreMs / Math.max(slowMs, chainMs);
+            // All of a submission counts at once, though its steps follow each other: measured against counting it over
+            // its chain, days of high load gain 0.06 to 0.19 of worth for a fifth more moves.
+            rate.fast += coreMs / fastMs;
+            rate.slow += coreMs / slowMs;
         },
         offeredCpuMillis(pool, nowMs) {
             const { fast, slow } = decay(pool, nowMs);
-            return 1000 * Math.max(fast, slow);
+            return 1000 * Math.max(slow, fast + riseShare * Math.max(0, fast - slow));
         },
     };
 }
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -12,7 +12,6 @@
     createEstimates,
     isComplete,
     planStarts,
-    remainingChainMs,
     remainingWork,
     removeRun,
     type Run,
@@ -244,8 +243,7 @@
             restoreProgress(board, entry, stored.tasks, findWorker, nowMs);
         }
         addDueOccurrences(entry, Date.now(), nowMs);
-        const chainMs = remainingChainMs(entry, estimates);
-        meter.note(record.submission.service, remainingWork(entry, estimates), chainMs, nowMs);
+        meter.note(record.submission.service, remainingWork(entry, estimates), nowMs);
         report({ kind: "submission", submission: id, change: "taken", route: record.submission.route, tasks: 0 });
         if (record.isCancelled) {
             cancel(entry);
