feat(duties): an entry that is slow or turned away gives the duty up

The owner was cut off from the store and reached it through others; each write first waited for the direct way, and starts were 1 to 3 s late for twelve seconds (waitedMs of the order lines).

Ruled out: room (free all the while), the workers.

Change: while the direct way is given up only a read of its own tries it; an owner that is turned away, or whose timers are late, hands the duty over.

--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -1,6 +1,7 @@
 import { ServiceBroker } from "moleculer";
 import { randomUUID } from "node:crypto";
 import {
+    createAdvice,
     createClientSurface,
     createHttpService,
     createJsonCaller,
@@ -13,7 +14,7 @@
     workerDecoder,
 } from "../../platform";
 import { createClocks } from "../clock";
-import { createDuty, createPresence, type Tenure } from "../duties";
+import { createDuty, createLagGuard, createPresence, type Tenure } from "../duties";
 import type { Reporter } from "../logging";
 import { createPeers, type Peer } from "../peers";
 import { createPolicyFeed } from "../policy";
@@ -81,8 +82,10 @@
         onPathChange: (path, detail) => report({ kind: "note", slice: "store", message: `calls go ${path}`, detail }),
     });
     const machines = createMachines(callWorker, settings.machinesAddress);
+    const advice = createAdvice(callWorker, settings.adviceAddress);
     const workerApi = createTaskWorkers(callWorker);
 
+    const lagGuard = createLagGuard();
     let scheduler: Scheduler | undefined;
     const policyFeed = createPolicyFeed({
         store,
@@ -97,6 +100,7 @@
         holder: { boot, instance: settings.instance },
         report,
         minTtlMs: settings.minLeaseTtlMs,
+        isFit: () => !lagGuard.isSlow() && !store.isTurnedAway(),
         onGained: beginTenure,
         onLost() {
             scheduler?.stop();
@@ -116,6 +120,7 @@
             store,
             workerApi,
             machines,
+            advice,
             decoder: workerDecoder,
             tenure,
             holder: settings.instance,
@@ -199,6 +204,7 @@
             await Promise.all([broker.start(), peers.start()]);
             policyFeed.start();
             presence.start();
+            lagGuard.start();
             duty.start();
             report({ kind: "started", boot, zone: settings.zone, region: settings.region });
         },
--- a/src/duties/createDuty.ts
+++ b/src/duties/createDuty.ts
@@ -25,6 +25,8 @@
     readonly report: Reporter;
     /** Shortest lease that the store grants, in milliseconds. */
     readonly minTtlMs: number;
+    /** Whether this entry can do the work well: it reaches the store itself and is not slow. */
+    readonly isFit: () => boolean;
     /** This entry holds the duty from now on. */
     onGained(tenure: Tenure): void;
     /** The right has run out or been refused; nothing may be ordered any more. */
@@ -63,6 +65,9 @@
 /** Each rank waits this much longer before it applies, in milliseconds, so that mostly one entry applies at a time. */
 const rankDelayMs = 60;
 
+/** An entry that is not fit applies only when nobody else has for this long, in milliseconds. */
+const unfitDelayMs = 3000;
+
 /** Pause after a failed application, in milliseconds. */
 const applyRetryMs = 250;
 
@@ -72,6 +77,7 @@
     let holder: DutyHolder | undefined;
     let holderRevision = 0;
     let knowsHolder = false;
+    let vacantSinceMs = 0;
     let rank = 0;
     let current: { tenure: Tenure; lease: number; validUntilMs: number; } | undefined;
     let isApplying = false;
@@ -109,6 +115,10 @@
         if (isApplying || isStopped || isHandingOver || current !== undefined || !isVacant()) {
             return;
         }
+        if (!opts.isFit() && performance.now() - vacantSinceMs < unfitDelayMs) {
+            schedule(applyRetryMs);
+            return;
+        }
         isApplying = true;
         try {
             await tryToGain();
@@ -159,6 +169,12 @@
             lose("the lease could not be renewed in time");
             return;
         }
+        if (!opts.isFit()) {
+            // Another entry does the work at full speed; the change costs it a quarter of a second.
+            lose("this entry is slow, or the store turns it away");
+            await store.endLease(held.lease);
+            return;
+        }
         const sentAtMs = clocks.suspendAwareMs();
         const result = await store.renewLease(held.lease);
         if (current !== held) {
@@ -177,6 +193,9 @@
 
     return {
         noteHolder(item) {
+            if (item === undefined && (holder !== undefined || !knowsHolder)) {
+                vacantSinceMs = performance.now();
+            }
             knowsHolder = true;
             holder = item === undefined ? undefined : JSON.parse(item.text) as DutyHolder;
             holderRevision = item?.revision ?? 0;
--- a/src/machines/createDemandMeter.ts
+++ b/src/machines/createDemandMeter.ts
@@ -16,7 +16,7 @@
  * How much of the present rise is added, so that the figure holds for when a machine that is sent now has joined. The two
  * rates lie a second and a half apart on a ramp, and a machine needs as long.
  */
-const riseShare = 1.2;
+const riseShare = 0.4;
 
 interface Rates {
     fast: number;
--- a/src/schedule/index.ts
+++ b/src/schedule/index.ts
@@ -15,6 +15,7 @@
 export { createEstimates, type Estimates, remainingChainMs, remainingWork, waitingCpuMillis } from "./estimates";
 export { orderWork, type Unit } from "./orderWork";
 export { fitsEmpty, hasRoom, isEligible, isOpen, placeTask } from "./placeTask";
+export { planCopies } from "./planCopies";
 export { groupByPool, listAdviceCandidates, planStarts } from "./planStarts";
 export { addRun, removeRun } from "./runs";
 export { createOutcomes, isSuspect, noteFailure, noteSuccess, quarantine } from "./workerHealth";
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -1,3 +1,4 @@
+import { type Advice, createAdvisor } from "../advice";
 import type { Clocks } from "../clock";
 import type { Tenure } from "../duties";
 import type { Reporter } from "../logging";
@@ -10,13 +11,18 @@
     addSubmission,
     createBoard,
     createEstimates,
+    groupByPool,
     isComplete,
+    listAdviceCandidates,
+    planCopies,
     planStarts,
     remainingWork,
     removeRun,
     type Run,
     type SubmissionEntry,
+    type Task,
     tasksOf,
+    type Unit,
     type Worker,
 } from "../schedule";
 import { createFollower, type Store, type StoreItem } from "../store";
@@ -43,6 +49,7 @@
     readonly store: Store;
     readonly workerApi: TaskWorkers;
     readonly machines: Machines;
+    readonly advice: Advice;
     readonly decoder: WorkerDecoder;
     readonly tenure: Tenure;
     readonly holder: string;
@@ -145,7 +152,7 @@
         drop,
         onFenced: fence,
         onLifeEnded,
-        findTicket: () => undefined,
+        findTicket: ({ task, worker }) => advisor.ticket(stepName(task), worker.id),
         onChange: planSoon,
     });
     const looks = createLooks({
@@ -177,6 +184,7 @@
         },
         onChange: planSoon,
     });
+    const advisor = createAdvisor({ advice: opts.advice, steadyMs: clocks.steadyMs, report, onChange: planSoon });
     const pacer = createPacer({ api: opts.workerApi, tenure, clocks });
     const watchdog = createWatchdog({ board, clocks, estimates, report, stop: runs.stop });
     const orders = createMachineOrders({
@@ -340,17 +348,35 @@
             estimates,
             nowMs: clocks.steadyMs(),
             timeOfDayMs: Date.now(),
-            allowedWorkers: () => undefined,
+            allowedWorkers: findAllowed,
             maxStarts: maxStartsPerRound,
         });
+        const pools = groupByPool(board);
+        const services = new Map(policy.routes.map(({ name, service }) => [name, service]));
+        const copies = planCopies({
+            board,
+            workersOf: (pool) => pools.get(pool) ?? [],
+            poolOf: (route) => services.get(route),
+            estimates,
+            nowMs: clocks.steadyMs(),
+        });
         const bySubmission = new Map<SubmissionEntry, Run[]>();
-        planned.forEach((run) => {
+        [...planned, ...copies].forEach((run) => {
             const entry = run.task.owner;
             bySubmission.set(entry, [...bySubmission.get(entry) ?? [], run]);
         });
         bySubmission.forEach((group, entry) => void startAll(entry, group));
     }
 
+    function findAllowed(unit: Unit, workers: readonly Worker[]): ReadonlySet<string> | "unknown" | undefined {
+        const task = unit.tasks[0];
+        if (unit.route.advice === undefined || task === undefined) {
+            return undefined;
+        }
+        const candidates = listAdviceCandidates(unit, workers, clocks.steadyMs()).map(({ id }) => id);
+        return advisor.allowed(stepName(task), candidates) ?? "unknown";
+    }
+
     async function startAll(entry: SubmissionEntry, group: readonly Run[]): Promise<void> {
         if (!await writer.save(entry)) {
             return;
@@ -485,5 +511,9 @@
     };
 }
 
+function stepName({ owner, occurrence, stepNumber }: Task): string {
+    return `${owner.submission.id}.${occurrence}.${stepNumber}`;
+}
+
 /** Finished submissions removed from the store in one call. */
 const maxForgotten = 25;
--- a/src/store/createRelayedStore.ts
+++ b/src/store/createRelayedStore.ts
@@ -7,8 +7,17 @@
 /** How long a relayed call may take beyond what the call itself waits, in milliseconds. */
 const relayTimeoutMs = 1000;
 
-/** After a direct call without an answer the way through peers goes first for this long, in milliseconds. */
-const avoidDirectMs = 1000;
+/**
+ * While the direct way is given up, a read of its own tries it this often, in milliseconds. Tried by calls in use, each
+ * would wait for its full time before it goes round: writes then took 1 to 3 s where a store turned an owner away.
+ */
+const probeMs = 1000;
+
+/** Key that is read to try the direct way; it need not exist. */
+const probeKey = "samphirepin/probe";
+
+/** A call through a peer this recent shows that the store works for others, in milliseconds. */
+const relayFreshMs = 1500;
 
 /** Peers asked one after the other before a call is given up. */
 const maxPeersAsked = 2;
@@ -31,8 +40,8 @@
 }
 
 export interface RelayedStore extends Store {
-    /** When a direct call was last answered. */
-    directAnswerAtMs(): number | undefined;
+    /** The store answers others, and this entry only through them. */
+    isTurnedAway(): boolean;
 }
 
 /**
@@ -44,14 +53,10 @@
  */
 export function createRelayedStore(opts: RelayedStoreOptions): RelayedStore {
     const { direct, peers, nowMs } = opts;
-    let avoidUntilMs = -1;
-    let answeredAtMs: number | undefined;
-
-    peers.onRequest(relayTopic, (_from, body) => isAvoided() ? refuse() : callStore(direct, body as RelayedCall));
+    let isGivenUp = false;
+    let relayedAtMs = Number.NEGATIVE_INFINITY;
 
-    function isAvoided(): boolean {
-        return nowMs() < avoidUntilMs;
-    }
+    peers.onRequest(relayTopic, (_from, body) => isGivenUp ? refuse() : callStore(direct, body as RelayedCall));
 
     function refuse(): Promise<unknown> {
         return Promise.resolve({ kind: "unavailable", detail: "the store does not answer the peer either" });
@@ -59,16 +64,20 @@
 
     function noteDirect(kind: string, detail: string): void {
         const isAnswered = kind !== "unavailable" && kind !== "unknown";
-        const wasAvoided = avoidUntilMs >= 0;
-        if (isAnswered) {
-            answeredAtMs = nowMs();
-            avoidUntilMs = -1;
-        }
-        else {
-            avoidUntilMs = nowMs() + avoidDirectMs;
-        }
-        if (wasAvoided === isAnswered) {
+        if (isGivenUp === isAnswered) {
+            isGivenUp = !isAnswered;
             opts.onPathChange?.(isAnswered ? "direct" : "relayed", detail);
+            if (isGivenUp) {
+                setTimeout(() => void probe(), probeMs);
+            }
+        }
+    }
+
+    async function probe(): Promise<void> {
+        const result = await direct.read(probeKey);
+        noteDirect(result.kind, "");
+        if (isGivenUp) {
+            setTimeout(() => void probe(), probeMs);
         }
     }
 
@@ -93,6 +102,7 @@
                         & { detail: string; },
             });
             if (result.kind !== "unavailable") {
+                relayedAtMs = nowMs();
                 return result;
             }
         }
@@ -105,7 +115,7 @@
     }
 
     async function callAny<R extends { kind: string; detail?: string; }>(call: RelayedCall): Promise<R> {
-        if (!isAvoided()) {
+        if (!isGivenUp) {
             const result = await callDirect<R>(call);
             // An unknown write must not be sent a second way here: only its sender knows whether that is safe.
             if (result.kind !== "unavailable") {
@@ -118,7 +128,7 @@
     }
 
     return {
-        directAnswerAtMs: () => answeredAtMs,
+        isTurnedAway: () => isGivenUp && nowMs() - relayedAtMs < relayFreshMs,
         read: (key) => callAny({ call: "read", key }),
         range: (prefix) => callAny({ call: "range", prefix }),
         watch: (prefix, after, waitMs) => callAny({ call: "watch", prefix, after, waitMs }),
--- a/standins/scheduling/createSchedulingWorld.ts
+++ b/standins/scheduling/createSchedulingWorld.ts
@@ -1,3 +1,4 @@
+import type { AdviceResult } from "../../src/advice";
 import { createDuty, dutyKey } from "../../src/duties";
 import type { Machine, MachineOrderResult, Machines } from "../../src/machines";
 import type { Policy, Wave } from "../../src/policy";
@@ -14,6 +15,8 @@
     scheduler(): Scheduler | undefined;
     /** The process is gone; nothing is handed over. */
     kill(): void;
+    /** Whether it can do the work well; one that cannot gives the duty up. */
+    setFit(isFit: boolean): void;
     /** The process is told to end and gives the duty up. */
     stop(): void;
     /** Events at the owner, as it logged them. */
@@ -32,6 +35,8 @@
     setMachines(machines: readonly Machine[]): void;
     waves: Wave[];
     policy: Policy;
+    /** What the advice service answers; all workers are good at first. */
+    advise(workerIds: readonly string[]): Promise<AdviceResult>;
     addEntry(name: string): SchedulingEntry;
     addWorker(id: string, pool?: string): void;
     submit(
@@ -167,6 +172,12 @@
         mostDown: () => mostDown,
         waves: [],
         policy: plainPolicy,
+        advise: (workerIds) =>
+            Promise.resolve({
+                kind: "permits",
+                permits: workerIds.map((workerId) => ({ workerId, ticket: `ticket ${workerId}` })),
+                validityMs: 3000,
+            }),
         setListLag(lagMs) {
             listLagMs = lagMs;
         },
@@ -225,17 +236,20 @@
     const clocks = { steadyMs: () => performance.now(), suspendAwareMs: () => performance.now() };
     let scheduler: Scheduler | undefined;
     let isKilled = false;
+    let isFit = true;
     const duty = createDuty({
         store,
         clocks,
         holder: { boot: name, instance: name },
         report: (event) => log.push(event),
         minTtlMs: 1000,
+        isFit: () => isFit,
         onGained(tenure) {
             scheduler = createScheduler({
                 store,
                 workerApi: world.workers.api,
                 machines,
+                advice: { ask: (_step, workerIds) => world.advise(workerIds) },
                 decoder,
                 tenure,
                 holder: name,
@@ -270,6 +284,9 @@
         store,
         log,
         scheduler: () => isKilled ? undefined : scheduler,
+        setFit(next) {
+            isFit = next;
+        },
         stop() {
             isKilled = true;
             void duty.handOver();
--- a/test/scheduling/scheduling.feature
+++ b/test/scheduling/scheduling.feature
@@ -39,6 +39,20 @@
         Then 6 submissions are complete
         And no task ran twice
 
+    Scenario: the owner turns slow
+        Its machine runs several times slower, or the store turns it away, and it still renews its lease in time. If it
+        kept the duty, every task in the fleet would start seconds late.
+
+        Given 3 entries and 3 workers
+        When 6 submissions of 6 tasks of 800 ms come
+        And 500 ms pass
+        And the owner turns slow
+        And 1500 ms pass
+        Then another entry decides
+        And 6000 ms pass
+        And 6 submissions are complete
+        And no task ran twice
+
     Scenario: a worker is cut off and runs on
         No call reaches the worker, and its tasks work on until their leases end. Started elsewhere before that, a
         payment would be made twice.
--- a/test/scheduling/scheduling.steps.ts
+++ b/test/scheduling/scheduling.steps.ts
@@ -17,6 +17,7 @@
     workers: number;
     ids: string[];
     workMs: Map<string, number>;
+    slow?: string;
 }
 
 setDefaultTimeout(60_000);
@@ -116,6 +117,18 @@
     }
 });
 
+When("the owner turns slow", function(this: World) {
+    const owner = this.world.owner();
+    assert.ok(owner);
+    this.slow = owner.name;
+    owner.setFit(false);
+});
+
+Then("another entry decides", function(this: World) {
+    const name = this.world.owner()?.name;
+    assert.ok(name !== undefined && name !== this.slow, `${name ?? "nobody"} decides`);
+});
+
 When("the owner is stopped", function(this: World) {
     const owner = this.world.owner();
     assert.ok(owner);
