feat(metrics): counters and histograms from the log's events; removed queues finish

Cause: the metrics address served nothing; a submission whose queue was taken out of the configuration was never started again.

Change: one module turns events into metrics; submissions of a removed queue run in the pool that it had. SIGHUP checks the changed settings file.

'a queue is removed while its submissions wait' fails without the change.

--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -16,6 +16,7 @@
 import { createClocks } from "../clock";
 import { createDuty, createLagGuard, createPresence, type Tenure } from "../duties";
 import type { Reporter } from "../logging";
+import { createEventMetrics } from "../metrics";
 import { createPeers, type Peer } from "../peers";
 import { createPolicyFeed } from "../policy";
 import { createScheduler, type Scheduler } from "../scheduler";
@@ -31,8 +32,10 @@
 
 export interface DaemonOptions {
     readonly settings: NodeSettings;
+    /** Takes every event for the log. */
     readonly report: Reporter;
-    readonly metricsText: () => Promise<string>;
+    /** Log lines left out since the start. */
+    readonly droppedLines: () => number;
 }
 
 /** Connections to the store: waiting watches, writes in groups, renewals and reads of clients' requests. */
@@ -55,7 +58,17 @@
 const exitMarginMs = 500;
 
 /** The one module that wires the parts of a daemon on the users' platform. */
-export function createDaemon({ settings, report, metricsText }: DaemonOptions): Daemon {
+export function createDaemon({ settings, report: log, droppedLines }: DaemonOptions): Daemon {
+    const metrics = createEventMetrics({
+        policyAgeMs: () => policyFeed.ageMs(),
+        dutyToken: () => duty.tenure()?.token,
+        droppedLines,
+        openRequests: () => openRequests,
+    });
+    const report: Reporter = (event) => {
+        metrics.count(event);
+        log(event);
+    };
     const clocks = createClocks();
     const boot = randomUUID();
     const self: Peer = {
@@ -187,7 +200,7 @@
             name: "metrics",
             listen: settings.metricsAddress,
             maxBodyBytes,
-            handle: async () => ({ status: 200, text: await metricsText() }),
+            handle: async () => ({ status: 200, text: await metrics.text() }),
         }));
     }
 
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,7 +1,25 @@
 import { readNodeSettings, settingsFileVariable } from "../../platform";
-import { createBufferedReporter } from "../logging";
+import { createBufferedReporter, type Reporter } from "../logging";
 import { createDaemon } from "./createDaemon";
 
+/**
+ * Addresses and bounds hold for a process's life; a changed file is checked, so that its faults show now and not at the
+ * next start.
+ */
+function reload(report: Reporter): void {
+    readNodeSettings(process.env[settingsFileVariable]).caseOf({
+        Left: (faults) =>
+            report({
+                kind: "note",
+                slice: "settings",
+                message: "the changed file has faults",
+                detail: faults.join("; "),
+            }),
+        Right: () =>
+            report({ kind: "note", slice: "settings", message: "the file has changed; it holds from the next start" }),
+    });
+}
+
 /** Entry point of the daemon on the users' platform. */
 async function main(): Promise<void> {
     const read = readNodeSettings(process.env[settingsFileVariable]);
@@ -11,13 +29,13 @@
     }
     const settings = read.unsafeCoerce();
     const { report, sink } = createBufferedReporter({ level: "info", fields: { instance: settings.instance } });
-    const daemon = createDaemon({ settings, report, metricsText: () => Promise.resolve("") });
+    const daemon = createDaemon({ settings, report, droppedLines: sink.dropped });
     process.on("SIGTERM", () =>
         void daemon.stop().then(() => {
             sink.close();
             process.exit(0);
         }));
-    process.on("SIGHUP", () => report({ kind: "note", slice: "daemon", message: "the settings have changed" }));
+    process.on("SIGHUP", () => reload(report));
     await daemon.start();
 }
 
--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -95,7 +95,7 @@
         readonly submission: string;
         readonly change: string;
         readonly route: string;
-        readonly tasks: number;
+        readonly sinceAcceptedMs: number;
     }
     | {
         readonly kind: "order";
--- /dev/null
+++ b/src/metrics/createEventMetrics.ts
@@ -0,0 +1,125 @@
+import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { LogEvent } from "../logging";
+
+/** Readings that are taken when the metrics are asked for. */
+export interface MetricReadings {
+    /** Age of the configuration in force, in milliseconds. */
+    policyAgeMs(): number | undefined;
+    /** Token of the duty while this entry holds it. */
+    dutyToken(): number | undefined;
+    droppedLines(): number;
+    openRequests(): number;
+}
+
+export interface EventMetrics {
+    /** Counts what the event tells. */
+    count(event: LogEvent): void;
+    text(): Promise<string>;
+}
+
+const waitBucketsSeconds = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8, 16];
+const submissionBucketsSeconds = [0.25, 0.5, 1, 1.5, 2, 3, 4, 6, 10, 20, 60];
+
+/** Metrics of a daemon on the users' platform, made from the same events as its log lines. */
+export function createEventMetrics(readings: MetricReadings): EventMetrics {
+    const registry = new Registry();
+    const registers = [registry];
+    const counter = (name: string, help: string, ...labelNames: string[]) =>
+        new Counter({ name: `samphirepin_${name}_total`, help, labelNames, registers });
+    collectDefaultMetrics({ register: registry, prefix: "samphirepin_" });
+    const requests = counter(
+        "requests",
+        "Clients' requests that were not plain reads, by outcome",
+        "action",
+        "outcome",
+    );
+    const orders = counter("orders", "Starts and stops sent to workers, by outcome", "order", "outcome");
+    const ends = counter("ends", "Ends that workers have listed", "how");
+    const dropped = counter("runs_dropped", "Runs given up without an end listed by their worker");
+    const submissions = counter("submissions", "Submissions taken and ended by this owner", "change");
+    const machineOrders = counter("machine_orders", "Moves and upkeeps, by outcome", "order", "outcome");
+    const duties = counter("duty_changes", "Changes of the scheduling duty", "change");
+    const dependencies = counter("dependency_changes", "Stores and workers lost and regained", "state");
+    const startWait = new Histogram({
+        name: "samphirepin_start_wait_seconds",
+        help: "From the decision to start a task to the worker's answer",
+        buckets: waitBucketsSeconds,
+        registers,
+    });
+    const submissionTime = new Histogram({
+        name: "samphirepin_submission_seconds",
+        help: "From accepting a submission to its end",
+        labelNames: ["change"],
+        buckets: submissionBucketsSeconds,
+        registers,
+    });
+    const room = new Gauge({
+        name: "samphirepin_pool_cores",
+        help: "Processors of a pool: of its workers, in use, waited for, on their way",
+        labelNames: ["pool", "part"],
+        registers,
+    });
+    const gauge = (name: string, help: string, read: () => number) =>
+        new Gauge({
+            name: `samphirepin_${name}`,
+            help,
+            registers,
+            collect() {
+                this.set(read());
+            },
+        });
+    gauge(
+        "policy_age_seconds",
+        "Age of the configuration; -1 before the first",
+        () => (readings.policyAgeMs() ?? -1000) / 1000,
+    );
+    gauge("duty_token", "Token of the duty held; 0 for none", () => readings.dutyToken() ?? 0);
+    gauge("log_lines_dropped", "Log lines left out since the start", readings.droppedLines);
+    gauge("open_requests", "Clients' requests under way", readings.openRequests);
+
+    return {
+        count(event) {
+            switch (event.kind) {
+                case "request":
+                    requests.inc({ action: event.action, outcome: event.outcome });
+                    return;
+                case "order":
+                    orders.inc({ order: event.order, outcome: event.outcome.split(":", 1)[0] ?? "" });
+                    if (event.order === "start") {
+                        startWait.observe(event.waitedMs / 1000);
+                    }
+                    return;
+                case "end":
+                    ends.inc({ how: event.how });
+                    return;
+                case "runDropped":
+                    dropped.inc();
+                    return;
+                case "submission":
+                    submissions.inc({ change: event.change });
+                    if (event.change !== "taken") {
+                        submissionTime.observe({ change: event.change }, event.sinceAcceptedMs / 1000);
+                    }
+                    return;
+                case "machineOrder":
+                    machineOrders.inc({ order: event.order, outcome: event.outcome });
+                    return;
+                case "duty":
+                    duties.inc({ change: event.change });
+                    return;
+                case "dependency":
+                    dependencies.inc({ state: event.state });
+                    return;
+                case "room":
+                    room.set({ pool: event.pool, part: "all" }, event.cores);
+                    room.set({ pool: event.pool, part: "longRunning" }, event.longRunningCores);
+                    room.set({ pool: event.pool, part: "short" }, event.shortCores);
+                    room.set({ pool: event.pool, part: "waiting" }, event.waitingCores);
+                    room.set({ pool: event.pool, part: "coming" }, event.comingCores);
+                    return;
+                default:
+            }
+        },
+        text: () => registry.metrics(),
+    };
+}
--- a/src/runs/applyEnds.ts
+++ b/src/runs/applyEnds.ts
@@ -6,6 +6,7 @@
     noteFailure,
     noteSuccess,
     removeRun,
+    routeOf,
     type Run,
     type SubmissionEntry,
     type Task,
@@ -25,7 +26,7 @@
 /** Pause before a failed task is started again, in milliseconds. */
 const failedPauseMs = 100;
 
-/** Attempts of a task where its route is no longer known. */
+/** Attempts of a task before any configuration has been read. */
 const defaultMaxAttempts = 2;
 
 /** Takes in one end that a worker lists; gives the submission that it changed. */
@@ -89,8 +90,9 @@
     // A gang fails as a whole: its members share one number of attempts.
     const failing = task.step.isGang ? membersOf(task) : [task];
     failing.forEach(({ failedRuns }) => failedRuns.add(number));
-    const route = context.policy?.routes.find(({ name }) => name === task.owner.submission.route);
-    if (task.failedRuns.size >= (route?.maxAttempts ?? defaultMaxAttempts)) {
+    const { policy } = context;
+    const maxAttempts = policy === undefined ? defaultMaxAttempts : routeOf(policy, task.owner.submission).maxAttempts;
+    if (task.failedRuns.size >= maxAttempts) {
         task.phase = "failed";
     }
 }
--- a/src/schedule/index.ts
+++ b/src/schedule/index.ts
@@ -17,5 +17,6 @@
 export { fitsEmpty, hasRoom, isEligible, isOpen, placeTask } from "./placeTask";
 export { planCopies } from "./planCopies";
 export { groupByPool, listAdviceCandidates, planStarts } from "./planStarts";
+export { routeOf } from "./routeOf";
 export { addRun, removeRun } from "./runs";
 export { createOutcomes, isSuspect, noteFailure, noteSuccess, quarantine } from "./workerHealth";
--- a/src/schedule/orderWork.ts
+++ b/src/schedule/orderWork.ts
@@ -1,4 +1,5 @@
 import type { Route } from "../policy";
+import type { Submission } from "../submissions";
 import type { SubmissionEntry, Task } from "./board";
 import { isStepReady } from "./entries";
 import { type Estimates, remainingChainMs, remainingWork } from "./estimates";
@@ -13,7 +14,7 @@
 
 export interface OrderOptions {
     readonly entries: Iterable<SubmissionEntry>;
-    readonly findRoute: (name: string) => Route | undefined;
+    readonly routeOf: (submission: Submission) => Route;
     readonly estimates: Estimates;
     readonly nowMs: number;
     readonly timeOfDayMs: number;
@@ -44,9 +45,8 @@
 export function orderWork(opts: OrderOptions): readonly Unit[] {
     const ranked: Ranked[] = [];
     for (const entry of opts.entries) {
-        const route = opts.findRoute(entry.submission.route);
-        if (route !== undefined && entry.ending === undefined && !entry.isCancelled) {
-            ranked.push(rank(entry, route, opts));
+        if (entry.ending === undefined && !entry.isCancelled) {
+            ranked.push(rank(entry, opts.routeOf(entry.submission), opts));
         }
     }
     ranked.sort((a, b) => a.group - b.group || a.route.priority - b.route.priority || a.work - b.work);
--- a/src/schedule/planCopies.ts
+++ b/src/schedule/planCopies.ts
@@ -1,3 +1,4 @@
+import type { Submission } from "../submissions";
 import type { Board, Run, Task, Worker } from "./board";
 import { tasksOf } from "./entries";
 import type { Estimates } from "./estimates";
@@ -7,7 +8,7 @@
 export interface CopyOptions {
     readonly board: Board;
     readonly workersOf: (pool: string) => readonly Worker[];
-    readonly poolOf: (route: string) => string | undefined;
+    readonly poolOf: (submission: Submission) => string;
     readonly estimates: Estimates;
     readonly nowMs: number;
 }
@@ -30,12 +31,12 @@
 export function planCopies(opts: CopyOptions): readonly Run[] {
     const copies: Run[] = [];
     for (const entry of opts.board.submissions.values()) {
-        const pool = opts.poolOf(entry.submission.route);
-        if (pool === undefined || entry.ending !== undefined || !hasSpeculation(entry.submission.steps)) {
+        if (entry.ending !== undefined || !hasSpeculation(entry.submission.steps)) {
             continue;
         }
         for (const task of tasksOf(entry)) {
-            const copy = isLate(task, opts) ? placeCopy(task, opts.workersOf(pool), opts) : undefined;
+            const workers = isLate(task, opts) ? opts.workersOf(opts.poolOf(entry.submission)) : [];
+            const copy = placeCopy(task, workers, opts);
             if (copy !== undefined) {
                 copies.push(copy);
             }
--- a/src/schedule/planStarts.ts
+++ b/src/schedule/planStarts.ts
@@ -3,6 +3,7 @@
 import { type Estimates } from "./estimates";
 import { orderWork, type Unit } from "./orderWork";
 import { isEligible, placeTask } from "./placeTask";
+import { routeOf } from "./routeOf";
 import { addRun, removeRun } from "./runs";
 
 export interface PlanOptions {
@@ -23,14 +24,13 @@
 /** Puts new runs on the board, in phase `recording`, best first, and returns them. */
 export function planStarts(opts: PlanOptions): readonly Run[] {
     const { board, policy, estimates, nowMs } = opts;
-    const routes = new Map(policy.routes.map((route) => [route.name, route]));
     const pools = groupByPool(board);
     const caps = new Map(policy.tenants.map(({ name, cap }) => [name, cap]));
     const misses = new Map<string, number>();
     const started: Run[] = [];
     const units = orderWork({
         entries: board.submissions.values(),
-        findRoute: (name) => routes.get(name),
+        routeOf: (submission) => routeOf(policy, submission),
         estimates,
         nowMs,
         timeOfDayMs: opts.timeOfDayMs,
--- a/src/scheduler/createFleetKeeper.ts
+++ b/src/scheduler/createFleetKeeper.ts
@@ -14,7 +14,7 @@
     type PoolDemand,
 } from "../machines";
 import type { Policy, Wave } from "../policy";
-import { type Board, groupByPool, isOpen, type Run, waitingCpuMillis, type Worker } from "../schedule";
+import { type Board, groupByPool, isOpen, routeOf, type Run, waitingCpuMillis, type Worker } from "../schedule";
 import { chooseEvacuations } from "./chooseEvacuations";
 import { unplaceableCpuMillis } from "./findUnplaceable";
 
@@ -184,10 +184,9 @@
         const waiting = new Map<string, number>();
         const unplaceable = new Map<string, number>();
         const nowMs = clocks.steadyMs();
-        const services = new Map(policy.routes.map(({ name, service }) => [name, service]));
         for (const entry of board.submissions.values()) {
-            const pool = services.get(entry.submission.route);
-            if (pool !== undefined && entry.ending === undefined) {
+            const pool = routeOf(policy, entry.submission).service;
+            if (entry.ending === undefined) {
                 waiting.set(pool, (waiting.get(pool) ?? 0) + waitingCpuMillis(entry));
                 const stuck = unplaceableCpuMillis(entry, pools.get(pool) ?? [], nowMs);
                 unplaceable.set(pool, (unplaceable.get(pool) ?? 0) + stuck);
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -18,6 +18,7 @@
     planStarts,
     remainingWork,
     removeRun,
+    routeOf,
     type Run,
     type SubmissionEntry,
     type Task,
@@ -252,13 +253,18 @@
         }
         addDueOccurrences(entry, Date.now(), nowMs);
         meter.note(record.submission.service, remainingWork(entry, estimates), nowMs);
-        report({ kind: "submission", submission: id, change: "taken", route: record.submission.route, tasks: 0 });
+        reportSubmission(entry, "taken");
         if (record.isCancelled) {
             cancel(entry);
         }
         settle(entry);
     }
 
+    function reportSubmission({ submission }: SubmissionEntry, change: string): void {
+        const { id, route, acceptedAtMs } = submission;
+        report({ kind: "submission", submission: id, change, route, sinceAcceptedMs: Date.now() - acceptedAtMs });
+    }
+
     function cancel(entry: SubmissionEntry): void {
         entry.isCancelled = true;
         settle(entry);
@@ -288,16 +294,10 @@
     }
 
     function noteEnded(entry: SubmissionEntry): void {
-        const { id, route } = entry.submission;
+        const { id } = entry.submission;
         if (entry.ending !== undefined) {
             finished.set(id, { state: entry.ending, atMs: Date.now() });
-            report({
-                kind: "submission",
-                submission: id,
-                change: entry.ending,
-                route,
-                tasks: [...tasksOf(entry)].length,
-            });
+            reportSubmission(entry, entry.ending);
         }
         forgetIfOver(entry);
     }
@@ -352,11 +352,10 @@
             maxStarts: maxStartsPerRound,
         });
         const pools = groupByPool(board);
-        const services = new Map(policy.routes.map(({ name, service }) => [name, service]));
         const copies = planCopies({
             board,
             workersOf: (pool) => pools.get(pool) ?? [],
-            poolOf: (route) => services.get(route),
+            poolOf: (submission) => routeOf(policy, submission).service,
             estimates,
             nowMs: clocks.steadyMs(),
         });
--- a/test/scheduling/scheduling.feature
+++ b/test/scheduling/scheduling.feature
@@ -171,6 +171,16 @@
         Then 4 submissions are complete
         And no task ran twice
 
+    Scenario: a queue is removed while its submissions wait
+        Operators take a queue out of the configuration. Those who handed in before were told that their submissions are
+        accepted; with the queue forgotten these would never end.
+
+        Given 1 entry and 2 workers
+        When 4 submissions of 8 tasks of 500 ms come
+        And the queue is removed
+        And 6000 ms pass
+        Then 4 submissions are complete
+
     Scenario: a submission is cancelled
         Given 1 entry and 2 workers
         When 1 submission of 4 tasks of 60000 ms comes
--- a/test/scheduling/scheduling.steps.ts
+++ b/test/scheduling/scheduling.steps.ts
@@ -183,6 +183,10 @@
     this.world.store.forgetHistory();
 });
 
+When("the queue is removed", function(this: World) {
+    this.world.policy = { ...this.world.policy, version: 2, routes: [] };
+});
+
 When("the submission is cancelled", function(this: World) {
     this.world.cancel(this.ids[0] ?? "");
 });
