fix(machines): several machines a round from standby; tests of placing, moves, pace

Cause: a machine taken from the standby pool left that pool counted as short, and the round ended there: one machine each 150 ms at the start of a turn.

Change: the standby pool is never short. Flat tests of the order of work, placing, health, gangs, copies, moves, waves and pace.

Figures: 'machines come before the queue is full' gave 1 machine before, 2 after.

--- a/src/machines/chooseMoves.ts
+++ b/src/machines/chooseMoves.ts
@@ -99,7 +99,9 @@
             break;
         }
         shortage.set(to, short - machine.cpuMillis);
-        shortage.set(machine.pool, (shortage.get(machine.pool) ?? 0) + machine.cpuMillis);
+        if (machine.pool !== standby) {
+            shortage.set(machine.pool, (shortage.get(machine.pool) ?? 0) + machine.cpuMillis);
+        }
         choices.push({ machine: machine.id, from: machine.pool, to, reason: `${Math.round(short)} cpu millis wait` });
     }
     return [...choices, ...park(idle, standby, shortage, opts, opts.maxMoves - choices.length)];
--- /dev/null
+++ b/src/machines/test/machines.feature
@@ -0,0 +1,67 @@
+Feature: Machines follow the work
+
+    Scenario: machines go where work waits
+        Given pool "stalls" where 40 cores wait
+        And a pool "vets" that needs nothing
+        And 3 idle machines of 32 cores in "vets"
+        When moves are chosen
+        Then 2 machines go to "stalls"
+
+    Scenario: machines come before the queue is full
+        In its turn a queue asks five times its mean. A machine needs a second and a half to join; sent only when tasks wait,
+        it finds a backlog that lasts for the rest of the turn.
+
+        Given pool "stalls" where 90 cores of work arrive, 20 are busy and 10 are free
+        And 3 idle machines of 32 cores in standby
+        When moves are chosen
+        Then 2 machines go to "stalls"
+
+    Scenario: machines that are on their way count
+        Given pool "stalls" where 40 cores wait and 64 are coming
+        And 3 idle machines of 32 cores in standby
+        When moves are chosen
+        Then no machine moves
+
+    Scenario: a task that fits nowhere gets a machine
+        Given pool "stalls" where 3 cores wait without a place and 60 are free
+        And 1 idle machine of 32 cores in standby
+        When moves are chosen
+        Then 1 machine goes to "stalls"
+
+    Scenario: idle machines are parked
+        Given a pool "vets" that needs nothing
+        And 3 idle machines of 32 cores in "vets"
+        When moves are chosen
+        Then 2 machines go to "spare"
+
+    Scenario: machines of a pool that has had no work yet stay
+        Operators have set the pool's size. Right after a change of owners nothing is known of its demand, and its turn may
+        be about to begin.
+
+        Given a pool "vets" of which nothing is known
+        And 3 idle machines of 32 cores in "vets"
+        When moves are chosen
+        Then no machine moves
+
+    Scenario: a rise of arrivals is believed at once and a fall only when it lasts
+        Given arrivals of 50 cores for 2000 ms
+        Then at least 45 cores are offered
+        And 1000 ms later at least 15 cores are offered
+        And 8000 ms later at most 3 cores are offered
+
+    Scenario: a wave takes empty machines first, and no more than allowed
+        Given a wave over "a", "b", "c" and "d", 2 at once, with runs on "a" and "b"
+        When its next machines are chosen
+        Then "c, d" go down now
+
+    Scenario: a machine of which nothing is known stays up
+        Right after a change of owners a worker that has not been asked may run anything.
+
+        Given a wave over "a", "b", "c" and "d", 4 at once, with "a" and "b" unknown
+        When its next machines are chosen
+        Then "c, d" go down now
+
+    Scenario: a wave with machines that were taken away becomes complete
+        Given a wave over "a", "b", "c" and "d", 4 at once, with all begun but "d", which was removed
+        When its next machines are chosen
+        Then the wave is complete
--- /dev/null
+++ b/src/schedule/test/schedule.feature
@@ -0,0 +1,87 @@
+Feature: Which work starts next, and where
+
+    Scenario: small before large in a burst
+        A queue asks five times its mean and more than its pool holds. In order of arrival a few large submissions hold up
+        dozens of small ones, each of which is late and worth next to nothing then.
+
+        Given a worker with 4 cores
+        And a submission "large" of 8 tasks that came 100 ms ago
+        And a submission "small" of 2 tasks that came just now
+        When starts are planned
+        Then tasks of "small" have started: 2
+        And tasks of "large" have started: 2
+
+    Scenario: what cannot be in time any more goes after what can
+        Given a worker with 2 cores
+        And a submission "late" of 1 task that came 9000 ms ago
+        And a submission "fresh" of 2 tasks that came just now
+        When starts are planned
+        Then tasks of "fresh" have started: 2
+        And tasks of "late" have started: 0
+
+    Scenario: what has waited very long goes with the others again
+        Late submissions are put back by newer ones again and again, and would never end while the pool stays full.
+
+        Given a worker with 1 core
+        And a submission "old" of 1 task that came 40000 ms ago
+        And a submission "fresh" of 2 tasks that came just now
+        When starts are planned
+        Then tasks of "old" have started: 1
+
+    Scenario: a worker is never filled beyond its room
+        Given a worker with 4 cores
+        And a submission "wide" of 20 tasks that came just now
+        When starts are planned
+        Then tasks of "wide" have started: 4
+
+    Scenario: a tenant's limit holds over all workers
+        Given 3 workers with 4 cores
+        And the tenant may have 5 cores
+        And a submission "wide" of 20 tasks that came just now
+        When starts are planned
+        Then tasks of "wide" have started: 5
+
+    Scenario: a gang starts as a whole or not at all
+        Given 2 workers with 2 cores
+        And a gang "five" of 5 tasks that came just now
+        And a gang "four" of 4 tasks that came just now
+        When starts are planned
+        Then tasks of "five" have started: 0
+        And tasks of "four" have started: 4
+
+    Scenario: tasks that bear no sibling go to workers of their own
+        Given 2 workers with 4 cores
+        And a submission "apart" of 3 tasks with one on each worker
+        When starts are planned
+        Then tasks of "apart" have started: 2
+
+    Scenario: short tasks leave machines empty that can be moved
+        Given 2 workers with 4 cores
+        And worker 2 runs a long-running task
+        And a submission "short" of 2 tasks that came just now
+        When starts are planned
+        Then worker 1 is empty
+
+    Scenario: a worker where two submissions failed gets no third
+        A worker that fails all it starts is free again at once and draws ever more work.
+
+        Given 2 workers with 4 cores
+        And tasks of 2 submissions have failed on worker 1
+        And a submission "next" of 4 tasks that came just now
+        When starts are planned
+        Then worker 1 is empty
+
+    Scenario: one submission that always fails does not condemn a worker
+        Given a worker with 4 cores
+        And tasks of 1 submission have failed on worker 1
+        And a submission "next" of 4 tasks that came just now
+        When starts are planned
+        Then tasks of "next" have started: 4
+
+    Scenario: a task that stands out gets a copy elsewhere
+        Given 2 workers with 4 cores
+        And a submission "checked" of 2 tasks that may have copies
+        When starts are planned
+        And 3000 ms later copies are planned
+        Then tasks of "checked" have started: 4
+        And no worker has both copies of a task
--- /dev/null
+++ b/src/schedule/test/schedule.steps.ts
@@ -0,0 +1,185 @@
+import { Before, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { plainPolicy, plainStep } from "../../../standins/scheduling";
+import type { Policy } from "../../policy";
+import type { Step } from "../../submissions";
+import {
+    addDueOccurrences,
+    addRun,
+    addSubmission,
+    type Board,
+    createBoard,
+    createEstimates,
+    createOutcomes,
+    groupByPool,
+    noteFailure,
+    planCopies,
+    planStarts,
+    type SubmissionEntry,
+    tasksOf,
+    type Worker,
+} from "../index";
+
+interface World {
+    board: Board;
+    policy: Policy;
+    entries: Map<string, SubmissionEntry>;
+    nowMs: number;
+}
+
+const timeOfDayMs = 1_000_000;
+
+Before(function(this: World) {
+    this.board = createBoard();
+    this.policy = plainPolicy;
+    this.entries = new Map();
+    this.nowMs = 10_000;
+});
+
+function addWorker(world: World, cores: number): Worker {
+    const id = `worker-${world.board.workers.size + 1}`;
+    const worker: Worker = {
+        id,
+        bornMs: 1,
+        address: id,
+        pool: "stalls",
+        zone: "zone-a",
+        rack: "r1",
+        labels: [],
+        capacity: { cpuMillis: cores * 1000, memoryMb: 64_000, accelerators: 0 },
+        isDraining: false,
+        drainLeftMs: 0,
+        isListed: true,
+        isHeld: true,
+        isReachable: true,
+        isReserved: false,
+        clock: undefined,
+        leaseUntilWorkerMs: 0,
+        ackedEnd: 0,
+        runs: new Set(),
+        used: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
+        strays: 0,
+        outcomes: createOutcomes(),
+        idleSinceMs: 0,
+    };
+    world.board.workers.set(id, worker);
+    return worker;
+}
+
+function submit(world: World, name: string, step: Partial<Step>, ageMs = 0): SubmissionEntry {
+    const submission = {
+        id: name,
+        payload: "",
+        steps: [{ ...plainStep, ...step }],
+        schedule: { repeats: 0, startAtMs: 0, intervalMs: 0 },
+        tenant: "giza",
+        route: "stalls",
+        service: "stalls",
+        acceptedAtMs: timeOfDayMs - ageMs,
+    };
+    const entry = addSubmission(world.board, submission, 1, false, world.nowMs);
+    addDueOccurrences(entry, timeOfDayMs, world.nowMs);
+    world.entries.set(name, entry);
+    return entry;
+}
+
+function workerOf(world: World, number: number): Worker {
+    const worker = world.board.workers.get(`worker-${number}`);
+    assert.ok(worker);
+    return worker;
+}
+
+Given("a worker with {int} core(s)", function(this: World, cores: number) {
+    addWorker(this, cores);
+});
+
+Given("{int} workers with {int} cores", function(this: World, count: number, cores: number) {
+    Array.from({ length: count }, () => addWorker(this, cores));
+});
+
+Given("the tenant may have {int} cores", function(this: World, cores: number) {
+    const cap = { cpuMillis: cores * 1000, memoryMb: 0, accelerators: 0 };
+    this.policy = { ...plainPolicy, tenants: plainPolicy.tenants.map((tenant) => ({ ...tenant, cap })) };
+});
+
+Given("a submission {string} of {int} task(s) that came just now", function(this: World, name: string, count: number) {
+    submit(this, name, { count });
+});
+
+Given(
+    "a submission {string} of {int} task(s) that came {int} ms ago",
+    function(this: World, name: string, count: number, ageMs: number) {
+        submit(this, name, { count }, ageMs);
+    },
+);
+
+Given("a gang {string} of {int} tasks that came just now", function(this: World, name: string, count: number) {
+    submit(this, name, { count, isGang: true });
+});
+
+Given(
+    "a submission {string} of {int} tasks with one on each worker",
+    function(this: World, name: string, count: number) {
+        submit(this, name, { count, maxPerWorker: 1 });
+    },
+);
+
+Given("a submission {string} of {int} tasks that may have copies", function(this: World, name: string, count: number) {
+    submit(this, name, { count, isSpeculative: true });
+});
+
+Given("worker {int} runs a long-running task", function(this: World, number: number) {
+    const entry = submit(this, "lasting", { isLongRunning: true });
+    const [task] = [...tasksOf(entry)];
+    assert.ok(task);
+    addRun(this.board, task, workerOf(this, number), 1, "running", this.nowMs);
+});
+
+Given("tasks of {int} submission(s) have failed on worker {int}", function(this: World, count: number, number: number) {
+    for (let at = 0; at < count; at++) {
+        noteFailure(workerOf(this, number), `failing-${at}`, this.nowMs);
+    }
+});
+
+When("starts are planned", function(this: World) {
+    planStarts({
+        board: this.board,
+        policy: this.policy,
+        estimates: createEstimates(),
+        nowMs: this.nowMs,
+        timeOfDayMs,
+        allowedWorkers: () => undefined,
+        maxStarts: 100,
+    });
+});
+
+When("{int} ms later copies are planned", function(this: World, ms: number) {
+    this.nowMs += ms;
+    for (const { runs } of this.board.workers.values()) {
+        runs.forEach((run) => run.phase = "running");
+    }
+    planCopies({
+        board: this.board,
+        workersOf: (pool) => groupByPool(this.board).get(pool) ?? [],
+        poolOf: () => "stalls",
+        estimates: createEstimates(),
+        nowMs: this.nowMs,
+    });
+});
+
+Then("tasks of {string} have started: {int}", function(this: World, name: string, count: number) {
+    const entry = this.entries.get(name);
+    assert.ok(entry);
+    assert.equal([...tasksOf(entry)].reduce((sum, { runs }) => sum + runs.length, 0), count);
+});
+
+Then("worker {int} is empty", function(this: World, number: number) {
+    assert.equal(workerOf(this, number).runs.size, 0);
+});
+
+Then("no worker has both copies of a task", function(this: World) {
+    for (const { runs } of this.board.workers.values()) {
+        const names = [...runs].map(({ task }) => task.name);
+        assert.equal(new Set(names).size, names.length);
+    }
+});
