--- /dev/null
+++ b/src/duties/test/duties.steps.ts
@@ -0,0 +1,138 @@
+import { After, Before, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { type Clock, installClock } from "../../../standins/dispatch";
+import { createFakeStore, type FakeStore, type StoreFault } from "../../../standins/scheduling";
+import { createFollower } from "../../store";
+import { createDuty, type Duty, dutyKey } from "../index";
+
+interface Entry {
+    readonly name: string;
+    readonly duty: Duty;
+    isKilled: boolean;
+    stop(): void;
+}
+
+interface World {
+    clock: Clock;
+    store: FakeStore;
+    entries: Entry[];
+    suspendedMs: number;
+    tokenBefore: number;
+}
+
+Before(function(this: World) {
+    this.clock = installClock();
+    this.store = createFakeStore();
+    this.entries = [];
+    this.suspendedMs = 0;
+});
+
+After(function(this: World) {
+    this.entries.forEach((entry) => entry.stop());
+    this.clock.uninstall();
+});
+
+function addEntry(world: World, name: string, rank: number): void {
+    const store = world.store.connect(name);
+    const clocks = {
+        steadyMs: () => performance.now(),
+        suspendAwareMs: () => performance.now() + world.suspendedMs,
+    };
+    const duty = createDuty({
+        store,
+        clocks,
+        holder: { boot: name, instance: name },
+        report() {},
+        minTtlMs: 1000,
+        isFit: () => true,
+        onGained() {},
+        onLost() {},
+    });
+    const follower = createFollower({
+        store,
+        prefix: dutyKey,
+        waitMs: 1000,
+        pauseMs: 0,
+        nowMs: clocks.steadyMs,
+        onItem() {},
+        onBatch: () => duty.noteHolder(follower.items.get(dutyKey)),
+    });
+    duty.noteCandidates(rank);
+    follower.start();
+    duty.start();
+    const entry: Entry = {
+        name,
+        duty,
+        isKilled: false,
+        stop() {
+            entry.isKilled = true;
+            duty.stop();
+            follower.stop();
+        },
+    };
+    world.entries.push(entry);
+}
+
+function holders(world: World): readonly Entry[] {
+    return world.entries.filter(({ duty, isKilled }) => !isKilled && duty.tenure()?.isValid() === true);
+}
+
+function holderOf(world: World): Entry {
+    const [holder] = holders(world);
+    assert.ok(holder);
+    world.tokenBefore = holder.duty.tenure()?.token ?? 0;
+    return holder;
+}
+
+async function pass(world: World, ms: number): Promise<void> {
+    for (let at = 0; at < ms; at += 20) {
+        await world.clock.advance(20);
+        world.store.expireLeases();
+    }
+}
+
+Given("{int} entry/entries", function(this: World, count: number) {
+    Array.from({ length: count }, (_, at) => addEntry(this, `entry-${at + 1}`, at));
+});
+
+When("{int} ms pass", async function(this: World, ms: number) {
+    await pass(this, ms);
+});
+
+When("the holder is killed", function(this: World) {
+    holderOf(this).stop();
+});
+
+When("the holder hands over", function(this: World) {
+    const holder = holderOf(this);
+    holder.isKilled = true;
+    void holder.duty.handOver();
+});
+
+When("the store is {string} for the holder", function(this: World, fault: StoreFault) {
+    this.store.setFault(holderOf(this).name, fault);
+});
+
+When("the machine is suspended for {int} ms", function(this: World, ms: number) {
+    this.suspendedMs += ms;
+});
+
+Then("{int} entry holds the duty", function(this: World, count: number) {
+    assert.equal(holders(this).length, count);
+});
+
+Then("no entry holds the duty", function(this: World) {
+    assert.equal(holders(this).length, 0);
+});
+
+Then("its token is higher than before", function(this: World) {
+    assert.ok((holders(this)[0]?.duty.tenure()?.token ?? 0) > this.tokenBefore);
+});
+
+Then("at no time within {int} ms do two entries hold the duty", async function(this: World, ms: number) {
+    for (let at = 0; at < ms; at += 20) {
+        await pass(this, 20);
+        assert.ok(holders(this).length <= 1);
+    }
+    assert.equal(holders(this).length, 1);
+});
--- /dev/null
+++ b/src/logging/test/logging.steps.ts
@@ -0,0 +1,75 @@
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { Writable } from "node:stream";
+import { createLineSink, type LineSink } from "../createLineSink";
+
+interface World {
+    sink: LineSink;
+    written: string;
+}
+
+After(function(this: World) {
+    this.sink.close();
+});
+
+function createSink(world: World, output: Writable): void {
+    world.written = "";
+    world.sink = createLineSink({ output, linesPerSecond: 10, isUnbounded: (kind) => kind === "duty" });
+}
+
+Given("a sink that takes {int} lines of a kind a second", function(this: World, _count: number) {
+    createSink(
+        this,
+        new Writable({
+            write: (chunk, _encoding, done) => {
+                this.written += String(chunk);
+                done();
+            },
+        }),
+    );
+});
+
+Given("a sink whose reader has stopped", function(this: World) {
+    createSink(
+        this,
+        new Writable({
+            write: (chunk) => {
+                // The chunk is never reported as written, as with a full pipe.
+                this.written += String(chunk);
+            },
+        }),
+    );
+});
+
+When(
+    "{int} lines of {string} and {int} line(s) of {string} come",
+    function(this: World, count: number, kind: string, others: number, other: string) {
+        const kinds = [...Array.from({ length: count }, () => kind), ...Array.from({ length: others }, () => other)];
+        for (const [at, each] of kinds.entries()) {
+            if (this.sink.take(each)) {
+                this.sink.stream.write(`${each} line\n`);
+            }
+            if (at % 1000 === 0) {
+                this.sink.flush();
+            }
+        }
+        this.sink.flush();
+    },
+);
+
+Then("{int} lines are written", function(this: World, count: number) {
+    assert.equal(this.written.split("\n").filter((line) => line.endsWith(" line")).length, count);
+});
+
+Then("{int} lines are counted as left out", function(this: World, count: number) {
+    assert.equal(this.sink.dropped(), count);
+    assert.ok(this.written.includes("\"lines\":90"));
+});
+
+Then("at most {int} KB wait", function(this: World, most: number) {
+    assert.ok(this.written.length < most * 1024, `${this.written.length} bytes`);
+});
+
+Then("lines are counted as left out", function(this: World) {
+    assert.ok(this.sink.dropped() > 0);
+});
--- /dev/null
+++ b/src/store/test/store.feature
@@ -0,0 +1,68 @@
+Feature: The platform's store, followed and reached through others
+
+    Scenario: a prefix is followed
+        Given a follower of "a/"
+        When "a/1" is written as "x"
+        And "b/1" is written as "y"
+        And 50 ms pass
+        Then the follower has "a/1=x"
+
+    Scenario: a key that was removed while the history was lost
+        The store drops its history, and a key goes in the gap. A follower that only reads on from where the store is now
+        would keep it for good, such as a worker that has left.
+
+        Given "a/1" is written as "x"
+        And a follower of "a/"
+        When 50 ms pass
+        And "a/1" is removed without a trace
+        And 100 ms pass
+        Then the follower has ""
+
+    Scenario: how old a view is
+        A withdrawn key has to stop within seconds, cut off or not, so an entry has to know when its view was last right.
+
+        Given a follower of "a/"
+        When 100 ms pass
+        And the store is "silent" for "entry-1"
+        And 5000 ms pass
+        Then the view is at least 4000 ms old
+
+    Scenario: a store that turns one entry away is reached through another
+        The store refuses single instances and serves all others. Without a way around, an owner that is turned away loses
+        its duty and clients of that entry are refused, though the store works.
+
+        Given entries "entry-1" and "entry-2" with links
+        When the store is "refused" for "entry-1"
+        Then "entry-1" can write
+
+    Scenario: an entry that is turned away knows it
+        Given entries "entry-1" and "entry-2" with links
+        When the store is "refused" for "entry-1"
+        And "entry-1" writes
+        Then "entry-1" is turned away
+        And "entry-2" is not turned away
+
+    Scenario: relayed calls do not wait for the direct way
+        Each write of an owner that is cut off from the store first waited for an answer that could not come, and tasks
+        started seconds late.
+
+        Given entries "entry-1" and "entry-2" with links
+        When the store is "silent" for "entry-1"
+        And "entry-1" reads
+        Then 10 reads of "entry-1" take at most 300 ms
+
+    Scenario: an entry takes the direct way again
+        Given entries "entry-1" and "entry-2" with links
+        When the store is "refused" for "entry-1"
+        And "entry-1" writes
+        And the store is well for "entry-1"
+        And 1500 ms pass
+        Then "entry-1" is not turned away
+
+    Scenario: a write whose answer was lost is not sent a second way
+        Its sender alone knows whether that is safe.
+
+        Given entries "entry-1" and "entry-2" with links
+        When the store is "answerLost" for "entry-1"
+        Then a write of "entry-1" ends as "unknown"
+        And "entry-2" has made no call
--- /dev/null
+++ b/src/store/test/store.steps.ts
@@ -0,0 +1,141 @@
+import { After, Before, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { type Clock, installClock } from "../../../standins/dispatch";
+import { createFakeNetwork } from "../../../standins/fakes";
+import { createFakeStore, type FakeStore, type StoreFault } from "../../../standins/scheduling";
+import { createFollower, createRelayedStore, type Follower, type RelayedStore } from "../index";
+
+interface World {
+    clock: Clock;
+    store: FakeStore;
+    follower: Follower | undefined;
+    entries: Map<string, RelayedStore>;
+}
+
+Before(function(this: World) {
+    this.clock = installClock();
+    this.store = createFakeStore();
+    this.entries = new Map();
+    this.follower = undefined;
+});
+
+After(function(this: World) {
+    this.follower?.stop();
+    this.clock.uninstall();
+});
+
+Given("a follower of {string}", function(this: World, prefix: string) {
+    this.follower = createFollower({
+        store: this.store.connect("entry-1"),
+        prefix,
+        waitMs: 1000,
+        pauseMs: 0,
+        nowMs: () => performance.now(),
+        onItem() {},
+    });
+    this.follower.start();
+});
+
+Given("entries {string} and {string} with links", async function(this: World, first: string, second: string) {
+    const network = createFakeNetwork();
+    for (const boot of [first, second]) {
+        const peer = { boot, instance: boot, region: "r", zone: "z", peerUrl: `ws://${boot}` };
+        const peers = network.connect(peer);
+        await peers.start();
+        const direct = this.store.connect(boot);
+        this.entries.set(boot, createRelayedStore({ direct, peers, nowMs: () => performance.now() }));
+    }
+});
+
+When("{string} is written as {string}", function(this: World, key: string, text: string) {
+    this.store.put(key, text);
+});
+
+When("{string} is removed without a trace", function(this: World, key: string) {
+    this.store.setFault("entry-1", "silent");
+    this.store.remove(key);
+    this.store.forgetHistory();
+    this.store.setFault("entry-1", undefined);
+});
+
+When("{int} ms pass", async function(this: World, ms: number) {
+    await this.clock.advance(ms);
+});
+
+When("the store is {string} for {string}", function(this: World, fault: StoreFault, entry: string) {
+    this.store.setFault(entry, fault);
+});
+
+When("the store is well for {string}", function(this: World, entry: string) {
+    this.store.setFault(entry, undefined);
+});
+
+Then("the follower has {string}", function(this: World, expected: string) {
+    const items = [...this.follower?.items.values() ?? []].map(({ key, text }) => `${key}=${text}`);
+    assert.equal(items.join(" "), expected);
+});
+
+Then("the view is at least {int} ms old", function(this: World, ms: number) {
+    assert.ok(performance.now() - (this.follower?.freshAtMs() ?? 0) >= ms);
+});
+
+/** Lets the clock run until a call has ended; gives the time that it took. */
+async function finish<T>(world: World, call: Promise<T>): Promise<{ readonly result: T; readonly tookMs: number; }> {
+    const begunAtMs = performance.now();
+    let ended: { result: T; } | undefined;
+    void call.then((result) => ended = { result });
+    for (let waitedMs = 0; ended === undefined && waitedMs < 10_000; waitedMs += 5) {
+        await world.clock.advance(5);
+    }
+    assert.ok(ended);
+    return { result: ended.result, tookMs: performance.now() - begunAtMs };
+}
+
+function entryOf(world: World, name: string): RelayedStore {
+    const entry = world.entries.get(name);
+    assert.ok(entry);
+    return entry;
+}
+
+function write(world: World, name: string) {
+    return finish(world, entryOf(world, name).commit({ conditions: [], puts: [{ key: "k", text: "v" }], deletes: [] }));
+}
+
+Then("{string} can write", async function(this: World, name: string) {
+    assert.equal((await write(this, name)).result.kind, "committed");
+});
+
+When("{string} writes", async function(this: World, name: string) {
+    await write(this, name);
+});
+
+When("{string} reads", async function(this: World, name: string) {
+    await finish(this, entryOf(this, name).read("k"));
+});
+
+Then("a write of {string} ends as {string}", async function(this: World, name: string, kind: string) {
+    assert.equal((await write(this, name)).result.kind, kind);
+});
+
+Then("{string} has made no call", function(this: World, name: string) {
+    assert.equal(this.store.calls(name), 0);
+});
+
+Then("{string} is turned away", function(this: World, name: string) {
+    assert.equal(entryOf(this, name).isTurnedAway(), true);
+});
+
+Then("{string} is not turned away", function(this: World, name: string) {
+    assert.equal(entryOf(this, name).isTurnedAway(), false);
+});
+
+Then(
+    "{int} reads of {string} take at most {int} ms",
+    async function(this: World, count: number, name: string, ms: number) {
+        let totalMs = 0;
+        for (let at = 0; at < count; at++) {
+            totalMs += (await finish(this, entryOf(this, name).read("k"))).tookMs;
+        }
+        assert.ok(totalMs <= ms, `${totalMs} ms`);
+    },
+);
--- /dev/null
+++ b/src/submissions/test/submissions.steps.ts
@@ -0,0 +1,155 @@
+import { After, Before, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { type Clock, installClock } from "../../../standins/dispatch";
+import { createFakeStore, type FakeStore, plainPolicy, plainStep, type StoreFault } from "../../../standins/scheduling";
+import type { Policy } from "../../policy";
+import { createDoor, createRecordWriter, decodeRecord, type Door, type Step, submissionKey } from "../index";
+
+interface World {
+    clock: Clock;
+    store: FakeStore;
+    door: Door;
+    policy: Policy | undefined;
+    ageMs: number | undefined;
+    answers: { readonly kind: string; readonly state?: string; }[];
+}
+
+const id = "5c0e7a21d94b36f8";
+
+Before(function(this: World) {
+    this.clock = installClock();
+    this.store = createFakeStore();
+    this.policy = plainPolicy;
+    this.ageMs = 100;
+    this.answers = [];
+    const store = this.store.connect("entry-1");
+    const steadyMs = () => performance.now();
+    this.door = createDoor({
+        policySource: { policy: () => this.policy, ageMs: () => this.ageMs },
+        store,
+        writer: createRecordWriter(store, steadyMs),
+        owner: { findState: () => Promise.resolve(undefined), countPending: () => Promise.resolve(undefined) },
+        report() {},
+        steadyMs,
+        revokeMs: 5000,
+    });
+});
+
+After(function(this: World) {
+    this.clock.uninstall();
+});
+
+function callOf(path: string, key: string) {
+    return { requestId: id, host: "stalls.example", path, key, timeoutMs: 3000 };
+}
+
+function requestOf(steps: readonly Partial<Step>[], name = id) {
+    return {
+        id: name,
+        payload: "payload",
+        steps: steps.map((step) => ({ ...plainStep, ...step })),
+        schedule: { repeats: 0, startAtMs: 0, intervalMs: 0 },
+    };
+}
+
+async function finish(world: World, call: Promise<{ readonly kind: string; }>): Promise<void> {
+    let isOver = false;
+    void call.then((answer) => {
+        world.answers.push(answer);
+        isOver = true;
+    });
+    for (let waitedMs = 0; !isOver && waitedMs < 10_000; waitedMs += 10) {
+        await world.clock.advance(10);
+    }
+}
+
+function handIn(world: World, path = `/stalls/${id}`, key = "key-1", steps: readonly Partial<Step>[] = [{}]) {
+    return finish(world, world.door.accept(callOf(path, key), requestOf(steps)));
+}
+
+Given("the store is {string}", function(this: World, fault: StoreFault) {
+    this.store.setFault("entry-1", fault);
+});
+
+Given("the configuration was confirmed {int} ms ago", function(this: World, ageMs: number) {
+    this.ageMs = ageMs;
+});
+
+Given("there is no configuration", function(this: World) {
+    this.policy = undefined;
+});
+
+When("a submission is handed in", async function(this: World) {
+    await handIn(this);
+});
+
+When("it is handed in again", async function(this: World) {
+    await handIn(this);
+});
+
+When("a submission is handed in, and the store is well after {int} ms", async function(this: World, ms: number) {
+    setTimeout(() => this.store.setFault("entry-1", undefined), ms);
+    await handIn(this);
+});
+
+When("a submission is handed in at {string}", async function(this: World, prefix: string) {
+    await handIn(this, prefix + id);
+});
+
+When("a submission is handed in with the key {string}", async function(this: World, key: string) {
+    await handIn(this, `/stalls/${id}`, key);
+});
+
+When("a submission is handed in whose first step waits for the second", async function(this: World) {
+    await handIn(this, `/stalls/${id}`, "key-1", [{ after: [1] }, {}]);
+});
+
+When("{int} submissions are handed in at once", async function(this: World, count: number) {
+    const names = Array.from({ length: count }, (_, at) => at.toString(16).padStart(16, "0"));
+    const calls = names.map(async (name) => {
+        this.answers.push(await this.door.accept(callOf(`/stalls/${name}`, "key-1"), requestOf([{}], name)));
+    });
+    await finish(this, Promise.all(calls).then(() => ({ kind: "accepted" })));
+});
+
+When("it is cancelled", async function(this: World) {
+    await finish(this, this.door.cancel(callOf(`/stalls/${id}`, "key-1"), id));
+});
+
+When("a submission that nobody handed in is cancelled", async function(this: World) {
+    await finish(this, this.door.cancel(callOf(`/stalls/${id}`, "key-1"), id));
+});
+
+When("its state is asked for", async function(this: World) {
+    await finish(this, this.door.state(callOf(`/stalls/${id}`, "key-1"), id));
+});
+
+Then("the answer is {string}", function(this: World, kind: string) {
+    assert.equal(this.answers.at(-1)?.kind, kind);
+});
+
+Then("the state is {string}", function(this: World, state: string) {
+    assert.equal(this.answers.at(-1)?.state, state);
+});
+
+Then("all are accepted", function(this: World) {
+    assert.equal(this.answers.length, 41);
+    assert.ok(this.answers.every(({ kind }) => kind === "accepted"));
+});
+
+Then("the store has had at most {int} calls", function(this: World, count: number) {
+    assert.ok(this.store.calls("entry-1") <= count, String(this.store.calls("entry-1")));
+});
+
+Then("the submission is in the store", function(this: World) {
+    assert.ok(this.store.get(submissionKey(id)));
+});
+
+Then("the submission is not in the store", function(this: World) {
+    assert.equal(this.store.get(submissionKey(id)), undefined);
+});
+
+Then("the submission is stored as cancelled", function(this: World) {
+    const record = decodeRecord(this.store.get(submissionKey(id))?.text ?? "");
+    assert.ok(record?.kind === "open" && record.isCancelled);
+});
