fix(runs): leases of an earlier owner bound a worker that is cut off; a lost store refuses at once

A worker was cut off right after a change of owners. The new owner had reached it once and went by its own grants; the one before had granted up to a second more, since a lease was counted from the latest that the worker's clock could show, and a look waits a second.

Ruled out: the bound for workers never reached (5.6 s, held); late orders.

Change: at first contact the earlier owner's longest grant is assumed; leases go by the earliest that the clock can show. A submission is refused at once while the store is known to be lost. What each pool needs stands in a file of its own.

--- a/src/policy/createPolicyFeed.ts
+++ b/src/policy/createPolicyFeed.ts
@@ -24,6 +24,8 @@
     waves(): readonly Wave[];
     /** Every version accepted longer ago than this is in force here; `undefined` before the first answer. */
     ageMs(): number | undefined;
+    /** The store has stopped answering, also through other entries. */
+    isStoreLost(): boolean;
     start(): void;
     stop(): void;
 }
@@ -39,6 +41,7 @@
 export function createPolicyFeed(opts: PolicyFeedOptions): PolicyFeed {
     let policy: Policy | undefined;
     const waves = new Map<string, Wave>();
+    let isStoreLost = false;
 
     function take(key: string, text: string): void {
         const wave = opts.decoder.decodeWave(key, text);
@@ -72,8 +75,14 @@
             }
         },
         onBatch: () => opts.onChange?.(),
-        onLost: (detail) => opts.report({ kind: "dependency", name: "store", state: "lost", detail }),
-        onRegained: () => opts.report({ kind: "dependency", name: "store", state: "regained", detail: "" }),
+        onLost(detail) {
+            isStoreLost = true;
+            opts.report({ kind: "dependency", name: "store", state: "lost", detail });
+        },
+        onRegained() {
+            isStoreLost = false;
+            opts.report({ kind: "dependency", name: "store", state: "regained", detail: "" });
+        },
     });
 
     return {
@@ -83,6 +92,7 @@
             const freshAtMs = follower.freshAtMs();
             return freshAtMs === undefined ? undefined : opts.clocks.suspendAwareMs() - freshAtMs;
         },
+        isStoreLost: () => isStoreLost,
         start: () => follower.start(),
         stop: () => follower.stop(),
     };
--- a/src/runs/createLooks.ts
+++ b/src/runs/createLooks.ts
@@ -3,7 +3,7 @@
 import type { Reporter } from "../logging";
 import { type Board, findTask, type Run, type SubmissionEntry, type Worker } from "../schedule";
 import type { EndRow, LookResult, RunningRow, TaskWorkers } from "./taskWorkers";
-import { earliestWorkerMs, latestWorkerMs, longestMs, noteClock } from "./workerClock";
+import { earliestWorkerMs, longestMs, noteClock } from "./workerClock";
 
 export interface LooksOptions {
     readonly api: TaskWorkers;
@@ -88,13 +88,17 @@
         await applyLook(worker, result, sentAtMs);
     }
 
-    /** A worker that does not answer gets no longer lease, so that the time at which all there has ended comes nearer. */
+    /**
+     * A worker that does not answer gets no longer lease, so that the time at which all there has ended comes nearer. The
+     * lease goes by the earliest that its clock can show: by the latest it would run up to a look's wait longer, and the
+     * next owner could not bound it.
+     */
     function chooseLease(worker: Worker, nowMs: number): number | undefined {
-        const workerMs = latestWorkerMs(worker, nowMs);
+        const workerMs = earliestWorkerMs(worker, nowMs);
         if (workerMs === undefined || !worker.isReachable) {
             return undefined;
         }
-        const leaseUntilMs = workerMs + leaseMs;
+        const leaseUntilMs = Math.floor(workerMs + leaseMs);
         worker.leaseUntilWorkerMs = Math.max(worker.leaseUntilWorkerMs, leaseUntilMs);
         return leaseUntilMs;
     }
@@ -158,6 +162,12 @@
             return;
         }
         noteClock(worker, result.workerMs, sentAtMs, clocks.steadyMs());
+        if (!worker.isHeld) {
+            // The owner before may have granted more than this one will for a while. Without this, a worker that is cut
+            // off right after a change of owners would be taken for empty while it still runs what it had.
+            const earlierUntilMs = result.workerMs + leaseMs + earlierOrdersMs;
+            worker.leaseUntilWorkerMs = Math.max(worker.leaseUntilWorkerMs, earlierUntilMs);
+        }
         if (!worker.isReachable) {
             worker.isReachable = true;
             opts.report({ kind: "dependency", name: `worker ${worker.id}`, state: "regained", detail: "" });
--- a/src/scheduler/createFleetKeeper.ts
+++ b/src/scheduler/createFleetKeeper.ts
@@ -14,9 +14,9 @@
     type PoolDemand,
 } from "../machines";
 import type { Policy, Wave } from "../policy";
-import { type Board, groupByPool, isOpen, routeOf, type Run, waitingCpuMillis, type Worker } from "../schedule";
+import { type Board, groupByPool, isOpen, type Run, type Worker } from "../schedule";
 import { chooseEvacuations } from "./chooseEvacuations";
-import { unplaceableCpuMillis } from "./findUnplaceable";
+import { measureDemand, sumRoom } from "./measureDemand";
 
 export interface FleetKeeperOptions {
     readonly board: Board;
@@ -68,9 +68,6 @@
 /** How often the room of each pool is logged, in milliseconds. */
 const reportMs = 1000;
 
-/** A pool's machines are left to it for this long after its first work, in milliseconds: its turn may just begin. */
-const knownAfterMs = 6000;
-
 interface Journey {
     readonly toPool: string;
     readonly workerBefore: string | undefined;
@@ -179,40 +176,9 @@
         return idle;
     }
 
-    function measureDemand(policy: Policy): readonly PoolDemand[] {
-        const pools = groupByPool(board);
-        const waiting = new Map<string, number>();
-        const unplaceable = new Map<string, number>();
-        const nowMs = clocks.steadyMs();
-        for (const entry of board.submissions.values()) {
-            const pool = routeOf(policy, entry.submission).service;
-            if (entry.ending === undefined) {
-                waiting.set(pool, (waiting.get(pool) ?? 0) + waitingCpuMillis(entry));
-                const stuck = unplaceableCpuMillis(entry, pools.get(pool) ?? [], nowMs);
-                unplaceable.set(pool, (unplaceable.get(pool) ?? 0) + stuck);
-            }
-        }
-        return [...policy.services.values()].map(({ name, isStandby }) => {
-            const free = (pools.get(name) ?? []).filter(isOpen)
-                .reduce((sum, { capacity, used }) => sum + Math.max(0, capacity.cpuMillis - used.cpuMillis), 0);
-            const coming = [...journeys].filter(([, journey]) => journey.toPool === name)
-                .reduce((sum, [id]) => sum + (machines.get(id)?.capacity.cpuMillis ?? 0), 0);
-            const offeredCpuMillis = opts.meter.offeredCpuMillis(name, nowMs);
-            if (offeredCpuMillis > 0 && !firstDemandAtMs.has(name)) {
-                firstDemandAtMs.set(name, nowMs);
-            }
-            return {
-                pool: name,
-                isStandby,
-                waitingCpuMillis: waiting.get(name) ?? 0,
-                unplaceableCpuMillis: unplaceable.get(name) ?? 0,
-                offeredCpuMillis,
-                busyCpuMillis: 1000 * sumRoom(pools.get(name) ?? []).shortCores,
-                freeCpuMillis: free,
-                comingCpuMillis: coming,
-                isKnown: nowMs - (firstDemandAtMs.get(name) ?? nowMs) > knownAfterMs,
-            };
-        });
+    function comingCpuMillis(pool: string): number {
+        return [...journeys].filter(([, journey]) => journey.toPool === pool)
+            .reduce((sum, [id]) => sum + (machines.get(id)?.capacity.cpuMillis ?? 0), 0);
     }
 
     function reportRoom(demand: readonly PoolDemand[]): void {
@@ -222,14 +188,18 @@
         }
         reportedAtMs = nowMs;
         const pools = groupByPool(board);
-        for (const { pool, isStandby, waitingCpuMillis: waiting, comingCpuMillis } of demand) {
+        for (const { pool, isStandby, waitingCpuMillis, comingCpuMillis: coming } of demand) {
+            const room = sumRoom(pools.get(pool) ?? []);
             if (!isStandby) {
                 opts.report({
                     kind: "room",
                     pool,
-                    ...sumRoom(pools.get(pool) ?? []),
-                    waitingCores: toCores(waiting),
-                    comingCores: toCores(comingCpuMillis),
+                    workers: room.workers,
+                    cores: toCores(room.cpuMillis),
+                    longRunningCores: toCores(room.longRunningCpuMillis),
+                    shortCores: toCores(room.shortCpuMillis),
+                    waitingCores: toCores(waitingCpuMillis),
+                    comingCores: toCores(coming),
                 });
             }
         }
@@ -398,7 +368,14 @@
             const begun = orders.begun(wave.wave);
             wave.machines.filter((id) => !begun.has(id) && emptyingSince.has(id)).forEach((id) => wanted.add(id));
         }
-        const demand = measureDemand(policy);
+        const demand = measureDemand({
+            board,
+            policy,
+            meter: opts.meter,
+            nowMs: clocks.steadyMs(),
+            comingCpuMillis,
+            firstDemandAtMs,
+        });
         reportRoom(demand);
         const moves = chooseMoves({
             pools: demand,
@@ -435,21 +412,3 @@
 function toCores(cpuMillis: number): number {
     return Math.round(cpuMillis / 1000);
 }
-
-function sumRoom(workers: readonly Worker[]) {
-    let [cores, longRunningCores, shortCores] = [0, 0, 0];
-    for (const { capacity, runs } of workers) {
-        cores += capacity.cpuMillis;
-        for (const { task: { step } } of runs) {
-            const cpuMillis = step.isFiller ? 0 : step.size.cpuMillis;
-            longRunningCores += step.isLongRunning ? cpuMillis : 0;
-            shortCores += step.isLongRunning ? 0 : cpuMillis;
-        }
-    }
-    return {
-        workers: workers.length,
-        cores: toCores(cores),
-        longRunningCores: toCores(longRunningCores),
-        shortCores: toCores(shortCores),
-    };
-}
--- /dev/null
+++ b/src/scheduler/measureDemand.ts
@@ -0,0 +1,71 @@
+import type { DemandMeter, PoolDemand } from "../machines";
+import type { Policy } from "../policy";
+import { type Board, groupByPool, isOpen, routeOf, waitingCpuMillis, type Worker } from "../schedule";
+import { unplaceableCpuMillis } from "./findUnplaceable";
+
+export interface DemandOptions {
+    readonly board: Board;
+    readonly policy: Policy;
+    readonly meter: DemandMeter;
+    readonly nowMs: number;
+    /** Processors of machines on their way to a pool, in thousandths. */
+    readonly comingCpuMillis: (pool: string) => number;
+    /** When work first arrived for a pool; filled in here. */
+    readonly firstDemandAtMs: Map<string, number>;
+}
+
+/** A pool's machines are left to it for this long after its first work, in milliseconds: its turn may just begin. */
+const knownAfterMs = 6000;
+
+/** What each pool needs and has. */
+export function measureDemand(opts: DemandOptions): readonly PoolDemand[] {
+    const { board, policy, nowMs } = opts;
+    const pools = groupByPool(board);
+    const waiting = new Map<string, { cpuMillis: number; unplaceable: number; }>();
+    for (const entry of board.submissions.values()) {
+        if (entry.ending === undefined) {
+            const pool = routeOf(policy, entry.submission).service;
+            const known = waiting.get(pool) ?? { cpuMillis: 0, unplaceable: 0 };
+            known.cpuMillis += waitingCpuMillis(entry);
+            known.unplaceable += unplaceableCpuMillis(entry, pools.get(pool) ?? [], nowMs);
+            waiting.set(pool, known);
+        }
+    }
+    return [...policy.services.values()].map(({ name, isStandby }) => {
+        const offeredCpuMillis = opts.meter.offeredCpuMillis(name, nowMs);
+        if (offeredCpuMillis > 0 && !opts.firstDemandAtMs.has(name)) {
+            opts.firstDemandAtMs.set(name, nowMs);
+        }
+        const workers = pools.get(name) ?? [];
+        return {
+            pool: name,
+            isStandby,
+            waitingCpuMillis: waiting.get(name)?.cpuMillis ?? 0,
+            unplaceableCpuMillis: waiting.get(name)?.unplaceable ?? 0,
+            offeredCpuMillis,
+            busyCpuMillis: sumRoom(workers).shortCpuMillis,
+            freeCpuMillis: sumFree(workers),
+            comingCpuMillis: opts.comingCpuMillis(name),
+            isKnown: nowMs - (opts.firstDemandAtMs.get(name) ?? nowMs) > knownAfterMs,
+        };
+    });
+}
+
+function sumFree(workers: readonly Worker[]): number {
+    return workers.filter(isOpen)
+        .reduce((sum, { capacity, used }) => sum + Math.max(0, capacity.cpuMillis - used.cpuMillis), 0);
+}
+
+/** Processors of a pool's workers, and who uses them, in thousandths. */
+export function sumRoom(workers: readonly Worker[]) {
+    let [cpuMillis, longRunningCpuMillis, shortCpuMillis] = [0, 0, 0];
+    for (const { capacity, runs } of workers) {
+        cpuMillis += capacity.cpuMillis;
+        for (const { task: { step } } of runs) {
+            const used = step.isFiller ? 0 : step.size.cpuMillis;
+            longRunningCpuMillis += step.isLongRunning ? used : 0;
+            shortCpuMillis += step.isLongRunning ? 0 : used;
+        }
+    }
+    return { workers: workers.length, cpuMillis, longRunningCpuMillis, shortCpuMillis };
+}
--- a/src/submissions/createDoor.ts
+++ b/src/submissions/createDoor.ts
@@ -39,6 +39,9 @@
 /** Clients come back when the store may have recovered: its outages last seconds. */
 const storeRetryAfterMs = 1000;
 
+/** Pause before a read that got no answer is made again, in milliseconds. */
+const storeRetryMs = 150;
+
 /** How long a count may be reused, in milliseconds; it may be 2 s old as a whole. */
 const countReuseMs = 500;
 
@@ -176,6 +179,15 @@
             if (fault !== undefined) {
                 return log<AcceptResult>(call, "accept", request.id, { kind: "invalid", detail: fault });
             }
+            if (policySource.isStoreLost()) {
+                // Tried all the same, the client would wait out its time and hear that the outcome is not known.
+                return log<AcceptResult>(
+                    call,
+                    "accept",
+                    request.id,
+                    unavailable("the store does not answer this entry"),
+                );
+            }
             const submission = toSubmission(request, admitted);
             return log(call, "accept", request.id, await storeSubmission(call, admitted.route, submission));
         },
@@ -217,9 +229,6 @@
     };
 }
 
-/** Pause before a read that got no answer is made again, in milliseconds. */
-const storeRetryMs = 150;
-
 function unavailable(detail: string): Refusal {
     return { kind: "storeUnavailable", detail, retryAfterMs: storeRetryAfterMs };
 }
--- a/src/submissions/door.ts
+++ b/src/submissions/door.ts
@@ -42,6 +42,8 @@
 export interface PolicySource {
     policy(): Policy | undefined;
     ageMs(): number | undefined;
+    /** The store has stopped answering, also through other entries. */
+    isStoreLost(): boolean;
 }
 
 /** Takes clients' requests about submissions. */
--- a/src/submissions/test/submissions.feature
+++ b/src/submissions/test/submissions.feature
@@ -44,6 +44,16 @@
         When a submission is handed in
         Then the answer is "unknown"
 
+    Scenario: a store that is known to be lost
+        The entry's zone is cut off. A client that is kept waiting until its time is over could have gone elsewhere.
+
+        Given the store is "silent"
+        And the store has been lost
+        When a submission is handed in
+        Then the answer is "storeUnavailable"
+        And the answer came within 50 ms
+        And the submission is not in the store
+
     Scenario: an unknown queue
         When a submission is handed in at "/none/"
         Then the answer is "noRoute"
--- a/src/submissions/test/submissions.steps.ts
+++ b/src/submissions/test/submissions.steps.ts
@@ -11,6 +11,8 @@
     door: Door;
     policy: Policy | undefined;
     ageMs: number | undefined;
+    isStoreLost: boolean;
+    askedAtMs: number;
     answers: { readonly kind: string; readonly state?: string; }[];
 }
 
@@ -21,11 +23,12 @@
     this.store = createFakeStore();
     this.policy = plainPolicy;
     this.ageMs = 100;
+    this.isStoreLost = false;
     this.answers = [];
     const store = this.store.connect("entry-1");
     const steadyMs = () => performance.now();
     this.door = createDoor({
-        policySource: { policy: () => this.policy, ageMs: () => this.ageMs },
+        policySource: { policy: () => this.policy, ageMs: () => this.ageMs, isStoreLost: () => this.isStoreLost },
         store,
         writer: createRecordWriter(store, steadyMs),
         owner: { findState: () => Promise.resolve(undefined), countPending: () => Promise.resolve(undefined) },
@@ -75,6 +78,15 @@
     this.ageMs = ageMs;
 });
 
+Given("the store has been lost", function(this: World) {
+    this.isStoreLost = true;
+    this.askedAtMs = performance.now();
+});
+
+Then("the answer came within {int} ms", function(this: World, ms: number) {
+    assert.ok(performance.now() - this.askedAtMs <= ms);
+});
+
 Given("there is no configuration", function(this: World) {
     this.policy = undefined;
 });
--- a/standins/scheduling/createFakeTaskWorkers.ts
+++ b/standins/scheduling/createFakeTaskWorkers.ts
@@ -14,6 +14,8 @@
 export type WorkerFault =
     /** No call arrives. */
     | "cut"
+    /** No call arrives, and the caller is told so at once. */
+    | "resetting"
     /** Orders are not answered and carried out seconds later. */
     | "late"
     /** Whatever starts fails at once. */
@@ -171,7 +173,7 @@
         extend(worker, order.leaseUntilMs);
         worker.ends = worker.ends.filter(({ number }) => number > order.ackedEnd);
         worker.ended.slice(0, order.ackedEnd).forEach((event) => event.isAcked = true);
-        while (worker.ends.length === 0 && performance.now() < endsAtMs) {
+        while (worker.ends.length === 0 && performance.now() < endsAtMs && worker.fault !== "resetting") {
             await pause(5);
         }
         const running = [...worker.runs.values()].map(({ task, run, startedAtMs, workMs }) => ({
@@ -195,6 +197,9 @@
     async function call<T>({ id }: WorkerTarget, carryOut: (worker: State) => T | Promise<T>) {
         const worker = workers.get(id);
         await pause(answerMs / 2);
+        if (worker?.fault === "resetting") {
+            return { kind: "noAnswer", detail: "the connection was reset" } as const;
+        }
         if (worker === undefined || worker.isDown || worker.fault === "cut") {
             await pause(clientTimeoutMs);
             return { kind: "noAnswer", detail: "no answer in time" } as const;
@@ -207,7 +212,7 @@
         const life = worker.bornMs;
         const result = await carryOut(worker);
         await pause(answerMs / 2);
-        return worker.bornMs === life && !worker.isDown
+        return worker.bornMs === life && !worker.isDown && !isResetting(worker)
             ? result
             : { kind: "noAnswer", detail: "the connection broke" } as const;
     }
@@ -259,6 +264,10 @@
     };
 }
 
+function isResetting({ fault }: FakeTaskWorker): boolean {
+    return fault === "resetting";
+}
+
 function pause(ms: number): Promise<void> {
     return new Promise((resolve) => setTimeout(resolve, ms));
 }
--- a/test/scheduling/scheduling.feature
+++ b/test/scheduling/scheduling.feature
@@ -65,6 +65,26 @@
         Then 1 submission is complete
         And no task ran twice
 
+    Scenario Outline: a worker is cut off right after a change of owners
+        The new owner has reached the worker once. What the owner before granted last runs longer than what the new one has
+        granted; going by its own grants alone it would start the task again while the worker still runs it.
+
+        Given 2 entries and 2 workers
+        When 1 submission of 1 task of 20000 ms comes
+        And <beforeMs> ms pass
+        And the owner is stopped
+        And 160 ms pass
+        And the worker that runs it is "resetting"
+        And 9000 ms pass
+        Then no task ran twice
+
+        Examples:
+            | beforeMs |
+            | 3000     |
+            | 3250     |
+            | 3500     |
+            | 3750     |
+
     Scenario: a worker is cut off for a moment
         Given 1 entry and 2 workers
         When 1 submission of 4 tasks of 3000 ms comes
--- a/test/scheduling/scheduling.steps.ts
+++ b/test/scheduling/scheduling.steps.ts
@@ -148,6 +148,13 @@
     this.world.workers.get(workerName(number)).fault = fault;
 });
 
+When("the worker that runs it is {string}", function(this: World, fault: WorkerFault) {
+    const workers = Array.from({ length: this.workers }, (_, at) => this.world.workers.get(workerName(at + 1)));
+    const busy = workers.find((worker) => worker.runningTasks().length > 0);
+    assert.ok(busy);
+    busy.fault = fault;
+});
+
 When("every worker is {string}", function(this: World, fault: WorkerFault) {
     for (let number = 1; number <= this.workers; number++) {
         this.world.workers.get(workerName(number)).fault = fault;
