fix(evacuation): a serving task counts as at work only when no stop of an earlier owner can be under way

The owner had a serving task stopped to empty its machine and handed over 40 ms later. The worker lists a run until its stop is over (up to 900 ms), so the next owner took it for at work and had a second task of the step stopped, where one may be away. Ruled out: the wave's cap, the count of tasks on their way, a stop carried out late (it carries a lower token). Change: a list counts for this only once the longest stop has passed since the worker was first held. Found beside it by a scenario: a start without an answer was settled by a stop, which ends a serving task that has begun; such a run is left until a list asked for after its time settles it. Both scenarios fail without the change.

--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -144,6 +144,7 @@
                 keepFinishedMs: settings.keepFinishedMs,
                 machineTurnMs: settings.machineTurnMs,
                 maintenanceMs: settings.maintenanceMs,
+                maxStopMs: settings.maxStopMs,
             },
             policy: policyFeed.policy,
             waves: policyFeed.waves,
--- a/src/runs/createLooks.ts
+++ b/src/runs/createLooks.ts
@@ -167,12 +167,14 @@
             // off right after a change of owners would be taken for empty while it still runs what it had.
             const earlierUntilMs = result.workerMs + leaseMs + earlierOrdersMs;
             worker.leaseUntilWorkerMs = Math.max(worker.leaseUntilWorkerMs, earlierUntilMs);
+            worker.heldAtMs = clocks.steadyMs();
         }
         if (!worker.isReachable) {
             worker.isReachable = true;
             opts.report({ kind: "dependency", name: `worker ${worker.id}`, state: "regained", detail: "" });
         }
         worker.isHeld = true;
+        worker.listedAtMs = sentAtMs;
         noteRunning(worker, result.running);
         const changed = applyEnds(worker, result.ended);
         dropAbsent(worker, result, sentAtMs);
--- a/src/runs/createRuns.ts
+++ b/src/runs/createRuns.ts
@@ -3,7 +3,7 @@
 import type { Reporter } from "../logging";
 import type { Run, Worker } from "../schedule";
 import type { StartResult, TaskWorkers } from "./taskWorkers";
-import { latestWorkerMs, noteClock } from "./workerClock";
+import { earliestWorkerMs, latestWorkerMs, longestMs, noteClock } from "./workerClock";
 
 export interface RunsOptions {
     readonly api: TaskWorkers;
@@ -64,7 +64,7 @@
         run.task.notBeforeMs = clocks.steadyMs() + pauseMs;
     }
 
-    function applyStart(run: Run, result: StartResult): void {
+    function applyStart(run: Run, result: StartResult, leaseUntilMs: number): void {
         const { worker } = run;
         switch (result.kind) {
             case "started":
@@ -85,12 +85,29 @@
                 opts.onLifeEnded(worker, "another life answered a start");
                 return;
             case "noAnswer":
-                worker.isReachable = false;
-                // It may have begun, or begin until its time is over. The answer to a stop settles it either way.
-                stop(run, "the start was not answered");
+                settleUnanswered(run, leaseUntilMs);
         }
     }
 
+    /**
+     * A start without an answer may have begun, or begin until its time is over. A list that shows it settles it. The
+     * answer to a stop does so as well, and sooner; but a serving task that has begun would be ended by it, while others
+     * of its step may be away. Such a run is left until a list asked for after its time shows it or does not.
+     */
+    function settleUnanswered(run: Run, leaseUntilMs: number): void {
+        if (run.seenAtMs !== undefined) {
+            return;
+        }
+        run.worker.isReachable = false;
+        if (run.task.step.maxUnavailable > 0) {
+            const nowMs = clocks.steadyMs();
+            const leftMs = leaseUntilMs - (earliestWorkerMs(run.worker, nowMs) ?? 0);
+            run.answeredAtMs = nowMs + longestMs(leftMs);
+            return;
+        }
+        stop(run, "the start was not answered");
+    }
+
     async function start(run: Run): Promise<void> {
         const { worker, task } = run;
         const nowMs = clocks.steadyMs();
@@ -117,7 +134,7 @@
         }
         orderLog(run, "start", result.kind === "refused" ? result.reason : result.kind);
         if (worker.runs.has(run)) {
-            applyStart(run, result);
+            applyStart(run, result, leaseUntilMs);
             opts.onChange();
         }
     }
--- a/src/runs/index.ts
+++ b/src/runs/index.ts
@@ -3,4 +3,4 @@
 export { createLooks, type Looks } from "./createLooks";
 export { createRuns, type Runs } from "./createRuns";
 export * from "./taskWorkers";
-export { earliestWorkerMs, latestWorkerMs, noteClock } from "./workerClock";
+export { earliestWorkerMs, latestWorkerMs, longestMs, noteClock } from "./workerClock";
--- a/src/schedule/board.ts
+++ b/src/schedule/board.ts
@@ -106,6 +106,10 @@
     isListed: boolean;
     /** It has seen this tenure's token and shown what it runs. */
     isHeld: boolean;
+    /** When this tenure was first shown what it runs, on the steady clock. */
+    heldAtMs: number;
+    /** When the latest list of what it runs was asked for, on the steady clock. */
+    listedAtMs: number;
     /** The last call was answered. */
     isReachable: boolean;
     /** Kept free of new work, to be moved or maintained. */
--- /dev/null
+++ b/src/schedule/createWorker.ts
@@ -0,0 +1,32 @@
+import type { Worker } from "./board";
+import { createOutcomes } from "./workerHealth";
+
+/** A worker of which nothing is known yet but its name and its life. */
+export function createWorker(id: string, bornMs: number): Worker {
+    return {
+        id,
+        bornMs,
+        address: "",
+        pool: "",
+        zone: "",
+        rack: "",
+        labels: [],
+        capacity: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
+        isDraining: false,
+        drainLeftMs: 0,
+        isListed: false,
+        isHeld: false,
+        heldAtMs: 0,
+        listedAtMs: 0,
+        isReachable: true,
+        isReserved: false,
+        clock: undefined,
+        leaseUntilWorkerMs: 0,
+        ackedEnd: 0,
+        runs: new Set(),
+        used: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
+        strays: 0,
+        outcomes: createOutcomes(),
+        idleSinceMs: 0,
+    };
+}
--- a/src/schedule/index.ts
+++ b/src/schedule/index.ts
@@ -1,5 +1,6 @@
 /** Decisions about work, without network or clock: what waits, in which order, and which worker takes it. */
 export * from "./board";
+export { createWorker } from "./createWorker";
 export {
     addDueOccurrences,
     addOccurrence,
@@ -19,4 +20,4 @@
 export { groupByPool, listAdviceCandidates, planStarts } from "./planStarts";
 export { routeOf } from "./routeOf";
 export { addRun, removeRun } from "./runs";
-export { createOutcomes, isSuspect, noteFailure, noteSuccess, quarantine } from "./workerHealth";
+export { isSuspect, noteFailure, noteSuccess, quarantine } from "./workerHealth";
--- a/src/schedule/test/schedule.steps.ts
+++ b/src/schedule/test/schedule.steps.ts
@@ -10,7 +10,7 @@
     type Board,
     createBoard,
     createEstimates,
-    createOutcomes,
+    createWorker,
     groupByPool,
     noteFailure,
     planCopies,
@@ -39,28 +39,14 @@
 function addWorker(world: World, cores: number): Worker {
     const id = `worker-${world.board.workers.size + 1}`;
     const worker: Worker = {
-        id,
-        bornMs: 1,
+        ...createWorker(id, 1),
         address: id,
         pool: "stalls",
         zone: "zone-a",
         rack: "r1",
-        labels: [],
         capacity: { cpuMillis: cores * 1000, memoryMb: 64_000, accelerators: 0 },
-        isDraining: false,
-        drainLeftMs: 0,
         isListed: true,
         isHeld: true,
-        isReachable: true,
-        isReserved: false,
-        clock: undefined,
-        leaseUntilWorkerMs: 0,
-        ackedEnd: 0,
-        runs: new Set(),
-        used: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
-        strays: 0,
-        outcomes: createOutcomes(),
-        idleSinceMs: 0,
     };
     world.board.workers.set(id, worker);
     return worker;
--- a/src/scheduler/applyWorkerEntry.ts
+++ b/src/scheduler/applyWorkerEntry.ts
@@ -1,33 +1,6 @@
-import { type Board, createOutcomes, type Worker } from "../schedule";
+import { type Board, createWorker, type Worker } from "../schedule";
 import type { WorkerEntry } from "./workerEntries";
 
-export function createWorker(id: string, bornMs: number): Worker {
-    return {
-        id,
-        bornMs,
-        address: "",
-        pool: "",
-        zone: "",
-        rack: "",
-        labels: [],
-        capacity: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
-        isDraining: false,
-        drainLeftMs: 0,
-        isListed: false,
-        isHeld: false,
-        isReachable: true,
-        isReserved: false,
-        clock: undefined,
-        leaseUntilWorkerMs: 0,
-        ackedEnd: 0,
-        runs: new Set(),
-        used: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
-        strays: 0,
-        outcomes: createOutcomes(),
-        idleSinceMs: 0,
-    };
-}
-
 /** Takes in a worker's entry; gives its record on the board. A new life under an old id replaces the old one. */
 export function applyWorkerEntry(
     board: Board,
--- a/src/scheduler/createFleetKeeper.ts
+++ b/src/scheduler/createFleetKeeper.ts
@@ -30,6 +30,8 @@
     readonly waves: () => readonly Wave[];
     /** How long an upkeep takes, in milliseconds. */
     readonly maintenanceMs: number;
+    /** Longest time that a stop takes on a worker, in milliseconds. */
+    readonly maxStopMs: number;
     readonly reportWave: (wave: number, isComplete: boolean) => Promise<boolean>;
     stop(run: Run, reason: string): void;
     onLifeEnded(worker: Worker, reason: string): void;
@@ -316,7 +318,7 @@
         const sinceMs = emptyingSince.get(id) ?? nowMs;
         emptyingSince.set(id, sinceMs);
         const isUrgent = nowMs - sinceMs > maxEmptyingMs;
-        for (const run of chooseEvacuations(board, worker, isUrgent, nowMs)) {
+        for (const run of chooseEvacuations(worker, { board, isUrgent, nowMs, maxStopMs: opts.maxStopMs })) {
             opts.stop(run, "its machine is due for maintenance");
         }
     }
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -11,6 +11,7 @@
     addSubmission,
     createBoard,
     createEstimates,
+    createWorker,
     groupByPool,
     isComplete,
     listAdviceCandidates,
@@ -28,7 +29,7 @@
 } from "../schedule";
 import { createFollower, type Store, type StoreItem } from "../store";
 import { decodeRecord, type FinalState, submissionPrefix, SubmissionState } from "../submissions";
-import { applyWorkerEntry, createWorker } from "./applyWorkerEntry";
+import { applyWorkerEntry } from "./applyWorkerEntry";
 import { createFleetKeeper } from "./createFleetKeeper";
 import { createPacer } from "./createPacer";
 import { createWatchdog } from "./createWatchdog";
@@ -44,6 +45,8 @@
     readonly machineTurnMs: number;
     /** How long the upkeep of a machine takes, in milliseconds. */
     readonly maintenanceMs: number;
+    /** Longest time that a stop takes on a worker, in milliseconds. */
+    readonly maxStopMs: number;
 }
 
 export interface SchedulerOptions {
@@ -207,6 +210,7 @@
         policy: opts.policy,
         waves: opts.waves,
         maintenanceMs: opts.bounds.maintenanceMs,
+        maxStopMs: opts.bounds.maxStopMs,
         reportWave: opts.reportWave,
         stop: runs.stop,
         onLifeEnded,
--- a/standins/scheduling/createFakeTaskWorkers.ts
+++ b/standins/scheduling/createFakeTaskWorkers.ts
@@ -23,7 +23,9 @@
     /** What runs does not move on. */
     | "standstill"
     /** Calls arrive, and their answers are lost. */
-    | "mute";
+    | "mute"
+    /** Starts arrive, and their answers are lost; all other calls are answered. */
+    | "muteStarts";
 
 interface FakeRun {
     readonly task: string;
@@ -59,6 +61,10 @@
     get(id: string): FakeTaskWorker;
     /** How long a task works, in milliseconds; long-running ones never end. */
     setWorkMs(find: (task: string) => number): void;
+    /** How long a stop takes, in milliseconds; the run is listed as running meanwhile. */
+    setStopMs(stopMs: number): void;
+    /** Most runs that were away at once by order: being stopped, or stopped and not started again. */
+    mostOrderedAway(): number;
     /** Moves ends and leases on; the scenario's clock calls it. */
     tick(): void;
 }
@@ -66,7 +72,7 @@
 const answerMs = 3;
 const clientTimeoutMs = 800;
 const lateMs = 2000;
-const stopMs = 200;
+const usualStopMs = 200;
 const maxLeaseMs = 6000;
 const failMs = 20;
 
@@ -86,6 +92,9 @@
     const workers = new Map<string, State>();
     const events: WorkerEvent[] = [];
     let findWorkMs: (task: string) => number = () => 500;
+    let stopMs = usualStopMs;
+    const orderedAway = new Set<string>();
+    let mostOrderedAway = 0;
 
     function note(
         worker: State,
@@ -147,6 +156,7 @@
         const run = { ...order, startedAtMs: workerMs, workMs: findWorkMs(order.task), isStopping: false };
         worker.runs.set(name, run);
         note(worker, "started", order);
+        orderedAway.delete(order.task);
         return { kind: "started", workerMs };
     }
 
@@ -160,6 +170,8 @@
         if (run !== undefined && !run.isStopping) {
             run.isStopping = true;
             run.workMs = performance.now() + stopMs;
+            orderedAway.add(task);
+            mostOrderedAway = Math.max(mostOrderedAway, orderedAway.size);
         }
         return { kind: "taken", workerMs: performance.now() };
     }
@@ -176,11 +188,11 @@
         while (worker.ends.length === 0 && performance.now() < endsAtMs && worker.fault !== "resetting") {
             await pause(5);
         }
-        const running = [...worker.runs.values()].map(({ task, run, startedAtMs, workMs }) => ({
+        const running = [...worker.runs.values()].map(({ task, run, startedAtMs }) => ({
             task,
             run,
             checkpoint: "",
-            percent: progress(worker, startedAtMs, workMs),
+            percent: progress(worker, startedAtMs, findWorkMs(task)),
             measure: 0,
         }));
         return { kind: "listed", workerMs: performance.now(), bornMs: worker.bornMs, running, ended: [...worker.ends] };
@@ -228,7 +240,14 @@
     return {
         events,
         api: {
-            start: (target, order) => call<StartResult>(target, (worker) => start(worker, order)),
+            async start(target, order) {
+                const result = await call<StartResult>(target, (worker) => start(worker, order));
+                if (workers.get(target.id)?.fault !== "muteStarts") {
+                    return result;
+                }
+                await pause(clientTimeoutMs);
+                return { kind: "noAnswer", detail: "no answer in time" };
+            },
             stop: (target, task, run, token) => call<OrderResult>(target, (worker) => stop(worker, task, run, token)),
             look: (target, order) => call<LookResult>(target, (worker) => look(worker, order)),
             pace: (target) => call<OrderResult>(target, () => ({ kind: "taken", workerMs: performance.now() })),
@@ -260,6 +279,10 @@
         setWorkMs(next) {
             findWorkMs = next;
         },
+        setStopMs(next) {
+            stopMs = next;
+        },
+        mostOrderedAway: () => mostOrderedAway,
         tick: () => workers.forEach(advance),
     };
 }
--- a/test/scheduling/scheduling.feature
+++ b/test/scheduling/scheduling.feature
@@ -269,3 +269,35 @@
         When a submission comes whose 3 tasks bear no other on their worker
         And 9000 ms pass
         Then 1 submission is complete
+
+    Scenario: the owner changes while a serving task is being stopped
+        The owner has a task stopped to take its machine down, and is stopped itself; a second wave comes then. The worker lists the task as running
+        until it has ended. Taken for at work by the next owner, a second one of its step would be stopped beside it, and
+        the users of the step would find fewer of its tasks than their operators allow.
+
+        Given 2 entries and 10 workers
+        And a stop takes 900 ms
+        When a submission comes whose 4 tasks serve on, and 1 may be away
+        And 1000 ms pass
+        And a wave over machines 1 to 1, 1 at once
+        And a task is being stopped
+        And a wave over machines 2 to 4, 3 at once
+        And the owner is stopped
+        And 20000 ms pass
+        Then each machine went down once
+        And at most 1 task was away by order at once
+
+    Scenario: the start of a serving task is not answered
+        Its worker has begun the task, and only the answer is lost. Stopped for certainty's sake while another task of its
+        step is away, it would leave the users of the step with fewer tasks than their operators allow.
+
+        Given 1 entry and 3 workers
+        When a submission comes whose 2 tasks serve on, and 1 may be away
+        And 1000 ms pass
+        And every worker is "muteStarts"
+        And the worker that runs its first task crashes
+        And 8000 ms pass
+        And every worker is well
+        And 3000 ms pass
+        Then no task was stopped
+        And 2 tasks run
--- a/test/scheduling/scheduling.steps.ts
+++ b/test/scheduling/scheduling.steps.ts
@@ -69,20 +69,35 @@
     this.world.store.slowDownRange("samphirepin/sub/", ms);
 });
 
+function startWave(world: World, first: number, last: number, maxDown: number): void {
+    const ids = Array.from({ length: world.workers }, (_, at) => `machine-${at + 1}`);
+    if (world.world.waves.length === 0) {
+        world.world.setMachines(ids.map((id, at) => ({
+            id,
+            pool: "stalls",
+            state: "up",
+            zone: "zone-a",
+            labels: [],
+            capacity: { cpuMillis: 4000, memoryMb: 16_000, accelerators: 0 },
+            workerId: workerName(at + 1),
+        })));
+    }
+    const wave = world.world.waves.length + 1;
+    // The newest first, so that a new owner looks at other machines than the owner before.
+    world.world.waves.unshift({ wave, machines: ids.slice(first - 1, last), completeByS: 20, maxDown });
+}
+
 Given("a wave over all machines, {int} at once", function(this: World, maxDown: number) {
-    const ids = Array.from({ length: this.workers }, (_, at) => `machine-${at + 1}`);
-    this.world.setMachines(ids.map((id, at) => ({
-        id,
-        pool: "stalls",
-        state: "up",
-        zone: "zone-a",
-        labels: [],
-        capacity: { cpuMillis: 4000, memoryMb: 16_000, accelerators: 0 },
-        workerId: workerName(at + 1),
-    })));
-    this.world.waves = [{ wave: 1, machines: ids, completeByS: 20, maxDown }];
+    startWave(this, 1, this.workers, maxDown);
 });
 
+When(
+    "a wave over machines {int} to {int}, {int} at once",
+    function(this: World, first: number, last: number, maxDown: number) {
+        startWave(this, first, last, maxDown);
+    },
+);
+
 When(
     "{int} submission(s) of {int} task(s) of {int} ms come(s)",
     async function(this: World, count: number, tasks: number, workMs: number) {
@@ -110,6 +125,31 @@
     this.world.submit("a".repeat(16), [{ count: 3 }, { count: 2, after: [0] }]);
 });
 
+When("a submission comes whose {int} tasks serve on, and {int} may be away", function(
+    this: World,
+    count: number,
+    maxUnavailable: number,
+) {
+    this.ids.push("d".repeat(16));
+    this.workMs.set("d".repeat(16), Number.POSITIVE_INFINITY);
+    this.world.submit("d".repeat(16), [{ count, maxUnavailable, isLongRunning: true, maxPerWorker: 1 }]);
+});
+
+Given("a stop takes {int} ms", function(this: World, ms: number) {
+    this.world.workers.setStopMs(ms);
+});
+
+When("a task is being stopped", async function(this: World) {
+    for (let waitedMs = 0; this.world.workers.mostOrderedAway() === 0 && waitedMs < 5000; waitedMs += stepMs) {
+        await pass(this, stepMs);
+    }
+});
+
+Then("at most {int} task(s) was/were away by order at once", function(this: World, most: number) {
+    const { workers } = this.world;
+    assert.ok(workers.mostOrderedAway() <= most, `${workers.mostOrderedAway()} tasks were away`);
+});
+
 When("{int} ms pass", async function(this: World, ms: number) {
     await pass(this, ms);
 });
@@ -155,6 +195,30 @@
     busy.fault = fault;
 });
 
+When("the worker that runs its first task crashes", function(this: World) {
+    const name = `${this.ids[0] ?? ""}.0.0.0`;
+    const workers = Array.from({ length: this.workers }, (_, at) => this.world.workers.get(workerName(at + 1)));
+    const busy = workers.find((worker) => worker.runningTasks().includes(name));
+    assert.ok(busy);
+    busy.crash();
+    this.world.store.remove(`workers/${busy.id}`);
+});
+
+Then("no task was stopped", function(this: World) {
+    assert.deepEqual(this.world.workers.events.filter(({ kind }) => kind === "stopped"), []);
+});
+
+Then("{int} task(s) run(s)", function(this: World, count: number) {
+    const workers = Array.from({ length: this.workers }, (_, at) => this.world.workers.get(workerName(at + 1)));
+    assert.equal(workers.flatMap((worker) => worker.runningTasks()).length, count);
+});
+
+When("every worker is well", function(this: World) {
+    for (let number = 1; number <= this.workers; number++) {
+        this.world.workers.get(workerName(number)).fault = undefined;
+    }
+});
+
 When("every worker is {string}", function(this: World, fault: WorkerFault) {
     for (let number = 1; number <= this.workers; number++) {
         this.world.workers.get(workerName(number)).fault = fault;
@@ -225,8 +289,8 @@
 });
 
 Then("each machine went down once", function(this: World) {
-    const expected = Array.from({ length: this.workers }, (_, at) => `maintain machine-${at + 1} 1`);
-    assert.deepEqual([...this.world.machineOrders].sort(), expected);
+    const expected = this.world.waves.flatMap(({ wave, machines }) => machines.map((id) => `maintain ${id} ${wave}`));
+    assert.deepEqual([...this.world.machineOrders].sort(), expected.sort());
 });
 
 Then("at most {int} machine(s) was/were down at once", function(this: World, most: number) {
