perf(machines): a wave with time left leaves machines to the pools that need them

Ruled out: the number of moves (all idle machines had been sent), the starts' delay (mended before).

--- a/src/machines/chooseMoves.ts
+++ b/src/machines/chooseMoves.ts
@@ -62,7 +62,7 @@
 const reserveCpuMillis = 12_000;
 
 /** Processors that a pool lacks (above 0) or could do without (below 0), in thousandths. */
-function findShortage(pool: PoolDemand): number {
+export function findShortage(pool: PoolDemand): number {
     const arriving = Math.max(0, pool.offeredCpuMillis - pool.busyCpuMillis);
     const wanted = pool.waitingCpuMillis + arriving - pool.freeCpuMillis;
     const stuck = pool.unplaceableCpuMillis > 0 ? Math.max(pool.unplaceableCpuMillis, shortageCpuMillis) : 0;
--- a/src/machines/chooseUpkeep.ts
+++ b/src/machines/chooseUpkeep.ts
@@ -12,6 +12,10 @@
     readonly down: ReadonlySet<string>;
     /** Runs that a machine still has; `undefined` where that is not known. */
     readonly runsOn: (machine: Machine) => number | undefined;
+    /** Whether a machine's pool can't do without it, or it is on its way to one that waits for it. */
+    readonly isNeeded: (machine: Machine) => boolean;
+    /** There is time enough to leave machines alone that are needed. */
+    readonly mayWait: boolean;
 }
 
 export interface UpkeepChoice {
@@ -28,7 +32,10 @@
  */
 const preparedAhead = 1;
 
-/** Which machines of a wave go down now, and which are to be emptied for it: empty ones first, then the least used. */
+/**
+ * Which machines of a wave go down now, and which are to be emptied for it: empty ones first, then the least used; those
+ * that are needed only when the wave has no time left to wait.
+ */
 export function chooseUpkeep(opts: UpkeepOptions): UpkeepChoice {
     const { wave, machines, begun, removed, down } = opts;
     const countRuns = (machine: Machine) => opts.runsOn(machine) ?? Number.MAX_SAFE_INTEGER;
@@ -37,6 +44,7 @@
     const sorted = open
         .map((id) => machines.get(id))
         .filter((machine): machine is Machine => machine?.state === "up")
+        .filter((machine) => !opts.mayWait || !opts.isNeeded(machine))
         .sort((a, b) => countRuns(a) - countRuns(b));
     const now = sorted.filter((machine) => opts.runsOn(machine) === 0).slice(0, room).map(({ id }) => id);
     return {
--- a/src/machines/createMachineOrders.ts
+++ b/src/machines/createMachineOrders.ts
@@ -9,6 +9,8 @@
     readonly orderedAtMs: Readonly<Record<string, number>>;
     /** Machines of each wave whose upkeep has certainly begun. */
     readonly waves: Readonly<Record<string, readonly string[]>>;
+    /** When each wave was first seen, milliseconds since 1970. */
+    readonly waveSeenAtMs?: Readonly<Record<string, number>>;
 }
 
 export type MachineOrder =
@@ -31,6 +33,8 @@
     isBlocked(machine: string): boolean;
     /** Machines of a wave whose upkeep has certainly begun. */
     begun(wave: number): ReadonlySet<string>;
+    /** When the wave was first seen, milliseconds since 1970; recorded with the next orders. */
+    waveSeenAtMs(wave: number): number;
     /** Records and sends orders; tells of each as it is answered. */
     send(
         orders: readonly MachineOrder[],
@@ -55,6 +59,7 @@
     const { store, tenure } = opts;
     let orderedAtMs = new Map<string, number>();
     const waves = new Map<string, Set<string>>();
+    const waveSeenAtMs = new Map<string, number>();
     const own = new Set<string>();
     let revision = 0;
     let saving = Promise.resolve(true);
@@ -65,6 +70,7 @@
         const record: OrdersRecord = {
             orderedAtMs: Object.fromEntries(orderedAtMs),
             waves: Object.fromEntries([...waves].map(([wave, machines]) => [wave, [...machines]])),
+            waveSeenAtMs: Object.fromEntries(waveSeenAtMs),
         };
         return JSON.stringify(record);
     }
@@ -129,6 +135,7 @@
                 const record = JSON.parse(result.item.text) as OrdersRecord;
                 revision = result.item.revision;
                 Object.entries(record.orderedAtMs).forEach(([machine, atMs]) => orderedAtMs.set(machine, atMs));
+                Object.entries(record.waveSeenAtMs ?? {}).forEach(([wave, atMs]) => waveSeenAtMs.set(wave, atMs));
                 Object.entries(record.waves).forEach(([wave, machines]) => waves.set(wave, new Set(machines)));
             }
             return true;
@@ -138,6 +145,12 @@
             return atMs !== undefined && !own.has(machine) && Date.now() - atMs < opts.turnMs + clockSkewMs;
         },
         begun: (wave) => waves.get(String(wave)) ?? new Set(),
+        waveSeenAtMs(wave) {
+            const key = String(wave);
+            const atMs = waveSeenAtMs.get(key) ?? Date.now();
+            waveSeenAtMs.set(key, atMs);
+            return atMs;
+        },
         async send(orders, onResult) {
             orders.forEach(({ machine }) => orderedAtMs.set(machine, Date.now()));
             if (!await save()) {
--- a/src/machines/test/machines.feature
+++ b/src/machines/test/machines.feature
@@ -65,3 +65,23 @@
         Given a wave over "a", "b", "c" and "d", 4 at once, with all begun but "d", which was removed
         When its next machines are chosen
         Then the wave is complete
+
+    Scenario: a wave leaves machines that are needed to their pool while it has time
+        It comes in the middle of a queue's turn. Machines taken down then are missed by those who wait; a few seconds
+        later they stand idle.
+
+        Given a wave over "a", "b", "c" and "d", 3 at once, whose pool needs "a, b", with time left
+        When its next machines are chosen
+        Then "c, d" go down now
+
+    Scenario: a wave without time left takes machines that are needed
+        Given a wave over "a", "b", "c" and "d", 4 at once, whose pool needs "a, b", without time left
+        When its next machines are chosen
+        Then "a, b, c, d" go down now
+
+    Scenario: how long a wave may wait
+        Given a wave over 4 machines, 2 at once, complete by 30 s
+        Then after 0 s with 0 machines begun it may wait
+        And after 14 s with 0 machines begun it cannot wait
+        And after 14 s with 2 machines begun it may wait
+        And after 26 s with 3 machines begun it cannot wait
--- a/src/machines/test/machines.steps.ts
+++ b/src/machines/test/machines.steps.ts
@@ -1,10 +1,12 @@
 import { Before, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import type { Wave } from "../../policy";
 import {
     chooseMoves,
     chooseUpkeep,
     createDemandMeter,
     type DemandMeter,
+    hasSlack,
     type IdleMachine,
     type Machine,
     type MoveChoice,
@@ -20,6 +22,7 @@
     nowMs: number;
     choose: () => UpkeepChoice;
     upkeep: UpkeepChoice;
+    wave?: Wave;
 }
 
 const nothing = {
@@ -148,6 +151,8 @@
     runsOn: (id: string) => number | undefined,
     begun: readonly string[] = [],
     removed: readonly string[] = [],
+    needed: readonly string[] = [],
+    mayWait = false,
 ): UpkeepChoice {
     return chooseUpkeep({
         wave: { wave: 1, machines: names, completeByS: 20, maxDown },
@@ -156,6 +161,8 @@
         removed: new Set(removed),
         down: new Set(),
         runsOn: ({ id }) => runsOn(id),
+        isNeeded: ({ id }) => needed.includes(id),
+        mayWait,
     });
 }
 
@@ -180,6 +187,32 @@
     },
 );
 
+Given(
+    "a wave over \"a\", \"b\", \"c\" and \"d\", {int} at once, whose pool needs {string}, {word} time left",
+    function(this: World, maxDown: number, needed: string, time: string) {
+        this.choose = () => choose(maxDown, () => 0, [], [], needed.split(", "), time === "with");
+    },
+);
+
+Given("a wave over 4 machines, 2 at once, complete by {int} s", function(this: World, completeByS: number) {
+    this.wave = { wave: 1, machines: names, completeByS, maxDown: 2 };
+});
+
+Then(
+    "after {int} s with {int} machine(s) begun it {word} wait",
+    function(this: World, sinceS: number, begun: number, word: string) {
+        const { wave } = this;
+        assert.ok(wave);
+        const mayWait = hasSlack({
+            wave,
+            begun: new Set(names.slice(0, begun)),
+            sinceMs: sinceS * 1000,
+            maintenanceMs: 2000,
+        });
+        assert.equal(mayWait, word === "may");
+    },
+);
+
 When("its next machines are chosen", function(this: World) {
     this.upkeep = this.choose();
 });
