refactor(platform): one client for the platform; the own interface's entries use the store as well

The entries of the own interface spoke an HTTP protocol of our own against a stand-in of our own. They now go by the store's published protocol through the one client in platform/; the port that their parts use is built over the store, with one waiting watch for all followed keys (which share a prefix for it). The list of instances is made of keys under the store's longest lease; an entry that can't renew its place stops before the lease can end.

--- a/bench/configuration/createJudge.ts
+++ b/bench/configuration/createJudge.ts
@@ -70,7 +70,7 @@
             if (revision === undefined || !entry.configuration.inForce(revision).everywhere) {
                 return;
             }
-            const recorded = fleet.platform.values.get("samphirepin/entries")?.text ?? "";
+            const recorded = fleet.platform.values.get("samphirepin/followed/entries")?.text ?? "";
             for (const other of fleet.live().filter(({ boot }) => recorded.includes(`"${boot}"`))) {
                 if ((other.configuration.state()?.revision ?? 0) < revision) {
                     violations.push(`${entry.boot} calls ${revision} in force; ${other.boot} lacks it`);
--- a/bench/configuration/createTestFleet.ts
+++ b/bench/configuration/createTestFleet.ts
@@ -8,7 +8,7 @@
 /** Small bounds, so that short schedules cut the log many times. */
 const bounds = { snapshotInterval: 4, maxLogRecords: 8, maxLogBytes: 64 * 1024, maxKeptRecords: 16 };
 
-export const logKey = "samphirepin/log";
+export const logKey = "samphirepin/followed/log";
 
 export interface TestEntry {
     readonly boot: string;
--- a/bench/configuration/measureMesh.ts
+++ b/bench/configuration/measureMesh.ts
@@ -88,7 +88,7 @@
         return entries.reduce((sum, { peers }) => sum + (peers.traffic?.().sentFrames ?? 0), 0);
     }
 
-    const log = JSON.parse(platform.values.get("samphirepin/log")?.text ?? "{}") as { records?: unknown[]; };
+    const log = JSON.parse(platform.values.get("samphirepin/followed/log")?.text ?? "{}") as { records?: unknown[]; };
     const recordBytes = JSON.stringify(log.records).length / (log.records?.length ?? 1);
     for (const { configuration, members, watcher, peers } of entries) {
         configuration.stop();
--- a/bench/overhead/startEntry.ts
+++ b/bench/overhead/startEntry.ts
@@ -14,7 +14,6 @@
 /** Starts an entry whose log lines go to a sink, so that nobody's reading of them is measured. */
 export async function startEntry(fleet: Fleet, logLevel: string, name: string): Promise<BenchEntry> {
     const [port, peerPort] = [await findFreePort(), await findFreePort()];
-    await callHttp("POST", `${fleet.platform.url}/control`, undefined, { instances: { [name]: "live" } });
     const flags = {
         instance: name,
         region: "north",
--- a/matrix/createTap.ts
+++ b/matrix/createTap.ts
@@ -33,8 +33,8 @@
 const writeKinds: readonly (readonly [string, StepEvent["kind"]])[] = [
     ["samphirepin/claims", "claimWrite"],
     ["samphirepin/limits", "limitsWrite"],
-    ["samphirepin/entries", "membersWrite"],
-    ["samphirepin/log", "logWrite"],
+    ["samphirepin/followed/entries", "membersWrite"],
+    ["samphirepin/followed/log", "logWrite"],
 ];
 
 /** Wraps the adapters of one entry and tells each step that passes through them. */
--- a/matrix/followAssignments.ts
+++ b/matrix/followAssignments.ts
@@ -2,7 +2,7 @@
 import type { FakePlatform } from "../standins/fakes";
 
 /** Key of the log at the platform. */
-const logKey = "samphirepin/log";
+const logKey = "samphirepin/followed/log";
 
 /** Keeps each instance's pool from the records that were written to the log, without the code under test. */
 export function followAssignments(platform: FakePlatform): ReadonlyMap<string, string> {
--- a/src/configuration/logValue.ts
+++ b/src/configuration/logValue.ts
@@ -3,7 +3,7 @@
 import { decodeValue } from "./encodeValue";
 
 /** Key of the log in the platform's service. */
-export const logKey = "samphirepin/log";
+export const logKey = "samphirepin/followed/log";
 
 /** How long the log may grow; the same at every entry. */
 export interface LogBounds {
--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -1,13 +1,15 @@
 import { ServiceBroker } from "moleculer";
 import { randomUUID } from "node:crypto";
 import { readFileSync } from "node:fs";
+import { createJsonCaller, createStore } from "../../platform";
 import { createCallers } from "../callers";
+import { createClocks } from "../clock";
 import { createGateway } from "../http";
 import { createReporter } from "../logging";
 import { createMetrics } from "../metrics";
 import { createOperators, operatorAliases } from "../operators";
 import { createPeers, type PeerCertificates } from "../peers";
-import { countCalls, createHttpPlatform } from "../platform";
+import { countCalls, createRegistration, createStorePlatform } from "../platform";
 import type { Settings } from "../settings";
 import { createHttpWorkers } from "../workers";
 import { createCore } from "./createCore";
@@ -21,14 +23,22 @@
 
 const workerTimeoutMs = 2000;
 
+/** Connections to the platform's store: one for the waiting watch, the others for reads and writes at once. */
+const storeConnections = 16;
+
+/** Largest value that the platform's store takes, in bytes. */
+const maxValueBytes = 1024 * 1024;
+
 /** Adds the adapters and the HTTP interfaces to the core. */
 export function createEntry(settings: Settings): Entry {
     const boot = randomUUID();
     const { instance, region, zone, host, operatorHash } = settings;
     const report = createReporter({ level: settings.logLevel, fields: { instance, boot, region, zone } });
     const metrics = createMetrics();
+    const callStore = createJsonCaller(storeConnections);
+    const store = createStore(callStore, new URL(settings.platformUrl).host, settings.platformTimeoutMs);
     const platform = countCalls(
-        createHttpPlatform({ url: settings.platformUrl, timeoutMs: settings.platformTimeoutMs }),
+        createStorePlatform({ store, maxValueBytes, close: callStore.close }),
         (call, result) => metrics.platformCalls.inc({ call, result }),
     );
     const workers = createHttpWorkers({
@@ -49,6 +59,16 @@
     const core = createCore({ settings, platform, peers, workers, report, metrics });
     const { configuration, tasks } = core;
     let isStopping = false;
+    const registration = createRegistration({
+        store,
+        instance,
+        boot,
+        clocks: createClocks(),
+        onLapsed() {
+            report({ kind: "removedFromRecord", boot });
+            void entry.stop();
+        },
+    });
 
     const broker = new ServiceBroker({ nodeID: boot, logger: false, metrics: false, tracing: false });
     broker.createService(createCallers({
@@ -93,9 +113,10 @@
         },
     }));
 
-    return {
+    const entry: Entry = {
         boot,
         async start() {
+            registration.start();
             await core.start();
             await broker.start();
             report({ kind: "started", boot, zone, region });
@@ -106,10 +127,12 @@
             await core.stop();
             await broker.stop();
             await workers.close();
+            await registration.stop();
             await platform.close();
             report({ kind: "stopped" });
         },
     };
+    return entry;
 }
 
 function readPair(certFile: string, keyFile: string): { cert: string; key: string; } {
--- a/src/members/memberRecord.ts
+++ b/src/members/memberRecord.ts
@@ -2,8 +2,8 @@
 import type { StoredValue } from "../platform";
 import type { Member } from "./members";
 
-/** Key of the record of entries in the platform's service. */
-export const membersKey = "samphirepin/entries";
+/** Key of the record of entries in the platform's service; followed keys share a prefix, and so one watch. */
+export const membersKey = "samphirepin/followed/entries";
 
 /** The value under `membersKey`. */
 export interface MemberRecord {
--- a/src/members/test/members.steps.ts
+++ b/src/members/test/members.steps.ts
@@ -19,7 +19,7 @@
     entries: Map<string, Entry>;
 }
 
-const key = "samphirepin/entries";
+const key = "samphirepin/followed/entries";
 
 Before(function(this: World) {
     this.clock = install();
--- a/src/platform/platform.ts
+++ b/src/platform/platform.ts
@@ -1,6 +1,6 @@
 import type { Either } from "purify-ts";
 
-/** One value of the key-value service. Revisions of a key start at 1 and grow with each write. */
+/** One value of the key-value service. Revisions of a key grow with each write. */
 export interface StoredValue {
     readonly text: string;
     readonly revision: number;
@@ -44,8 +44,8 @@
     /** Writes only if the key is still at `expectedRevision` (0: never written); gives the new revision. */
     compareAndSwap(key: string, expectedRevision: number, text: string): Promise<Either<SwapFailure, number>>;
     /**
-     * Removes a key; its revisions start again at 0. Only for keys that are never written with another text, such as
-     * snapshots: a late write to any other key could succeed against the wrong revision.
+     * Removes a key. Only for keys that are never written with another text, such as snapshots: a late write to any
+     * other key could succeed as if it had never been there.
      */
     remove(key: string): Promise<Either<PlatformFailure, void>>;
     /** Waits until a key passes its known revision or `waitMs` is over; gives the changed keys only. */
--- a/standins/fleet/createFleetModel.ts
+++ b/standins/fleet/createFleetModel.ts
@@ -178,7 +178,9 @@
         /** Calls the listener with each command that a client has written. */
         onCommand(listener: (client: string, command: Command) => void): void {
             platform.onWrite = (client, key, text) => {
-                const records = key === "samphirepin/log" ? JSON.parse(text).records as { command: Command; }[] : [];
+                const records = key === "samphirepin/followed/log"
+                    ? JSON.parse(text).records as { command: Command; }[]
+                    : [];
                 const newest = records.at(-1);
                 if (newest !== undefined) {
                     listener(client, newest.command);
--- a/standins/processes/startFleet.ts
+++ b/standins/processes/startFleet.ts
@@ -71,7 +71,6 @@
     async function startEntry(zone: string, ownFlags: Readonly<Record<string, string>> = {}): Promise<EntryProcess> {
         const [port, peerPort] = [await findFreePort(), await findFreePort()];
         const name = `entry-${entries.length + 1}`;
-        await callHttp("POST", `${platform.url}/control`, undefined, { instances: { [name]: "live" } });
         const flags = {
             instance: name,
             region: "north",
--- a/standins/usersPlatform/serveJson.ts
+++ b/standins/usersPlatform/serveJson.ts
@@ -18,8 +18,11 @@
     close(): void;
 }
 
-/** Serves JSON over HTTP on a free port of loopback. */
-export async function serveJson(handle: (request: JsonRequest) => Promise<JsonReply> | JsonReply): Promise<JsonServer> {
+/** Serves JSON over HTTP on loopback, on a free port where none is named. */
+export async function serveJson(
+    handle: (request: JsonRequest) => Promise<JsonReply> | JsonReply,
+    port = 0,
+): Promise<JsonServer> {
     const server = createServer((req, res) => {
         const chunks: Buffer[] = [];
         req.on("data", (chunk: Buffer) => chunks.push(chunk));
@@ -45,7 +48,7 @@
         });
     });
     server.keepAliveTimeout = 0;
-    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    await new Promise<void>((resolve) => server.listen(port, "127.0.0.1", resolve));
     return {
         address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
         close() {
--- a/standins/usersPlatform/serveStore.ts
+++ b/standins/usersPlatform/serveStore.ts
@@ -12,10 +12,10 @@
 
 /** Serves a client's way to the store by the protocol of the users' platform. */
 export function serveStore(store: Store): Promise<JsonServer> {
-    return serveJson((request) => answer(store, request));
+    return serveJson((request) => answerStoreCall(store, request));
 }
 
-async function answer(store: Store, { method, path, query, body }: JsonRequest): Promise<JsonReply> {
+export async function answerStoreCall(store: Store, { method, path, query, body }: JsonRequest): Promise<JsonReply> {
     const lease = Number(path.slice(path.lastIndexOf("/") + 1));
     switch (`${method} ${path.replace(/\/\d+$/, "/")}`) {
         case "GET /kv-key":
