fix(store): a watch that the store cuts is not taken for being turned away

Ruled out: lag (the guard's mean was low), renewals (answered). Change: after a watch without an answer a short read tells the two apart; a follower asks once more at once before it reports the store as lost. Scenarios in src/store/test; the soak cuts watches as well.

--- a/soak/createFaults.ts
+++ b/soak/createFaults.ts
@@ -123,6 +123,10 @@
             world.platform.store.forgetHistory();
             return "all of it";
         },
+        async "store cuts its watches"() {
+            world.platform.store.cutWatches();
+            return "all of them";
+        },
         async "worker"() {
             const id = pickFree(world.workerIds);
             const fault = random.pick(workerFaults);
--- a/src/duties/test/duties.steps.ts
+++ b/src/duties/test/duties.steps.ts
@@ -171,17 +171,20 @@
     assert.equal(holder?.duty.tenure()?.token, token);
 });
 
-Given("entries with cores {string} and links of {string} megabits a second", function(this: World, cores: string, mbps: string) {
-    const links = mbps.split(", ").map(Number);
-    this.candidates = cores.split(", ").map((each, at) => ({
-        boot: "abc"[at] ?? "",
-        instance: "abc"[at] ?? "",
-        region: "north",
-        zone: "zone-a",
-        peerUrl: "",
-        strength: measureStrength(Number(each), links[at] ?? 0),
-    }));
-});
+Given(
+    "entries with cores {string} and links of {string} megabits a second",
+    function(this: World, cores: string, mbps: string) {
+        const links = mbps.split(", ").map(Number);
+        this.candidates = cores.split(", ").map((each, at) => ({
+            boot: "abc"[at] ?? "",
+            instance: "abc"[at] ?? "",
+            region: "north",
+            zone: "zone-a",
+            peerUrl: "",
+            strength: measureStrength(Number(each), links[at] ?? 0),
+        }));
+    },
+);
 
 function standingOf(world: World, boot: string): Standing {
     const self = world.candidates.find((each) => each.boot === boot);
--- a/src/store/createFollower.ts
+++ b/src/store/createFollower.ts
@@ -93,7 +93,10 @@
 
     async function awaitChanges(after: number): Promise<void> {
         const sentAtMs = opts.nowMs();
-        const result = await opts.store.watch(opts.prefix, after, opts.waitMs);
+        const waited = await opts.store.watch(opts.prefix, after, opts.waitMs);
+        // A store that is well may cut a watch that waits; only one that does not answer at once either is lost.
+        const isCut = waited.kind === "unavailable" && !isLost;
+        const result = isCut ? await opts.store.watch(opts.prefix, after, 0) : waited;
         if (isStopped) {
             return;
         }
--- a/src/store/createRelayedStore.ts
+++ b/src/store/createRelayedStore.ts
@@ -81,9 +81,23 @@
         }
     }
 
+    /**
+     * The store may cut any watch that waits, as when it drops its history. Taken for being turned away, each owner would
+     * give its duty up at that moment, and all others with it; a short read tells the two apart.
+     */
+    async function checkAfterWatch(): Promise<void> {
+        const { kind } = await direct.read(probeKey);
+        noteDirect(kind, "a watch broke, and a read was not answered either");
+    }
+
     async function callDirect<R extends { kind: string; detail?: string; }>(call: RelayedCall): Promise<R> {
         const result = await callStore(direct, call) as R;
-        noteDirect(result.kind, result.detail ?? "");
+        if (call.call === "watch" && result.kind === "unavailable") {
+            await checkAfterWatch();
+        }
+        else {
+            noteDirect(result.kind, result.detail ?? "");
+        }
         return result;
     }
 
@@ -118,7 +132,7 @@
         if (!isGivenUp) {
             const result = await callDirect<R>(call);
             // An unknown write must not be sent a second way here: only its sender knows whether that is safe.
-            if (result.kind !== "unavailable") {
+            if (result.kind !== "unavailable" || call.call === "watch" && !isGivenUp) {
                 return result;
             }
             return await callPeers<R>(call) ?? result;
--- a/src/store/test/store.feature
+++ b/src/store/test/store.feature
@@ -66,3 +66,17 @@
         When the store is "answerLost" for "entry-1"
         Then a write of "entry-1" ends as "unknown"
         And "entry-2" has made no call
+
+    Scenario: the store cuts the watches that wait
+        It drops its history, or is restarted, and answers everything else. Taken for being turned away, the owner gave its
+        duty up, and entries refused what clients handed in.
+
+        Given entries "entry-1" and "entry-2" with links
+        When "entry-1" watches, and the store cuts its watches
+        Then "entry-1" is not turned away
+        And "entry-2" has made no call
+
+    Scenario: a follower goes on after its watch was cut
+        Given a follower of "k"
+        When the store cuts the follower's watch
+        Then the follower has not lost the store
--- a/src/store/test/store.steps.ts
+++ b/src/store/test/store.steps.ts
@@ -9,6 +9,7 @@
     clock: Clock;
     store: FakeStore;
     follower: Follower | undefined;
+    lost: number;
     entries: Map<string, RelayedStore>;
 }
 
@@ -17,6 +18,7 @@
     this.store = createFakeStore();
     this.entries = new Map();
     this.follower = undefined;
+    this.lost = 0;
 });
 
 After(function(this: World) {
@@ -32,10 +34,28 @@
         pauseMs: 0,
         nowMs: () => performance.now(),
         onItem() {},
+        onLost: () => this.lost++,
     });
     this.follower.start();
 });
 
+When("the store cuts the follower's watch", async function(this: World) {
+    await this.clock.advance(100);
+    this.store.cutWatches();
+    await this.clock.advance(300);
+});
+
+Then("the follower has not lost the store", function(this: World) {
+    assert.equal(this.lost, 0);
+});
+
+When("{string} watches, and the store cuts its watches", async function(this: World, name: string) {
+    const watching = entryOf(this, name).watch("k", 10, 2000);
+    await this.clock.advance(100);
+    this.store.cutWatches();
+    assert.equal((await finish(this, watching)).result.kind, "unavailable");
+});
+
 Given("entries {string} and {string} with links", async function(this: World, first: string, second: string) {
     const network = createFakeNetwork();
     for (const boot of [first, second]) {
--- a/standins/scheduling/createFakeStore.ts
+++ b/standins/scheduling/createFakeStore.ts
@@ -38,6 +38,8 @@
     put(key: string, text: string): void;
     remove(key: string): void;
     get(key: string): StoreItem | undefined;
+    /** Ends all watches that wait, without an answer. */
+    cutWatches(): void;
     /** Watches from before now are told that the history is gone. */
     forgetHistory(): void;
     /** Leases that have ended are removed; the scenario's clock calls it. */
@@ -68,6 +70,7 @@
     let oldestRevision = 0;
     let revision = 10;
     let nextLease = 1;
+    let cuts = 0;
 
     function write(key: string, text: string | undefined, lease = 0): void {
         if (text === undefined) {
@@ -156,8 +159,9 @@
 
     async function watch(client: string, prefix: string, after: number, waitMs: number): Promise<WatchResult> {
         const endsAtMs = performance.now() + waitMs;
+        const cutsBefore = cuts;
         for (;;) {
-            if (faults.get(client) !== undefined) {
+            if (faults.get(client) !== undefined || cuts > cutsBefore) {
                 await pause(answerMs);
                 return unavailable();
             }
@@ -255,6 +259,10 @@
             wake();
         },
         get: (key) => items.get(key),
+        cutWatches() {
+            cuts++;
+            wake();
+        },
         forgetHistory() {
             history = [];
             oldestRevision = revision;
