--- a/soak/createClients.ts
+++ b/soak/createClients.ts
@@ -1,4 +1,5 @@
 import { Agent, request } from "undici";
+import { pause } from "../src/clock";
 import type { Random } from "../standins/random";
 import { plainRoute } from "../standins/scheduling";
 import { keptKey, type World } from "./createWorld";
@@ -163,7 +164,3 @@
     const state = shown.at(-1)?.state;
     return state === "complete" || state === "failed" || state === "cancelled";
 }
-
-export function pause(ms: number): Promise<void> {
-    return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/soak/createFaults.ts
+++ b/soak/createFaults.ts
@@ -1,6 +1,6 @@
+import { pause } from "../src/clock";
 import type { Random } from "../standins/random";
 import type { StoreFault, WorkerFault } from "../standins/scheduling";
-import { pause } from "./createClients";
 import type { PathState, Proxy } from "./createProxy";
 import { revokedKey, type World } from "./createWorld";
 
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -1,5 +1,6 @@
+import { pause } from "../src/clock";
 import { createRandom } from "../standins/random";
-import { createClients, isFinal, pause } from "./createClients";
+import { createClients, isFinal } from "./createClients";
 import { createFaults } from "./createFaults";
 import { createWorld, keptKey, revokedKey } from "./createWorld";
 import { judge } from "./judge";
--- a/soak/startEntry.ts
+++ b/soak/startEntry.ts
@@ -3,6 +3,7 @@
 import { join } from "node:path";
 import { stringify } from "yaml";
 import { settingsFileVariable } from "../platform";
+import { pause } from "../src/clock";
 import { type Proxy, startProxy } from "./createProxy";
 
 export interface EntryOptions {
@@ -97,7 +98,7 @@
         signal: (signal) => void child?.kill(signal),
         async restart() {
             while (child !== undefined) {
-                await new Promise((resolve) => setTimeout(resolve, 20));
+                await pause(20);
             }
             start();
         },
--- a/src/advice/createAdvisor.ts
+++ b/src/advice/createAdvisor.ts
@@ -1,3 +1,4 @@
+import { pause } from "../clock";
 import type { Reporter } from "../logging";
 import type { Advice, AdviceResult } from "./advice";
 
@@ -52,7 +53,7 @@
             const result = await opts.advice.ask(step, candidates);
             take(step, result, askedAtMs);
             if (result.kind !== "permits") {
-                await new Promise((resolve) => setTimeout(resolve, retryMs));
+                await pause(retryMs);
             }
         }
         isBusy = false;
--- a/src/cli/commands/follow.ts
+++ b/src/cli/commands/follow.ts
@@ -1,4 +1,5 @@
 import { Args, Flags } from "@oclif/core";
+import { pause } from "../../clock";
 import { callEntry, entryFlags, reportFailure } from "../callEntry";
 import { defineCommand, type Invocation } from "../defineCommand";
 import { ExitCode } from "../exitCode";
@@ -28,7 +29,7 @@
             if (flags["once"] === true || progress.status.kind !== "running") {
                 return progress.status.kind === "stopped" ? ExitCode.Refused : ExitCode.Done;
             }
-            await new Promise((resolve) => setTimeout(resolve, pollMs));
+            await pause(pollMs);
         }
     },
 });
--- a/src/clock/index.ts
+++ b/src/clock/index.ts
@@ -1,2 +1,3 @@
-/** Elapsed time, read on the side on which an error does no harm. */
+/** Elapsed time, read on the side on which an error does no harm, and waiting. */
 export { type Clocks, createClocks } from "./createClocks";
+export { pause } from "./pause";
--- a/src/configuration/createAppender.ts
+++ b/src/configuration/createAppender.ts
@@ -1,4 +1,5 @@
 import { type Either, Left, Right } from "purify-ts";
+import { pause } from "../clock";
 import type { Platform, StoredValue } from "../platform";
 import type { CommandRecord } from "../state";
 import { applyRecord, emptyApplied, maxRecentIds } from "./applied";
@@ -88,7 +89,7 @@
     /** Without the random part, entries that met in one conflict would meet again in the next. */
     function backOff(rounds: number): Promise<void> {
         const ms = opts.random() * Math.min(maxBackoffMs, 10 * 2 ** rounds);
-        return new Promise((resolve) => setTimeout(resolve, ms));
+        return pause(ms);
     }
 
     function drain(): void {
--- a/src/configuration/createConfiguration.ts
+++ b/src/configuration/createConfiguration.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from "node:crypto";
+import { pause } from "../clock";
 import type { Reporter } from "../logging";
 import type { StoredValue } from "../platform";
 import type { CommandRecord, FleetState } from "../state";
@@ -123,7 +124,7 @@
             const log = newest;
             const offer = await absorb(log);
             if (offer.kind === "behind") {
-                await new Promise((resolve) => setTimeout(resolve, snapshotRetryMs));
+                await pause(snapshotRetryMs);
             }
             else if (newest === log) {
                 newest = undefined;
--- a/src/configuration/createRelay.ts
+++ b/src/configuration/createRelay.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { pause } from "../clock";
 import type { Peer, Peers } from "../peers";
 import type { History, Offer } from "./createHistory";
 import { type LogPart, logPartSchema } from "./logValue";
@@ -88,7 +89,7 @@
             return;
         }
         isFetching = true;
-        await new Promise((resolve) => setTimeout(resolve, watchHeadStartMs));
+        await pause(watchHeadStartMs);
         if (history.revision() >= revision) {
             isFetching = false;
             return;
--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -13,7 +13,7 @@
     policyDecoder,
     workerDecoder,
 } from "../../platform";
-import { createClocks } from "../clock";
+import { createClocks, pause } from "../clock";
 import { createDuty, createLagGuard, createPresence, measureStrength, type Tenure } from "../duties";
 import type { Reporter } from "../logging";
 import { createEventMetrics } from "../metrics";
@@ -241,7 +241,3 @@
         },
     };
 }
-
-function pause(ms: number): Promise<void> {
-    return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/src/dispatch/createDispatch.ts
+++ b/src/dispatch/createDispatch.ts
@@ -1,3 +1,4 @@
+import { pause } from "../clock";
 import type { Configuration } from "../configuration";
 import type { Limits } from "../limits";
 import type { Reporter } from "../logging";
@@ -305,7 +306,7 @@
         },
         async stop() {
             while (tries.count() > 0) {
-                await new Promise((resolve) => setTimeout(resolve, stopPollMs));
+                await pause(stopPollMs);
             }
             timers.forEach((timer) => clearInterval(timer));
             usage.stop();
--- a/src/entry/createCore.ts
+++ b/src/entry/createCore.ts
@@ -1,3 +1,4 @@
+import { pause } from "../clock";
 import { type Configuration, createConfiguration } from "../configuration";
 import { createDispatch, type Dispatch } from "../dispatch";
 import { createExecutor, type Executor } from "../executor";
@@ -151,7 +152,7 @@
         async stop() {
             await executor.stop();
             while (tasks.runningCount() > 0) {
-                await new Promise((resolve) => setTimeout(resolve, drainPollMs));
+                await pause(drainPollMs);
             }
             await dispatch.stop();
             shares.stop();
--- a/src/limits/createDivider.ts
+++ b/src/limits/createDivider.ts
@@ -1,3 +1,4 @@
+import { pause } from "../clock";
 import type { FleetState } from "../state";
 import type { EndedBoots } from "./createEndedBoots";
 import { createLedgerStore, type LedgerStoreOptions } from "./createLedgerStore";
@@ -159,7 +160,7 @@
         const { ledger = emptyLedger } = store.known();
         const shortages = findShortages(planLedger(ledger, createInput(state, ledger)), createInput(state, ledger));
         if (await askFor(shortages)) {
-            await new Promise((resolve) => setTimeout(resolve, collectMs));
+            await pause(collectMs);
         }
         const written = await writeNext();
         if (written !== "done") {
@@ -263,7 +264,7 @@
         }
         const question = Object.fromEntries(teams.map((team) => [team, { give: noUnits }]));
         opts.eligible().forEach((boot) => opts.sendAsk(boot, { shard, teams: question }));
-        await new Promise((resolve) => setTimeout(resolve, collectMs));
+        await pause(collectMs);
         teams.forEach(offerRoom);
     }
 
--- a/src/limits/createLimits.ts
+++ b/src/limits/createLimits.ts
@@ -1,3 +1,4 @@
+import { pause } from "../clock";
 import type { Configuration } from "../configuration";
 import type { Members } from "../members";
 import type { Metrics } from "../metrics";
@@ -257,7 +258,7 @@
                         reportToDivider(shard);
                     }
                 });
-                await new Promise((resolve) => setTimeout(resolve, tickMs));
+                await pause(tickMs);
             }
             clearInterval(ticker);
             ticker = undefined;
--- a/src/members/createMembers.ts
+++ b/src/members/createMembers.ts
@@ -1,3 +1,4 @@
+import { pause } from "../clock";
 import type { Reporter } from "../logging";
 import type { Peers } from "../peers";
 import type { Platform, StoredValue, Watcher } from "../platform";
@@ -125,7 +126,7 @@
     /** Writes the newer record that this entry knows over an older one that the platform went back to. */
     async function restore(): Promise<void> {
         while (isRunning && !(await change((current) => current))) {
-            await pause();
+            await pauseAtRandom();
         }
     }
 
@@ -138,12 +139,12 @@
             if (mayEnter && await change((current) => addMember(current, { ...self, listed }))) {
                 return;
             }
-            await pause();
+            await pauseAtRandom();
         }
     }
 
-    async function pause(): Promise<void> {
-        await new Promise((resolve) => setTimeout(resolve, opts.retryMs * (0.5 + (opts.random ?? Math.random)())));
+    async function pauseAtRandom(): Promise<void> {
+        await pause(opts.retryMs * (0.5 + (opts.random ?? Math.random)()));
     }
 
     async function checkListing(listing: Listing): Promise<void> {
--- a/src/once/createBucketHome.ts
+++ b/src/once/createBucketHome.ts
@@ -1,3 +1,4 @@
+import { pause } from "../clock";
 import type { Platform } from "../platform";
 import type { BucketSettings } from "./bucketSettings";
 import type { ClaimRequest, Holder } from "./claimValue";
@@ -260,5 +261,5 @@
 }
 
 function sleep(ms: number): Promise<void> {
-    return new Promise((resolve) => setTimeout(resolve, ms));
+    return pause(ms);
 }
--- a/src/once/createHolderAsker.ts
+++ b/src/once/createHolderAsker.ts
@@ -1,3 +1,4 @@
+import { pause } from "../clock";
 import type { Members } from "../members";
 import type { Peers } from "../peers";
 import type { TaskEnd } from "../tasks";
@@ -56,7 +57,7 @@
                             "the entry that took this key does not answer; the task may have run",
                         );
                     }
-                    await new Promise((resolve) => setTimeout(resolve, retryPauseMs));
+                    await pause(retryPauseMs);
                     break;
             }
         }
--- a/src/once/createTicketForwarder.ts
+++ b/src/once/createTicketForwarder.ts
@@ -1,3 +1,4 @@
+import { pause } from "../clock";
 import type { Members } from "../members";
 import type { Peers } from "../peers";
 import type { TaskEnd, TaskRequest } from "../tasks";
@@ -114,5 +115,5 @@
 }
 
 function sleep(ms: number): Promise<void> {
-    return new Promise((resolve) => setTimeout(resolve, ms));
+    return pause(ms);
 }
--- a/src/platform/createWatcher.ts
+++ b/src/platform/createWatcher.ts
@@ -1,3 +1,4 @@
+import { pause } from "../clock";
 import type { Platform, StoredValue } from "./platform";
 
 export interface WatcherOptions {
@@ -58,7 +59,7 @@
                 changes.forEach((stored, key) => learn(key, stored));
             });
             if (answer.isLeft()) {
-                await new Promise((resolve) => setTimeout(resolve, opts.retryMs));
+                await pause(opts.retryMs);
             }
         }
     }
--- a/src/progress/createProgressWriter.ts
+++ b/src/progress/createProgressWriter.ts
@@ -1,3 +1,4 @@
+import { pause } from "../clock";
 import type { Tenure } from "../duties";
 import type { Reporter } from "../logging";
 import type { SubmissionEntry } from "../schedule";
@@ -218,7 +219,3 @@
             }),
     };
 }
-
-function pause(ms: number): Promise<void> {
-    return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/src/runs/createLooks.ts
+++ b/src/runs/createLooks.ts
@@ -1,4 +1,4 @@
-import type { Clocks } from "../clock";
+import { type Clocks, pause } from "../clock";
 import type { Tenure } from "../duties";
 import type { Reporter } from "../logging";
 import { type Board, findTask, type Run, type SubmissionEntry, type Worker } from "../schedule";
@@ -278,7 +278,3 @@
         },
     };
 }
-
-function pause(ms: number): Promise<void> {
-    return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -1,5 +1,5 @@
 import { type Advice, createAdvisor } from "../advice";
-import type { Clocks } from "../clock";
+import { type Clocks, pause } from "../clock";
 import type { Tenure } from "../duties";
 import type { Reporter } from "../logging";
 import { createDemandMeter, createMachineOrders, type Machines } from "../machines";
@@ -478,7 +478,7 @@
                 );
                 return true;
             }
-            await new Promise((resolve) => setTimeout(resolve, loadRetryMs));
+            await pause(loadRetryMs);
         }
         return false;
     }
--- a/src/store/createFollower.ts
+++ b/src/store/createFollower.ts
@@ -1,3 +1,4 @@
+import { pause } from "../clock";
 import type { Store, StoreItem } from "./store";
 
 export interface FollowerOptions {
@@ -141,7 +142,3 @@
         },
     };
 }
-
-function pause(ms: number): Promise<void> {
-    return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/src/submissions/createDoor.ts
+++ b/src/submissions/createDoor.ts
@@ -1,3 +1,4 @@
+import { pause } from "../clock";
 import type { Reporter } from "../logging";
 import { findRoute, findTenant, type Policy, type Route } from "../policy";
 import type { Store } from "../store";
@@ -117,7 +118,7 @@
                     if (steadyMs() + storeRetryMs > deadlineMs) {
                         return unavailable(result.detail);
                     }
-                    await new Promise((resolve) => setTimeout(resolve, storeRetryMs));
+                    await pause(storeRetryMs);
             }
         }
     }
--- a/src/submissions/createRecordWriter.ts
+++ b/src/submissions/createRecordWriter.ts
@@ -1,3 +1,4 @@
+import { pause } from "../clock";
 import type { CommitResult, Store, StoreItem } from "../store";
 import { maxCommitEntries } from "../store";
 
@@ -106,7 +107,7 @@
                 break;
         }
         queue = [...group, ...queue];
-        await new Promise((resolve) => setTimeout(resolve, retryMs));
+        await pause(retryMs);
     }
 
     /** One key that changed fails the whole group: it is answered, and the others are sent again. */
--- a/standins/scheduling/createFakeStore.ts
+++ b/standins/scheduling/createFakeStore.ts
@@ -1,3 +1,4 @@
+import { pause } from "../../src/clock";
 import type {
     Commit,
     CommitResult,
@@ -281,7 +282,3 @@
 function unavailable(): { kind: "unavailable"; detail: string; } {
     return { kind: "unavailable", detail: "the store does not answer" };
 }
-
-function pause(ms: number): Promise<void> {
-    return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/standins/scheduling/createFakeTaskWorkers.ts
+++ b/standins/scheduling/createFakeTaskWorkers.ts
@@ -1,3 +1,4 @@
+import { pause } from "../../src/clock";
 import type {
     EndKind,
     EndRow,
@@ -292,7 +293,3 @@
 function isResetting({ fault }: FakeTaskWorker): boolean {
     return fault === "resetting";
 }
-
-function pause(ms: number): Promise<void> {
-    return new Promise((resolve) => setTimeout(resolve, ms));
-}
