--- a/src/members/createMembers.ts
+++ b/src/members/createMembers.ts
@@ -210,7 +210,7 @@
                 if (await change((current) => withoutBoot(current, self.boot))) {
                     return;
                 }
-                await pause();
+                await pauseAtRandom();
             }
             report({ kind: "note", slice: "members", message: "this boot could not be taken out of the record" });
         },
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -4,36 +4,25 @@
 import type { Reporter } from "../logging";
 import { createDemandMeter, createMachineOrders, type Machines } from "../machines";
 import type { Policy, Wave } from "../policy";
-import { createProgressWriter, decodeProgress, progressKey, progressPrefix, type TaskProgress } from "../progress";
+import { createProgressWriter, decodeProgress, progressPrefix } from "../progress";
 import { applyEnd, createLooks, createRuns, type TaskWorkers } from "../runs";
 import {
     addDueOccurrences,
-    addSubmission,
     createBoard,
     createEstimates,
-    createWorker,
-    groupByPool,
-    isComplete,
-    listAdviceCandidates,
-    planCopies,
-    planStarts,
-    remainingWork,
     removeRun,
-    routeOf,
     type Run,
     type SubmissionEntry,
-    type Task,
-    tasksOf,
-    type Unit,
     type Worker,
 } from "../schedule";
 import { createFollower, type Store, type StoreItem } from "../store";
-import { decodeRecord, type FinalState, submissionPrefix, SubmissionState } from "../submissions";
+import { submissionPrefix, type SubmissionState } from "../submissions";
 import { applyWorkerEntry } from "./applyWorkerEntry";
 import { createFleetKeeper } from "./createFleetKeeper";
+import { createIntake } from "./createIntake";
 import { createPacer } from "./createPacer";
+import { createPlanner, stepName } from "./createPlanner";
 import { createWatchdog } from "./createWatchdog";
-import { restoreProgress } from "./restoreProgress";
 import type { WorkerDecoder } from "./workerEntries";
 
 /** Bounds of the platform that decisions depend on. */
@@ -91,21 +80,6 @@
 /** How often what depends on time alone is looked at, in milliseconds. */
 const tickMs = 100;
 
-/**
- * Shortest time between two rounds of planning, in milliseconds. Each round orders all that waits; hundreds of ends and
- * answers a second would otherwise each start one.
- */
-const planGatherMs = 8;
-
-/**
- * Pause after a round, as a multiple of what the round took. With a long backlog a round takes tens of milliseconds on a
- * small instance; planning would leave no time for orders, answers and renewals. This bounds it to a quarter.
- */
-const planPauseFactor = 3;
-
-/** Starts of one round of planning; the next follows at once. */
-const maxStartsPerRound = 200;
-
 /** Pause before the state of an earlier owner is read again, in milliseconds. */
 const loadRetryMs = 100;
 
@@ -115,11 +89,7 @@
     const board = createBoard();
     const estimates = createEstimates();
     const meter = createDemandMeter();
-    const finished = new Map<string, { readonly state: FinalState; readonly atMs: number; }>();
-    let progress = new Map<string, { readonly tasks: readonly TaskProgress[]; readonly revision: number; }>();
     let isStopped = false;
-    let isPlanning = false;
-    let planAgainAtMs = 0;
     let hasWorkers = false;
     let timer: NodeJS.Timeout | undefined;
 
@@ -133,8 +103,8 @@
         const { task } = run;
         report({ kind: "runDropped", task: task.name, run: run.number, worker: run.worker.id, reason });
         removeRun(board, run, clocks.steadyMs());
-        forgetIfOver(task.owner);
-        planSoon();
+        intake.forgetIfOver(task.owner);
+        planner.planSoon();
     }
 
     function onLifeEnded(worker: Worker, reason: string): void {
@@ -152,8 +122,8 @@
         tenure,
         report,
         onFenced: fence,
-        onEnded: noteEnded,
-        onCancelled: cancel,
+        onEnded: (entry) => intake.noteEnded(entry),
+        onCancelled: (entry) => intake.cancel(entry),
     });
     const runs = createRuns({
         api: opts.workerApi,
@@ -165,7 +135,7 @@
         onLifeEnded,
         lookNow: (worker) => looks.lookNow(worker),
         findTicket: ({ task, worker }) => advisor.ticket(stepName(task), worker.id),
-        onChange: planSoon,
+        onChange: () => planner.planSoon(),
     });
     const looks = createLooks({
         api: opts.workerApi,
@@ -183,8 +153,8 @@
                 stop: runs.stop,
             }),
         async save(entry) {
-            settle(entry);
-            return finished.has(entry.submission.id) || await writer.save(entry);
+            intake.settle(entry);
+            return intake.hasEnded(entry) || await writer.save(entry);
         },
         drop,
         sendStops: runs.sendStops,
@@ -194,9 +164,32 @@
             pacer.adjust(worker);
             watchdog.check(worker);
         },
-        onChange: planSoon,
+        onChange: () => planner.planSoon(),
+    });
+    const advisor = createAdvisor({
+        advice: opts.advice,
+        steadyMs: clocks.steadyMs,
+        report,
+        onChange: () => planner.planSoon(),
+    });
+    const intake = createIntake({
+        board,
+        estimates,
+        meter,
+        report,
+        steadyMs: clocks.steadyMs,
+        stop: runs.stop,
+        save: (entry) => void writer.save(entry),
+    });
+    const planner = createPlanner({
+        board,
+        estimates,
+        tenure,
+        steadyMs: clocks.steadyMs,
+        policy: opts.policy,
+        advisor,
+        startAll: (entry, group) => void startAll(entry, group),
     });
-    const advisor = createAdvisor({ advice: opts.advice, steadyMs: clocks.steadyMs, report, onChange: planSoon });
     const pacer = createPacer({ api: opts.workerApi, tenure, clocks });
     const watchdog = createWatchdog({ board, clocks, estimates, report, stop: runs.stop });
     const orders = createMachineOrders({
@@ -222,103 +215,9 @@
         reportWave: opts.reportWave,
         stop: runs.stop,
         onLifeEnded,
-        onChange: planSoon,
+        onChange: () => planner.planSoon(),
     });
 
-    function findWorker(id: string, bornMs: number): Worker {
-        const known = board.workers.get(id);
-        if (known !== undefined && known.bornMs === bornMs) {
-            return known;
-        }
-        // Not listed, or its id lives on in a new life: nothing is known of this one but what was started there.
-        const ghost = createWorker(id, bornMs);
-        ghost.isReachable = false;
-        board.workers.set(known === undefined ? id : `${id} ${bornMs}`, ghost);
-        return ghost;
-    }
-
-    function takeSubmission(key: string, item: StoreItem | undefined): void {
-        const id = key.slice(submissionPrefix.length);
-        const record = item === undefined ? undefined : decodeRecord(item.text);
-        if (item === undefined || record === undefined) {
-            finished.delete(id);
-            return;
-        }
-        if (record.kind === "final") {
-            finished.set(id, { state: record.state, atMs: record.endedAtMs });
-            return;
-        }
-        const known = board.submissions.get(id);
-        if (known !== undefined) {
-            known.revision = item.revision;
-            if (record.isCancelled) {
-                cancel(known);
-            }
-            return;
-        }
-        const nowMs = clocks.steadyMs();
-        const entry = addSubmission(board, record.submission, item.revision, record.isCancelled, nowMs);
-        const stored = progress.get(progressKey(id));
-        if (stored !== undefined) {
-            entry.progressRevision = stored.revision;
-            restoreProgress(board, entry, stored.tasks, findWorker, nowMs);
-        }
-        addDueOccurrences(entry, Date.now(), nowMs);
-        meter.note(record.submission.service, remainingWork(entry, estimates), nowMs);
-        reportSubmission(entry, "taken");
-        settle(entry);
-    }
-
-    function reportSubmission({ submission }: SubmissionEntry, change: string): void {
-        const { id, route, acceptedAtMs } = submission;
-        report({ kind: "submission", submission: id, change, route, sinceAcceptedMs: Date.now() - acceptedAtMs });
-    }
-
-    function cancel(entry: SubmissionEntry): void {
-        entry.isCancelled = true;
-        settle(entry);
-    }
-
-    /** Decides the end of a submission, once. */
-    function settle(entry: SubmissionEntry): void {
-        if (entry.ending !== undefined) {
-            return;
-        }
-        const tasks = [...tasksOf(entry)];
-        if (entry.isCancelled) {
-            entry.ending = "cancelled";
-        }
-        else if (tasks.some(({ phase }) => phase === "failed")) {
-            entry.ending = "failed";
-        }
-        else if (isComplete(entry)) {
-            entry.ending = "complete";
-        }
-        else {
-            return;
-        }
-        const { ending } = entry;
-        tasks.forEach((task) => [...task.runs].forEach((run) => runs.stop(run, `its submission is ${ending}`)));
-        void writer.save(entry);
-    }
-
-    function noteEnded(entry: SubmissionEntry): void {
-        const { id } = entry.submission;
-        if (entry.ending !== undefined) {
-            finished.set(id, { state: entry.ending, atMs: Date.now() });
-            reportSubmission(entry, entry.ending);
-        }
-        forgetIfOver(entry);
-    }
-
-    /** Runs that are still being stopped are looked up by their submission. */
-    function forgetIfOver(entry: SubmissionEntry): void {
-        const isOver = finished.has(entry.submission.id) && entry.ending !== undefined;
-        if (isOver && [...tasksOf(entry)].every((task) => task.runs.length === 0)) {
-            board.submissions.delete(entry.submission.id);
-        }
-    }
-
     function takeWorker(key: string, item: StoreItem | undefined): void {
         const id = opts.decoder.idOf(key);
         const entry = item === undefined ? undefined : opts.decoder.decode(key, item.text);
@@ -336,60 +235,6 @@
         looks.follow(worker);
     }
 
-    function planSoon(): void {
-        if (!isPlanning && !isStopped) {
-            isPlanning = true;
-            setTimeout(runRound, Math.max(0, planAgainAtMs - clocks.steadyMs()));
-        }
-    }
-
-    function runRound(): void {
-        const beganAtMs = clocks.steadyMs();
-        isPlanning = false;
-        plan();
-        const tookMs = clocks.steadyMs() - beganAtMs;
-        planAgainAtMs = beganAtMs + Math.max(planGatherMs, tookMs * (1 + planPauseFactor));
-    }
-
-    function plan(): void {
-        const policy = opts.policy();
-        if (isStopped || policy === undefined || !tenure.isValid()) {
-            return;
-        }
-        const planned = planStarts({
-            board,
-            policy,
-            estimates,
-            nowMs: clocks.steadyMs(),
-            timeOfDayMs: Date.now(),
-            allowedWorkers: findAllowed,
-            maxStarts: maxStartsPerRound,
-        });
-        const pools = groupByPool(board);
-        const copies = planCopies({
-            board,
-            workersOf: (pool) => pools.get(pool) ?? [],
-            poolOf: (submission) => routeOf(policy, submission).service,
-            estimates,
-            nowMs: clocks.steadyMs(),
-        });
-        const bySubmission = new Map<SubmissionEntry, Run[]>();
-        [...planned, ...copies].forEach((run) => {
-            const entry = run.task.owner;
-            bySubmission.set(entry, [...bySubmission.get(entry) ?? [], run]);
-        });
-        bySubmission.forEach((group, entry) => void startAll(entry, group));
-    }
-
-    function findAllowed(unit: Unit, workers: readonly Worker[]): ReadonlySet<string> | "unknown" | undefined {
-        const task = unit.tasks[0];
-        if (unit.route.advice === undefined || task === undefined) {
-            return undefined;
-        }
-        const candidates = listAdviceCandidates(unit, workers, clocks.steadyMs()).map(({ id }) => id);
-        return advisor.allowed(stepName(task), candidates) ?? "unknown";
-    }
-
     async function startAll(entry: SubmissionEntry, group: readonly Run[]): Promise<void> {
         if (!await writer.save(entry)) {
             return;
@@ -416,14 +261,12 @@
         }
         watchdog.tick();
         forgetFinished();
-        planSoon();
+        planner.planSoon();
     }
 
     function forgetFinished(): void {
-        const cutMs = Date.now() - opts.bounds.keepFinishedMs;
-        const old = [...finished].filter(([, { atMs }]) => atMs < cutMs).slice(0, maxForgotten).map(([id]) => id);
+        const old = intake.takeEndedBefore(Date.now() - opts.bounds.keepFinishedMs, maxForgotten);
         if (old.length > 0) {
-            old.forEach((id) => finished.delete(id));
             void store.commit({
                 conditions: [tenure.condition],
                 puts: [],
@@ -438,10 +281,10 @@
         waitMs: watchWaitMs,
         pauseMs: submissionGatherMs,
         nowMs: clocks.suspendAwareMs,
-        onItem: takeSubmission,
+        onItem: intake.take,
         onBatch() {
             startWorkers();
-            planSoon();
+            planner.planSoon();
         },
         isItemKept: false,
     });
@@ -452,7 +295,7 @@
         pauseMs: workerGatherMs,
         nowMs: clocks.suspendAwareMs,
         onItem: takeWorker,
-        onBatch: planSoon,
+        onBatch: () => planner.planSoon(),
     });
 
     /**
@@ -471,10 +314,11 @@
         while (!isStopped && tenure.isValid()) {
             const result = await store.range(progressPrefix);
             if (result.kind === "items" && await orders.load()) {
-                progress = new Map(
-                    result.items.map((
-                        { key, text, revision },
-                    ) => [key, { tasks: decodeProgress(text) ?? [], revision }]),
+                intake.restoreFrom(
+                    new Map(result.items.map(({ key, text, revision }) => [
+                        key,
+                        { tasks: decodeProgress(text) ?? [], revision },
+                    ])),
                 );
                 return true;
             }
@@ -494,43 +338,19 @@
         },
         stop() {
             isStopped = true;
+            planner.stop();
             clearInterval(timer);
             looks.stop();
             workers.stop();
             submissions.stop();
             keeper.stop();
         },
-        findState(id) {
-            const entry = board.submissions.get(id);
-            const state = finished.get(id)?.state;
-            if (state !== undefined || entry === undefined) {
-                return state;
-            }
-            return entry.isCancelled
-                ? SubmissionState.cancelled
-                : entry.hasBegun
-                ? SubmissionState.running
-                : SubmissionState.pending;
-        },
-        countPending(route) {
-            if (!hasWorkers) {
-                // Counted before all submissions are read, a queue with a backlog would be shown as empty.
-                return undefined;
-            }
-            let count = 0;
-            for (const entry of board.submissions.values()) {
-                const isWaiting = !entry.hasBegun && !entry.isCancelled;
-                count += isWaiting && entry.submission.route === route ? 1 : 0;
-            }
-            return count;
-        },
-        policyChanged: planSoon,
+        // Asked before all submissions are read, a queue with a backlog would be shown as empty.
+        findState: (id) => hasWorkers ? intake.findState(id) : undefined,
+        countPending: (route) => hasWorkers ? intake.countPending(route) : undefined,
+        policyChanged: () => planner.planSoon(),
     };
 }
 
-function stepName({ owner, occurrence, stepNumber }: Task): string {
-    return `${owner.submission.id}.${occurrence}.${stepNumber}`;
-}
-
 /** Finished submissions removed from the store in one call. */
 const maxForgotten = 25;
