fix(store): a follower that has lost the store asks without waiting until it answers

The store refused everything from 31.0 to 36.1 s; reads went through again at 36.18, yet every entry took the store for lost until 37.7 and nobody held the duty until 38.18: the first watch after an outage waited its two seconds for a change. Ruled out: the path through peers (given back at 36.2), the lease of the duty (it had ended in the outage). Change: while lost, watches do not wait. The scenario fails without it.

--- a/src/store/createFollower.ts
+++ b/src/store/createFollower.ts
@@ -94,7 +94,9 @@
 
     async function awaitChanges(after: number): Promise<void> {
         const sentAtMs = opts.nowMs();
-        const waited = await opts.store.watch(opts.prefix, after, opts.waitMs);
+        // After a loss the first answer tells that the store is back; waiting for a change, this entry would refuse
+        // requests and leave the duty alone for up to a watch's length longer.
+        const waited = await opts.store.watch(opts.prefix, after, isLost ? 0 : opts.waitMs);
         // A store that is well may cut a watch that waits; only one that does not answer at once either is lost.
         const isCut = waited.kind === "unavailable" && !isLost;
         const result = isCut ? await opts.store.watch(opts.prefix, after, 0) : waited;
--- a/src/store/test/store.feature
+++ b/src/store/test/store.feature
@@ -80,3 +80,15 @@
         Given a follower of "k"
         When the store cuts the follower's watch
         Then the follower has not lost the store
+
+    Scenario: a follower notices at once that the store is back
+        Nothing changes for a while after an outage. Waiting for a change, each entry would take the store for lost and
+        refuse keyed requests for seconds more.
+
+        Given a follower of "k"
+        And 100 ms pass
+        When the store is "refused" for "entry-1"
+        And 2000 ms pass
+        And the store is well for "entry-1"
+        And 300 ms pass
+        Then the follower has the store again
--- a/src/store/test/store.steps.ts
+++ b/src/store/test/store.steps.ts
@@ -10,6 +10,7 @@
     store: FakeStore;
     follower: Follower | undefined;
     lost: number;
+    regained: number;
     entries: Map<string, RelayedStore>;
 }
 
@@ -19,6 +20,7 @@
     this.entries = new Map();
     this.follower = undefined;
     this.lost = 0;
+    this.regained = 0;
 });
 
 After(function(this: World) {
@@ -35,6 +37,7 @@
         nowMs: () => performance.now(),
         onItem() {},
         onLost: () => this.lost++,
+        onRegained: () => this.regained++,
     });
     this.follower.start();
 });
@@ -49,6 +52,10 @@
     assert.equal(this.lost, 0);
 });
 
+Then("the follower has the store again", function(this: World) {
+    assert.deepEqual([this.lost, this.regained], [1, 1]);
+});
+
 When("{string} watches, and the store cuts its watches", async function(this: World, name: string) {
     const watching = entryOf(this, name).watch("k", 10, 2000);
     await this.clock.advance(100);
