--- a/soak/createClients.ts
+++ b/soak/createClients.ts
@@ -2,6 +2,7 @@
 import { pause } from "../src/clock";
 import type { Random } from "../standins/random";
 import { plainRoute } from "../standins/scheduling";
+import { encodeSubmission } from "../standins/usersPlatform";
 import { keptKey, type World } from "./createWorld";
 
 /** What one client knows of a submission. */
@@ -35,6 +36,16 @@
 /** Tries to hand a submission in, the first among them. */
 const maxTries = 5;
 
+const shortStep = { size: { cpuMillis: 1000, memoryMb: 100, accelerators: 0 }, estimateMs: 400 };
+
+/** Serves its own users; one of its tasks may be away by order. */
+const lastingStep = {
+    size: { cpuMillis: 500, memoryMb: 100, accelerators: 0 },
+    isLongRunning: true,
+    maxUnavailable: 1,
+    maxPerWorker: 1,
+};
+
 /** Pause between tries and between questions, in milliseconds. */
 const [retryMs, askMs] = [300, 900];
 
@@ -118,11 +129,9 @@
                 shown: [],
             };
             stories.set(id, story);
-            const step = isLasting
-                ? { count: tasks, cpu: 500, memMb: 100, longRunning: true, mayMiss: 1, maxPerServer: 1 }
-                : { count: tasks, cpu: 1000, memMb: 100, estimateMs: 400 };
+            const body = encodeSubmission("work", [{ count: tasks, ...isLasting ? lastingStep : shortStep }]);
             for (let tries = 0; tries < maxTries && story.acceptedAtMs === undefined && !isClosed; tries++) {
-                const { status } = await call("POST", id, key, { spec: "work", steps: [step] });
+                const { status } = await call("POST", id, key, body);
                 story.answers.push(status);
                 if (status === 200) {
                     story.acceptedAtMs = performance.now();
--- a/soak/startEntry.ts
+++ b/soak/startEntry.ts
@@ -4,6 +4,7 @@
 import { stringify } from "yaml";
 import { settingsFileVariable } from "../platform";
 import { pause } from "../src/clock";
+import { encodeNodeSettings } from "../standins/usersPlatform";
 import { type Proxy, startProxy } from "./createProxy";
 
 export interface EntryOptions {
@@ -43,20 +44,10 @@
 export const revokeMs = 5000;
 
 export async function startEntry(opts: EntryOptions): Promise<Entry> {
-    const { name, host, folder, port } = opts;
+    const { name, folder } = opts;
     const toStore = await startProxy(opts.storeAddress);
     const settingsFile = join(folder, `${name}.yaml`);
-    const settings = {
-        node: name,
-        ip: host,
-        zone: opts.zone,
-        region: "north",
-        listen: { front: `${host}:${port}`, ready: `${host}:${port + 1}`, control: `${host}:${port + 2}` },
-        portRange: [port + 3, port + 9],
-        bounds: { contactMs: 3000, graceS, revokeMs, maxHoldMs: 6000, stopTimeoutMs: 900 },
-        platform: { address: toStore.address },
-        cloud: { address: opts.machinesAddress },
-    };
+    const settings = encodeNodeSettings({ ...opts, storeAddress: toStore.address, graceS, revokeMs });
     writeFileSync(settingsFile, stringify(settings));
     const log = createWriteStream(join(folder, `${name}.log`));
     const fromClients = await startProxy(settings.listen.front);
--- a/standins/usersPlatform/encodeEntries.ts
+++ b/standins/usersPlatform/encodeEntries.ts
@@ -1,5 +1,6 @@
 import type { Policy } from "../../src/policy";
 import type { WorkerEntry } from "../../src/scheduler";
+import type { Step } from "../../src/submissions";
 
 interface KeyAndText {
     readonly key: string;
@@ -62,3 +63,49 @@
 ): KeyAndText {
     return { key: `op/wave/${wave}`, text: JSON.stringify({ wave, machines, completeByS, cap: maxDown }) };
 }
+
+/** What a client hands in. */
+export function encodeSubmission(payload: string, steps: readonly Partial<Step>[]): unknown {
+    return {
+        spec: payload,
+        steps: steps.map((step) => ({
+            count: step.count ?? 1,
+            cpu: step.size?.cpuMillis ?? 0,
+            memMb: step.size?.memoryMb ?? 0,
+            estimateMs: step.estimateMs ?? 0,
+            longRunning: step.isLongRunning ?? false,
+            mayMiss: step.maxUnavailable ?? 0,
+            maxPerServer: step.maxPerWorker ?? 0,
+        })),
+    };
+}
+
+export interface NodeSettingsInput {
+    readonly name: string;
+    readonly zone: string;
+    readonly host: string;
+    /** First of ten ports. */
+    readonly port: number;
+    readonly storeAddress: string;
+    readonly machinesAddress: string;
+    /** What the platform gives after SIGTERM, in seconds. */
+    readonly graceS: number;
+    /** How long a key that was taken away may still be taken, in milliseconds. */
+    readonly revokeMs: number;
+}
+
+/** The settings file that the platform writes for a process. */
+export function encodeNodeSettings(input: NodeSettingsInput) {
+    const { name, zone, host, port, graceS, revokeMs } = input;
+    return {
+        node: name,
+        ip: host,
+        zone,
+        region: "north",
+        listen: { front: `${host}:${port}`, ready: `${host}:${port + 1}`, control: `${host}:${port + 2}` },
+        portRange: [port + 3, port + 9],
+        bounds: { contactMs: 3000, graceS, revokeMs, maxHoldMs: 6000, stopTimeoutMs: 900 },
+        platform: { address: input.storeAddress },
+        cloud: { address: input.machinesAddress },
+    };
+}
--- a/standins/usersPlatform/index.ts
+++ b/standins/usersPlatform/index.ts
@@ -1,5 +1,5 @@
 /** The users' platform by its published protocol, over the stand-ins in memory: store, workers, machines. */
-export { encodePolicy, encodeWave, encodeWorkerEntry } from "./encodeEntries";
+export { encodeNodeSettings, encodePolicy, encodeSubmission, encodeWave, encodeWorkerEntry } from "./encodeEntries";
 export { type JsonServer, serveJson } from "./serveJson";
 export { serveMachines } from "./serveMachines";
 export { answerStoreCall, serveStore } from "./serveStore";
