fix(http): a body that is announced as too large is refused at once, whatever the entry's pace

On a machine that gives the process no time for longer than a body may take, the timer fires before the body has been looked at. A scenario that holds the event loop for 400 ms right after the request shows it each time. Ruled out: the parser's limit (it answers at once where it is reached). Change: the announced length is checked when the request comes; the timer lets arrived bytes be read first.

--- a/src/callers/test/callers.feature
+++ b/src/callers/test/callers.feature
@@ -24,6 +24,14 @@
         When a body of 2000000 bytes is sent
         Then the client is told "BODY_TOO_LARGE"
 
+    Scenario: a body that is too large, at an entry that stands still for a moment
+        The machine is busy, and the entry gets no processor for longer than a body may take, right after the request has
+        come. The client is told that its body came too slowly, sends it again, and never learns that it is too large.
+        Given an entry whose tasks answer at once
+        And it stands still for 400 ms when a request comes
+        When a body of 2000000 bytes is sent
+        Then the client is told "BODY_TOO_LARGE"
+
     Scenario: kept tasks are bounded
         Ten thousand tasks are accepted and never asked for. The entry forgets the oldest that have ended, and turns new
         ones away where all are under way, so that its memory stays as it is.
--- a/src/callers/test/callers.steps.ts
+++ b/src/callers/test/callers.steps.ts
@@ -2,6 +2,7 @@
 import * as fc from "fast-check";
 import { ServiceBroker } from "moleculer";
 import assert from "node:assert/strict";
+import type { Server } from "node:http";
 import { connect } from "node:net";
 import { request } from "undici";
 import { createFakeNetwork } from "../../../standins/fakes";
@@ -99,6 +100,16 @@
     return startEntry(this, () => new Promise(() => {}));
 });
 
+Given("it stands still for {int} ms when a request comes", function(this: World, ms: number) {
+    const { server } = this.broker.getLocalService("gateway") as unknown as { server: Server; };
+    server.on("request", () => {
+        const endsAtMs = performance.now() + ms;
+        while (performance.now() < endsAtMs) {
+            // Holds the event loop, as a machine does that gives the process no time.
+        }
+    });
+});
+
 async function exchange(world: World, method: "GET" | "POST" | "DELETE", path: string, sent?: unknown): Promise<void> {
     const response = await request(world.url + path, {
         method,
--- a/src/http/createGateway.ts
+++ b/src/http/createGateway.ts
@@ -49,7 +49,7 @@
         },
         created() {
             // Ahead of the gateway's own listener: its middlewares run only once the body has been read.
-            (this as unknown as GatewayService).server.prependListener("request", limitArrival(opts.maxBodyMs));
+            (this as unknown as GatewayService).server.prependListener("request", limitArrival(opts));
         },
     };
 }
@@ -61,21 +61,42 @@
 /**
  * A client that sends its body a byte at a time would hold a connection and its buffers for minutes, and many such
  * clients all of them. It is answered and cut off when the time is over.
+ *
+ * A body whose length is announced above the limit is refused at once: on a busy machine the time could be over before
+ * the body is looked at, and the client would send it again and again for having been too slow.
  */
-function limitArrival(maxBodyMs: number) {
+function limitArrival({ maxBodyMs, maxBodyBytes }: GatewayOptions) {
     return (req: IncomingMessage, res: ServerResponse): void => {
-        const timer = setTimeout(() => {
-            if (!req.complete && !res.headersSent) {
-                const problem = createProblem("BODY_TOO_SLOW", `the body took longer than ${maxBodyMs} ms`);
-                res.writeHead(problem.status, { "content-type": "application/problem+json", connection: "close" });
-                res.end(JSON.stringify(problem), () => req.socket.destroy());
+        const cutOff = (): void => {
+            if (req.complete) {
+                return;
             }
-        }, maxBodyMs);
+            if (res.headersSent) {
+                req.socket.destroy();
+                return;
+            }
+            const problem = createProblem("BODY_TOO_SLOW", `the body took longer than ${maxBodyMs} ms`);
+            writeProblem(res, problem, () => req.socket.destroy());
+        };
+        // After a stall of this process timers fire before arrived bytes are read; a body that is here still counts.
+        const timer = setTimeout(() => setImmediate(cutOff), maxBodyMs);
         req.once("end", () => clearTimeout(timer));
         req.once("close", () => clearTimeout(timer));
+        if (Number(req.headers["content-length"]) > maxBodyBytes) {
+            writeProblem(res, createProblem("BODY_TOO_LARGE", bodyTooLarge));
+            req.resume();
+        }
     };
 }
 
+const bodyTooLarge = "the body is above the limit of this entry";
+
+/** Answers before the body has been read, and ends the connection after it. */
+function writeProblem(res: ServerResponse, problem: Problem, onSent?: () => void): void {
+    res.writeHead(problem.status, { "content-type": "application/problem+json", connection: "close" });
+    res.end(JSON.stringify(problem), onSent);
+}
+
 function prepareCall(
     ctx: Context<unknown, HttpMeta>,
     _route: unknown,
@@ -111,7 +132,7 @@
         case 404:
             return createProblem("NOT_FOUND", "there is nothing at this path");
         case 413:
-            return createProblem("BODY_TOO_LARGE", "the body is above the limit of this entry");
+            return createProblem("BODY_TOO_LARGE", bodyTooLarge);
         default:
             return createProblem("INVALID_REQUEST", error.message);
     }
