--- a/src/runs/createLooks.ts
+++ b/src/runs/createLooks.ts
@@ -52,6 +52,9 @@
 /** Shortest time between two looks at one worker, in milliseconds, so that ends come in groups. Each look is paid for. */
 const gatherMs = 25;
 
+/** Questions beside the waiting look are gathered for this long, in milliseconds: a cancellation stops many runs at once. */
+const askMs = 5;
+
 /** Allowance for orders of an earlier owner that were under way when its right ended, in milliseconds. */
 const earlierOrdersMs = 1000;
 
@@ -61,6 +64,8 @@
     const startedAtMs = clocks.steadyMs();
     const followed = new Set<Worker>();
     const leaseMs = Math.min(runLeaseMs, opts.maxLeaseMs);
+    /** Workers that are about to be asked beside their waiting look. */
+    const asked = new Set<Worker>();
     let isStopped = false;
 
     function isNeeded(worker: Worker): boolean {
@@ -269,9 +274,16 @@
             }
         },
         lookNow(worker) {
-            if (!isStopped && tenure.isValid()) {
-                void look(worker, 0);
+            if (asked.has(worker)) {
+                return;
             }
+            asked.add(worker);
+            setTimeout(() => {
+                asked.delete(worker);
+                if (!isStopped && tenure.isValid()) {
+                    void look(worker, 0);
+                }
+            }, askMs);
         },
         stop() {
             isStopped = true;
