--- a/soak/createFaults.ts
+++ b/soak/createFaults.ts
@@ -75,35 +75,20 @@
         ]);
     }
 
-    function spoil(proxy: Proxy, state: PathState): Promise<void> {
-        return during(proxy, () => proxy.set(state), () => proxy.set({ kind: "open" }));
+    /** Makes one path bad that is not bad yet. */
+    function spoilOne(proxies: readonly Proxy[]): string | undefined {
+        const proxy = pickFree(proxies);
+        const state = drawState();
+        if (proxy !== undefined) {
+            start(during(proxy, () => proxy.set(state), () => proxy.set({ kind: "open" })));
+        }
+        return proxy && `${proxy.name} ${state.kind}`;
     }
 
     const actions: Readonly<Record<string, Action>> = {
-        async "path to the store"() {
-            const entry = pickFree(world.entries.filter(({ toStore }) => !busy.has(toStore)));
-            const state = drawState();
-            if (entry !== undefined) {
-                start(spoil(entry.toStore, state));
-            }
-            return entry && `${entry.name} ${state.kind}`;
-        },
-        async "path from clients"() {
-            const entry = pickFree(world.entries.filter(({ fromClients }) => !busy.has(fromClients)));
-            const state = drawState();
-            if (entry !== undefined) {
-                start(spoil(entry.fromClients, state));
-            }
-            return entry && `${entry.name} ${state.kind}`;
-        },
-        async "path to a worker"() {
-            const proxy = pickFree([...world.toWorkers.values()]);
-            const state = drawState();
-            if (proxy !== undefined) {
-                start(spoil(proxy, state));
-            }
-            return proxy && `${proxy.address} ${state.kind}`;
-        },
+        "path to the store": async () => spoilOne(world.entries.map(({ toStore }) => toStore)),
+        "path from clients": async () => spoilOne(world.entries.map(({ fromClients }) => fromClients)),
+        "path to a worker": async () => spoilOne([...world.toWorkers.values()]),
         async "connections break"() {
             world.entries.forEach(({ toStore, fromClients }) =>
                 [toStore, fromClients].forEach((proxy) => proxy.breakAll())
--- a/soak/createProxy.ts
+++ b/soak/createProxy.ts
@@ -18,6 +18,8 @@
 
 /** A path over TCP on loopback that can be made bad from outside the processes at its ends. */
 export interface Proxy {
+    /** What it leads from or to, for reports. */
+    readonly name: string;
     /** Address and port where the path begins. */
     readonly address: string;
     set(state: PathState): void;
@@ -33,7 +35,7 @@
 }
 
 /** Starts a path to an address. */
-export async function startProxy(target: string): Promise<Proxy> {
+export async function startProxy(name: string, target: string): Promise<Proxy> {
     const [host = "", port = ""] = target.split(":");
     const connections = new Set<Connection>();
     let state: PathState = { kind: "open" };
@@ -84,6 +86,7 @@
     });
     await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
     return {
+        name,
         address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
         set(next) {
             state = next;
--- a/soak/createWorld.ts
+++ b/soak/createWorld.ts
@@ -61,7 +61,7 @@
     async function openPath(id: string): Promise<void> {
         const server = await serveWorker(platform.workers.api, id);
         servers.push(server);
-        toWorkers.set(id, await startProxy(server.address));
+        toWorkers.set(id, await startProxy(`to ${id}`, server.address));
     }
 
     // A machine comes back from a move or an upkeep as another worker, whose id has one more mark.
--- a/soak/startEntry.ts
+++ b/soak/startEntry.ts
@@ -45,12 +45,12 @@
 
 export async function startEntry(opts: EntryOptions): Promise<Entry> {
     const { name, folder } = opts;
-    const toStore = await startProxy(opts.storeAddress);
+    const toStore = await startProxy(`from ${name}`, opts.storeAddress);
     const settingsFile = join(folder, `${name}.yaml`);
     const settings = encodeNodeSettings({ ...opts, storeAddress: toStore.address, graceS, revokeMs });
     writeFileSync(settingsFile, stringify(settings));
     const log = createWriteStream(join(folder, `${name}.log`));
-    const fromClients = await startProxy(settings.listen.front);
+    const fromClients = await startProxy(`to ${name}`, settings.listen.front);
     let child: ChildProcess | undefined;
     let isClosed = false;
 
--- a/src/schedule/test/schedule.steps.ts
+++ b/src/schedule/test/schedule.steps.ts
@@ -134,31 +134,27 @@
 ) {
     Array.from({ length: count }, (_, at) => submit(this, `waiting-${at}`, { count: 8 }));
     let tries = 0;
-    planStarts({
-        board: this.board,
-        policy: this.policy,
-        estimates: createEstimates(),
-        nowMs: this.nowMs,
-        timeOfDayMs,
-        allowedWorkers() {
-            tries++;
-            return undefined;
-        },
-        maxStarts: 100,
+    plan(this, () => {
+        tries++;
+        return undefined;
     });
     assert.equal(tries, tried);
 });
 
-When("starts are planned", function(this: World) {
+function plan(world: World, allowedWorkers: () => undefined): void {
     planStarts({
-        board: this.board,
-        policy: this.policy,
+        board: world.board,
+        policy: world.policy,
         estimates: createEstimates(),
-        nowMs: this.nowMs,
+        nowMs: world.nowMs,
         timeOfDayMs,
-        allowedWorkers: () => undefined,
+        allowedWorkers,
         maxStarts: 100,
     });
+}
+
+When("starts are planned", function(this: World) {
+    plan(this, () => undefined);
 });
 
 When("{int} ms later copies are planned", function(this: World, ms: number) {
