fix(machines): a task without a place is looked for unless its pool gets a machine anyway

A wave emptied the only machine of a pool; the serving task that had left it asked for two cores, below what a machine is moved for. The look for tasks without a place had been bounded to pools with more free than waiting, and nothing was free, so that no machine came for 15 s. Ruled out: the end of the stop (its run was off the board), the limit of the tenant. Change: the look is left out only where so much waits that a machine is sent in any case. The scenario fails without it.

--- a/src/machines/chooseMoves.ts
+++ b/src/machines/chooseMoves.ts
@@ -47,7 +47,7 @@
  * Processors that have to be missing in a pool before a machine is sent there, in thousandths. A move costs about as much
  * as 1.1 s of a machine in a pool, so a machine pays where it finds a second of work for a sixth of its processors.
  */
-const shortageCpuMillis = 5000;
+export const shortageCpuMillis = 5000;
 
 /**
  * A machine beyond what its pool needs is parked in the standby pool after this time without work, in milliseconds. From
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -92,7 +92,7 @@
     const estimates = createEstimates();
     const meter = createDemandMeter();
     let isStopped = false;
-    let hasWorkers = false;
+    let isLoaded = false;
     let timer: NodeJS.Timeout | undefined;
 
     function fence(): void {
@@ -306,8 +306,8 @@
      * read would be taken for one of no interest and acknowledged; the task would then run a second time.
      */
     function startWorkers(): void {
-        if (!hasWorkers) {
-            hasWorkers = true;
+        if (!isLoaded) {
+            isLoaded = true;
             workers.start();
         }
     }
@@ -349,8 +349,8 @@
             keeper.stop();
         },
         // Asked before all submissions are read, a queue with a backlog would be shown as empty.
-        findState: (id) => hasWorkers ? intake.findState(id) : undefined,
-        countPending: (route) => hasWorkers ? intake.countPending(route) : undefined,
+        findState: (id) => isLoaded ? intake.findState(id) : undefined,
+        countPending: (route) => isLoaded ? intake.countPending(route) : undefined,
         policyChanged: () => planner.planSoon(),
     };
 }
--- a/src/scheduler/measureDemand.ts
+++ b/src/scheduler/measureDemand.ts
@@ -1,4 +1,4 @@
-import type { DemandMeter, PoolDemand } from "../machines";
+import { type DemandMeter, type PoolDemand, shortageCpuMillis } from "../machines";
 import type { Policy } from "../policy";
 import {
     type Board,
@@ -56,8 +56,9 @@
         const workers = pools.get(name) ?? [];
         const { cpuMillis = 0, entries = [] } = waiting.get(name) ?? {};
         const freeCpuMillis = sumFree(workers);
-        // Where more waits than is free, the pool is short in any case.
-        const looked = cpuMillis <= freeCpuMillis ? entries.slice(0, maxLookedAt) : [];
+        // Where so much more waits than is free, a machine is sent in any case.
+        const isShort = cpuMillis - freeCpuMillis >= shortageCpuMillis;
+        const looked = isShort ? [] : entries.slice(0, maxLookedAt);
         return {
             pool: name,
             isStandby,
--- a/standins/scheduling/createFakeTaskWorkers.ts
+++ b/standins/scheduling/createFakeTaskWorkers.ts
@@ -62,6 +62,8 @@
     readonly events: readonly WorkerEvent[];
     add(id: string): FakeTaskWorker;
     get(id: string): FakeTaskWorker;
+    /** Tasks that run on any worker. */
+    runningTasks(): readonly string[];
     /** How long a task works, in milliseconds; long-running ones never end. */
     setWorkMs(find: (task: string) => number): void;
     /** How long a stop takes, in milliseconds; the run is listed as running meanwhile. */
@@ -280,6 +282,7 @@
             return worker;
         },
         get: find,
+        runningTasks: () => [...workers.values()].flatMap((worker) => worker.runningTasks()),
         setWorkMs(next) {
             findWorkMs = next;
         },
--- a/test/scheduling/scheduling.feature
+++ b/test/scheduling/scheduling.feature
@@ -343,3 +343,16 @@
         And the owner is stopped in the middle of a turn
         And 5500 ms pass
         Then idle machines have been parked
+
+    Scenario: the only machine of a pool is due for a wave
+        All other machines of the pool are parked. One of its serving tasks is stopped to empty the machine; it asks for less
+        than a machine is moved for, and there is no other place for it. Without one, its users find it away for as long as
+        the wave lasts, and the wave never gets on.
+
+        Given 1 entry and 1 worker
+        And 3 idle machines are in the standby pool
+        And a wave over the worker's machine, 1 at once
+        When a submission comes whose 3 tasks serve on a worker together, and 1 may be away
+        And 20000 ms pass
+        Then the worker's machine went down once
+        And 3 tasks run on any worker
--- a/test/scheduling/scheduling.steps.ts
+++ b/test/scheduling/scheduling.steps.ts
@@ -1,5 +1,6 @@
 import { After, Before, Given, setDefaultTimeout, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import type { Machine } from "../../src/machines";
 import { decodeRecord, submissionKey } from "../../src/submissions";
 import { type Clock, installClock } from "../../standins/dispatch";
 import {
@@ -71,6 +72,18 @@
     this.world.store.slowDownRange("samphirepin/sub/", ms);
 });
 
+function spareMachines(count: number): readonly Machine[] {
+    return Array.from({ length: count }, (_, at) => ({
+        id: `spare-${at + 1}`,
+        pool: "spare",
+        state: "up",
+        zone: "zone-a",
+        labels: [],
+        capacity: { cpuMillis: 4000, memoryMb: 16_000, accelerators: 0 },
+        workerId: undefined,
+    }));
+}
+
 function addStandby(world: World): void {
     const services = new Map(plainPolicy.services);
     services.set("spare", { name: "spare", rejectsOverload: false, isStandby: true, maxConnections: 64 });
@@ -117,6 +130,38 @@
     startWave(this, 1, this.workers, maxDown);
 });
 
+Given("a wave over the worker's machine, {int} at once", function(this: World, maxDown: number) {
+    const worker = {
+        id: "machine-1",
+        pool: "stalls",
+        state: "up",
+        zone: "zone-a",
+        labels: [],
+        capacity: { cpuMillis: 4000, memoryMb: 16_000, accelerators: 0 },
+        workerId: workerName(1),
+    } as const;
+    this.world.setMachines([worker, ...spareMachines(3)]);
+    this.world.waves = [{ wave: 1, machines: [worker.id], completeByS: 20, maxDown }];
+});
+
+When(
+    "a submission comes whose {int} tasks serve on a worker together, and {int} may be away",
+    function(this: World, count: number, maxUnavailable: number) {
+        this.ids.push("e".repeat(16));
+        this.workMs.set("e".repeat(16), Number.POSITIVE_INFINITY);
+        this.world.submit("e".repeat(16), [{ count, maxUnavailable, isLongRunning: true }]);
+    },
+);
+
+Then("the worker's machine went down once", function(this: World) {
+    const orders = this.world.machineOrders.filter((order) => order.startsWith("maintain"));
+    assert.deepEqual(orders, ["maintain machine-1 1"]);
+});
+
+Then("{int} tasks run on any worker", function(this: World, count: number) {
+    assert.equal(this.world.workers.runningTasks().length, count);
+});
+
 When(
     "a wave over machines {int} to {int}, {int} at once",
     function(this: World, first: number, last: number, maxDown: number) {
@@ -349,15 +394,7 @@
 
 Given("{int} idle machines are in the standby pool", function(this: World, count: number) {
     addStandby(this);
-    this.world.setMachines(Array.from({ length: count }, (_, at) => ({
-        id: `spare-${at + 1}`,
-        pool: "spare",
-        state: "up",
-        zone: "zone-a",
-        labels: [],
-        capacity: { cpuMillis: 4000, memoryMb: 16_000, accelerators: 0 },
-        workerId: undefined,
-    })));
+    this.world.setMachines(spareMachines(count));
 });
 
 Given("a wave over the standby pool comes, {int} at once", function(this: World, maxDown: number) {
