--- a/soak/createWorld.ts
+++ b/soak/createWorld.ts
@@ -1,4 +1,4 @@
-import { mkdirSync, mkdtempSync } from "node:fs";
+import { mkdtempSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { createSchedulingWorld, plainPolicy, type SchedulingWorld } from "../standins/scheduling";
@@ -29,11 +29,11 @@
     readonly toWorkers: ReadonlyMap<string, Proxy>;
     /** Where the entries' logs lie. */
     readonly folder: string;
-    /** Takes a key away from the tenant; resolves when the store has it. */
+    /** Takes a key away from the tenant, as operators do. */
     revokeKey(key: string): void;
     /** Asks for the upkeep of all machines. */
     startWave(maxDown: number): void;
-    /** Moves the stand-ins' workers and leases on; starts serving workers that have joined. */
+    /** Ends every process and server that it started. */
     stop(): void;
 }
 
@@ -85,7 +85,6 @@
     write(encodePolicy(policy));
 
     const folder = mkdtempSync(join(tmpdir(), `samphirepin-soak-${seed}-`));
-    mkdirSync(folder, { recursive: true });
     const machines = await serveMachines(platform.machines);
     servers.push(machines);
     const started = await Promise.all(
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -1,5 +1,5 @@
 import { pause } from "../src/clock";
-import { createRandom } from "../standins/random";
+import { createRandom, type Random } from "../standins/random";
 import { createClients, isFinal } from "./createClients";
 import { createFaults } from "./createFaults";
 import { createWorld, keptKey, revokedKey } from "./createWorld";
@@ -34,7 +34,7 @@
 /** What was accepted has to end within this time after the last fault, in milliseconds. */
 const settleMs = 20_000;
 
-/** Every sixth submission is cancelled after a while. */
+/** After this many of a hundred submissions, one that is open is cancelled. */
 const cancelPercent = 15;
 
 /** Submissions that come with the key that is taken away in the middle, in hundredths. */
@@ -45,24 +45,29 @@
 
 /** One seeded run: real entries, traffic, faults, then calm; everything that was seen is judged at the end. */
 export async function runSoak({ seed, faultsForMs, entries, workers }: SoakOptions): Promise<SoakResult> {
-    const random = createRandom(seed);
+    // A stream for each, so that what clients draw as answers come does not change which faults follow.
+    const [faultRandom, trafficRandom, clientRandom] = [0, 1, 2].map((stream) => createRandom(seed * 3 + stream)) as [
+        Random,
+        Random,
+        Random,
+    ];
     const world = await createWorld({ seed, entries, workers });
     const work = new Map<string, number>();
     world.platform.workers.setWorkMs((task) => {
         if (task.startsWith("f")) {
             return Number.POSITIVE_INFINITY;
         }
-        const workMs = work.get(task) ?? random.int(shortestWorkMs, longestWorkMs);
+        const workMs = work.get(task) ?? clientRandom.int(shortestWorkMs, longestWorkMs);
         work.set(task, workMs);
         return workMs;
     });
-    const clients = createClients(world, random);
-    const faults = createFaults(world, random);
+    const clients = createClients(world, clientRandom);
+    const faults = createFaults(world, faultRandom);
     try {
         await pause(startMs);
         void clients.submit({ tasks: 3, isLasting: true });
         const injecting = faults.run(faultsForMs);
-        await sendTraffic(clients, random, faultsForMs);
+        await sendTraffic(clients, trafficRandom, faultsForMs);
         await injecting;
         const calmSinceMs = performance.now();
         const open = () => [...clients.stories.values()].filter((story) => story.acceptedAtMs && !isFinal(story));
@@ -97,7 +102,7 @@
 
 async function sendTraffic(
     clients: ReturnType<typeof createClients>,
-    random: ReturnType<typeof createRandom>,
+    random: Random,
     forMs: number,
 ): Promise<void> {
     const endsAtMs = performance.now() + forMs;
