--- a/soak/createClients.ts
+++ b/soak/createClients.ts
@@ -25,8 +25,6 @@
     /** Hands in a submission, tries again until it is answered for good, and asks for its state from time to time. */
     submit(options: { readonly tasks: number; readonly isLasting?: boolean; readonly key?: string; }): Promise<void>;
     cancel(id: string): Promise<void>;
-    /** Asks for a state once; 0: no answer. */
-    askState(id: string): Promise<number>;
     close(): Promise<void>;
 }
 
@@ -99,7 +97,7 @@
         }
     }
 
-    async function ask(story: SubmissionStory): Promise<number> {
+    async function ask(story: SubmissionStory): Promise<void> {
         const askedAtMs = performance.now();
         const { status, body } = await call("GET", story.id, keptKey);
         const atMs = performance.now();
@@ -109,7 +107,6 @@
         if (status === 410) {
             story.shown.push({ state: "gone", atMs, askedAtMs });
         }
-        return status;
     }
 
     void watchReadiness();
@@ -158,10 +155,6 @@
                 await pause(retryMs);
             }
         },
-        async askState(id) {
-            const story = stories.get(id);
-            return story === undefined ? 0 : ask(story);
-        },
         async close() {
             isClosed = true;
             await agent.destroy();
--- a/src/once/createBucketHome.ts
+++ b/src/once/createBucketHome.ts
@@ -90,7 +90,7 @@
         return Date.now() < pausedUntilMs;
     }
 
-    function pause(): void {
+    function holdOff(): void {
         pausedUntilMs = Date.now() + settings.platformPauseMs;
     }
 
@@ -121,7 +121,7 @@
     async function pace(): Promise<void> {
         const waitMs = pacedUntilMs - settings.burstWrites * settings.minWriteIntervalMs - Date.now();
         if (waitMs > 0) {
-            await sleep(waitMs);
+            await pause(waitMs);
         }
         pacedUntilMs = Math.max(pacedUntilMs, Date.now()) + settings.minWriteIntervalMs;
     }
@@ -129,7 +129,7 @@
     async function answerLookups(asked: readonly PendingLookup[]): Promise<void> {
         const isRead = !isPaused() && await store.read();
         if (!isRead) {
-            pause();
+            holdOff();
         }
         asked.forEach(({ hash, resolve }) =>
             resolve(isRead ? find(hash) ?? { kind: "free" } : { kind: "unavailable" })
@@ -177,7 +177,7 @@
                     // The write may have taken effect unseen, or may still do so: only reading again, and writing
                     // again against the same revision, tells which. Until then nobody is told "granted".
                     isSeen = false;
-                    await sleep(lostAnswerPauseMs);
+                    await pause(lostAnswerPauseMs);
                     break;
                 case "unavailable":
                     giveUp(open);
@@ -208,7 +208,7 @@
     }
 
     function giveUp(open: readonly PendingClaim[]): void {
-        pause();
+        holdOff();
         resolveAll(open, { kind: "unavailable" });
     }
 
@@ -259,7 +259,3 @@
 function resolveAll(open: readonly PendingClaim[], result: ClaimResult): void {
     open.forEach(({ resolve }) => resolve(result));
 }
-
-function sleep(ms: number): Promise<void> {
-    return pause(ms);
-}
--- a/src/once/createTicketForwarder.ts
+++ b/src/once/createTicketForwarder.ts
@@ -50,7 +50,7 @@
                     return onceEnds.homeUnreachable();
                 }
                 else {
-                    await sleep(retryPauseMs);
+                    await pause(retryPauseMs);
                 }
             }
         }
@@ -83,7 +83,7 @@
             cancels.delete(hash);
             return { kind: "ended" as const, end: shrinkEnd(end) };
         });
-        return Promise.race([ended, sleep(waitMs).then(() => ({ kind: "running" as const }))]);
+        return Promise.race([ended, pause(waitMs).then(() => ({ kind: "running" as const }))]);
     }
 
     peers.onRequest(topics.run, (_from, body) => serve(body));
@@ -113,7 +113,3 @@
 export function shrinkEnd(end: TaskEnd): TaskEnd {
     return end.kind === "answered" && end.body.length > maxForwardedChars ? onceEnds.answerNotKept() : end;
 }
-
-function sleep(ms: number): Promise<void> {
-    return pause(ms);
-}
