perf(machines): need by pace of work, arrivals beyond chance and what is left over; waves begin early with machines slow to empty

Cause: pools were sized by two decaying averages of all work that came, as if all of a submission's steps ran at once, with figures in cores found on machines of 32 and 64 cores.

Change: a pool needs what its open submissions would use unhindered, or what arrives until a machine has joined and what is left over by then. Arrivals are counted over windows of four lengths; a shorter one is believed beyond two deviations. Machines that no pool needs are parked also before the first work; each pool keeps one, and room for three typical submissions. Tasks on machines that are being emptied count as needing a place. A wave begins early with machines that take long to empty, and keeps to those that it empties: a task was stopped and started on one machine four times in six seconds.

The scenario that machines of a pool without work stay for 20 s is replaced: they are parked but for one, since the standby pool lends as fast; the scenarios of the old averages are replaced by ones of jump, fall and chance.

--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -150,6 +150,7 @@
                 keepFinishedMs: settings.keepFinishedMs,
                 machineTurnMs: settings.machineTurnMs,
                 maintenanceMs: settings.maintenanceMs,
+                moveMs: settings.moveMs,
                 maxStopMs: settings.maxStopMs,
                 machineOrdersPerSecond: settings.machineOrdersPerSecond,
             },
--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -143,10 +143,15 @@
         readonly kind: "room";
         readonly pool: string;
         readonly workers: number;
+        /** Workers that run nothing, and those that run only tasks that last. */
+        readonly emptyWorkers: number;
+        readonly stayingWorkers: number;
         readonly cores: number;
         readonly longRunningCores: number;
         readonly shortCores: number;
         readonly waitingCores: number;
+        /** What the pool needs by when a machine that is sent now has joined, beside tasks that last. */
+        readonly neededCores: number;
         readonly comingCores: number;
     }
     /** The platform's list shows a machine in another state, pool or life than before. */
--- a/src/machines/chooseMoves.ts
+++ b/src/machines/chooseMoves.ts
@@ -7,7 +7,7 @@
     readonly idleMs: number;
 }
 
-/** What a pool needs and has; processors in thousandths. */
+/** What a pool needs and has; processors in thousandths, without those of long-running tasks that have their place. */
 export interface PoolDemand {
     readonly pool: string;
     readonly isStandby: boolean;
@@ -15,16 +15,16 @@
     readonly waitingCpuMillis: number;
     /** The part of it for which no single worker has a place, however much is free in all. */
     readonly unplaceableCpuMillis: number;
-    /** Processors that the work arriving now keeps busy. */
-    readonly offeredCpuMillis: number;
-    /** Processors in use by tasks that end by themselves. */
-    readonly busyCpuMillis: number;
-    /** Processors that are free on its workers. */
-    readonly freeCpuMillis: number;
+    /** Processors that it needs by when a machine that is sent now has joined. */
+    readonly neededCpuMillis: number;
+    /** Processors that its workers have. */
+    readonly roomCpuMillis: number;
     /** Processors of machines on their way to it. */
     readonly comingCpuMillis: number;
-    /** Whether its demand has been followed for long enough to tell what it can do without. */
-    readonly isKnown: boolean;
+    /** Processors beyond its need that are left to it while it has little to do. */
+    readonly reserveCpuMillis: number;
+    /** Machines that serve it. */
+    readonly machines: number;
 }
 
 export interface MoveChoice {
@@ -44,29 +44,31 @@
 }
 
 /**
- * Processors that have to be missing in a pool before a machine is sent there, in thousandths. A move costs about as much
- * as 1.1 s of a machine in a pool, so a machine pays where it finds a second of work for a sixth of its processors.
+ * Room that a pool gets for each processor that it needs: tasks take a tenth to a third of a machine each, and the holes
+ * that they leave add up to about a tenth. With a fifth, days cost 2% more machine time and served no better.
  */
-export const shortageCpuMillis = 5000;
+const roomFactor = 1.1;
 
 /**
- * A machine beyond what its pool needs is parked in the standby pool after this time without work, in milliseconds. From
- * there it joins any pool as fast as from a pool that does not need it, and costs nothing meanwhile.
+ * Part of a machine that has to be missing in a pool before one is sent there. A move costs about as much as 1.1 s of a
+ * machine in a pool, so it pays where the machine finds about a second of work for a third of its processors.
  */
-const parkAfterMs = 1200;
+export const leastMissingShare = 0.3;
 
-/** The same where nothing is known yet of a pool's demand: what operators have set stands until it shows. */
-const parkUnknownAfterMs = 20_000;
+/**
+ * A machine beyond what its pool needs is parked in the standby pool after this time without work, in milliseconds: about
+ * what the move costs. Left for twice as long, days cost 7% more machine time for 5% fewer moves, and served no better.
+ */
+const parkAfterMs = 1200;
 
-/** Room kept free in a pool beyond what is in use and arrives, in thousandths: the first tasks of a turn find it. */
-const reserveCpuMillis = 12_000;
+/** Machines that each pool keeps, so that its first task does not wait for one to join. */
+const keptMachines = 1;
 
 /** Processors that a pool lacks (above 0) or could do without (below 0), in thousandths. */
 export function findShortage(pool: PoolDemand): number {
-    const arriving = Math.max(0, pool.offeredCpuMillis - pool.busyCpuMillis);
-    const wanted = pool.waitingCpuMillis + arriving - pool.freeCpuMillis;
-    const stuck = pool.unplaceableCpuMillis > 0 ? Math.max(pool.unplaceableCpuMillis, shortageCpuMillis) : 0;
-    return (stuck > 0 ? Math.max(wanted, stuck) : wanted) - pool.comingCpuMillis;
+    const missing = pool.neededCpuMillis * roomFactor - pool.roomCpuMillis;
+    return Math.max(missing, pool.unplaceableCpuMillis > 0 ? pool.unplaceableCpuMillis : missing)
+        - pool.comingCpuMillis;
 }
 
 /**
@@ -74,26 +76,26 @@
  *
  * Demand turns from queue to queue: in its turn each asks several times what its pool holds. Idle machines go, one by
  * one, to the pool that is shortest of processors, whether for what waits or for what arrives; those that are off go
- * first, then those that have stood idle longest; a pool whose demand is not known yet lends last. Machines that no pool
- * needs are parked.
+ * first, then those that have stood idle longest. Machines that no pool needs are parked, also before a pool has had any
+ * work: from the standby pool they join any pool as fast as from another one, and cost nothing meanwhile.
  */
 export function chooseMoves(opts: MoveOptions): readonly MoveChoice[] {
+    const pools = new Map(opts.pools.map((pool) => [pool.pool, pool]));
     const shortage = new Map(
         opts.pools.filter(({ isStandby }) => !isStandby).map((pool) => [pool.pool, findShortage(pool)]),
     );
     const standby = opts.pools.find(({ isStandby }) => isStandby)?.pool;
-    const unknown = new Set(opts.pools.filter(({ isKnown }) => !isKnown).map(({ pool }) => pool));
-    const rank = ({ pool }: IdleMachine) => pool === standby ? 0 : unknown.has(pool) ? 2 : 1;
+    const rank = ({ pool }: IdleMachine) => pool === standby ? 0 : 1;
     const idle = [...opts.idle].sort((a, b) => rank(a) - rank(b) || b.idleMs - a.idleMs);
     const choices: MoveChoice[] = [];
     while (choices.length < opts.maxMoves) {
         const [to, short] = [...shortage].reduce((most, pool) => pool[1] > most[1] ? pool : most, ["", 0]);
-        const index = short < shortageCpuMillis
-            ? -1
-            : idle.findIndex(({ id, pool, cpuMillis }) =>
-                pool !== to && !opts.impossible.has(`${id} ${to}`)
-                && (pool === standby || (shortage.get(pool) ?? 0) + cpuMillis <= 0)
-            );
+        const isStuck = (pools.get(to)?.unplaceableCpuMillis ?? 0) > 0;
+        const index = idle.findIndex(({ id, pool, cpuMillis }) =>
+            pool !== to && !opts.impossible.has(`${id} ${to}`)
+            && (isStuck ? short > 0 : short >= leastMissingShare * cpuMillis)
+            && (pool === standby || (shortage.get(pool) ?? 0) + cpuMillis <= 0)
+        );
         const [machine] = index < 0 ? [] : idle.splice(index, 1);
         if (machine === undefined) {
             break;
@@ -104,26 +106,28 @@
         }
         choices.push({ machine: machine.id, from: machine.pool, to, reason: `${Math.round(short)} cpu millis wait` });
     }
-    return [...choices, ...park(idle, standby, shortage, opts, opts.maxMoves - choices.length)];
+    return [...choices, ...park(idle, standby, shortage, pools, opts.maxMoves - choices.length)];
 }
 
 function park(
     idle: readonly IdleMachine[],
     standby: string | undefined,
     shortage: Map<string, number>,
-    { pools }: MoveOptions,
+    pools: ReadonlyMap<string, PoolDemand>,
     most: number,
 ): readonly MoveChoice[] {
     const choices: MoveChoice[] = [];
     if (standby === undefined) {
         return choices;
     }
-    const known = new Set(pools.filter(({ isKnown }) => isKnown).map(({ pool }) => pool));
+    const machines = new Map([...pools.values()].map(({ pool, machines: count }) => [pool, count]));
     for (const { id, pool, cpuMillis, idleMs } of idle) {
-        const without = (shortage.get(pool) ?? 0) + cpuMillis + reserveCpuMillis;
-        const isDue = idleMs >= (known.has(pool) ? parkAfterMs : parkUnknownAfterMs);
-        if (choices.length < most && pool !== standby && isDue && without <= 0) {
-            shortage.set(pool, without - reserveCpuMillis);
+        const without = (shortage.get(pool) ?? 0) + cpuMillis;
+        const left = (machines.get(pool) ?? 0) - 1;
+        const isSpare = without + (pools.get(pool)?.reserveCpuMillis ?? 0) <= 0 && left >= keptMachines;
+        if (choices.length < most && pool !== standby && idleMs >= parkAfterMs && isSpare) {
+            shortage.set(pool, without);
+            machines.set(pool, left);
             choices.push({ machine: id, from: pool, to: standby, reason: `idle for ${Math.round(idleMs)} ms` });
         }
     }
--- a/src/machines/chooseUpkeep.ts
+++ b/src/machines/chooseUpkeep.ts
@@ -16,6 +16,8 @@
     readonly isNeeded: (machine: Machine) => boolean;
     /** There is time enough to leave machines alone that are needed. */
     readonly mayWait: boolean;
+    /** Machines that are being emptied for the wave. */
+    readonly isEmptying: (id: string) => boolean;
 }
 
 export interface UpkeepChoice {
@@ -35,6 +37,10 @@
 /**
  * Which machines of a wave go down now, and which are to be emptied for it: empty ones first, then the least used; those
  * that are needed only when the wave has no time left to wait.
+ *
+ * A machine that is being emptied stays chosen. Its pool misses its room from then on, so it would count as needed and be
+ * given back with its tasks half gone: they were stopped and started there four times in six seconds, and its upkeep came
+ * after the wave was due.
  */
 export function chooseUpkeep(opts: UpkeepOptions): UpkeepChoice {
     const { wave, machines, begun, removed, down } = opts;
@@ -44,8 +50,8 @@
     const sorted = open
         .map((id) => machines.get(id))
         .filter((machine): machine is Machine => machine?.state === "up")
-        .filter((machine) => !opts.mayWait || !opts.isNeeded(machine))
-        .sort((a, b) => countRuns(a) - countRuns(b));
+        .filter((machine) => !opts.mayWait || opts.isEmptying(machine.id) || !opts.isNeeded(machine))
+        .sort((a, b) => countRuns(a) - countRuns(b) || Number(opts.isEmptying(b.id)) - Number(opts.isEmptying(a.id)));
     const now = sorted.filter((machine) => opts.runsOn(machine) === 0).slice(0, room).map(({ id }) => id);
     return {
         now,
--- a/src/machines/createDemandMeter.ts
+++ b/src/machines/createDemandMeter.ts
@@ -1,62 +1,47 @@
+import { type Arrival, estimateArrivals } from "./estimateArrivals";
+
+/** Work of a submission that has come. */
+export interface ArrivedWork {
+    /** Processors that it keeps busy while it stays, in thousandths. */
+    readonly cpuMillis: number;
+    /** How long it stays if nothing holds it up, in milliseconds. */
+    readonly stayMs: number;
+}
+
 /** Follows how much work arrives for each pool. */
 export interface DemandMeter {
-    /** Work has arrived, some time ago: processors times time, in core-milliseconds. */
-    note(pool: string, coreMs: number, nowMs: number, ageMs?: number): void;
-    /** Processors that the work arriving now keeps busy, in thousandths. */
-    offeredCpuMillis(pool: string, nowMs: number): number;
+    /** Work has arrived, some time ago. */
+    note(pool: string, work: ArrivedWork, nowMs: number, ageMs?: number): void;
+    /** Processors that what arrives from now on will keep busy when a machine that is sent now has joined, in thousandths. */
+    arrivingCpuMillis(pool: string, nowMs: number): number;
+    /** Processors that one submission of the pool keeps busy, on the mean of the latest, in thousandths. */
+    typicalCpuMillis(pool: string): number;
 }
 
-/** Follows the beginning of a queue's turn: half a second of arrivals shows it. */
-const fastMs = 500;
-
-/** Follows its end: machines stay until arrivals have been low for about this long. */
-const slowMs = 2000;
+/** Weight of the newest submission in what is typical of a pool: about the last ten count. */
+const typicalWeight = 0.1;
 
 /**
- * How much of the present rise is added, so that the figure holds for when a machine that is sent now has joined. The two
- * rates lie a second and a half apart on a ramp, and a machine needs as long.
+ * Measures arrivals over as long as a machine needs to join: what comes meanwhile is what the machine will find, beside
+ * what is left over by then.
+ *
+ * @param joinMs time from a decision until the machine takes work, in milliseconds
  */
-const riseShare = 0.4;
-
-interface Rates {
-    fast: number;
-    slow: number;
-    atMs: number;
-}
-
-/**
- * Measures arrivals as two decaying rates and goes by the higher one, so that a rise is believed at once and a fall only
- * when it lasts. Demand of a queue jumps to five times its mean within a second; the tasks that wait at that moment are
- * a small part of those that come while a machine joins, so going by what waits alone is always a second and a half late.
- */
-export function createDemandMeter(): DemandMeter {
-    const rates = new Map<string, Rates>();
-
-    function decay(pool: string, nowMs: number): Rates {
-        const known = rates.get(pool) ?? { fast: 0, slow: 0, atMs: nowMs };
-        const spanMs = Math.max(0, nowMs - known.atMs);
-        const next = {
-            fast: known.fast * Math.exp(-spanMs / fastMs),
-            slow: known.slow * Math.exp(-spanMs / slowMs),
-            atMs: nowMs,
-        };
-        rates.set(pool, next);
-        return next;
-    }
+export function createDemandMeter(joinMs: number): DemandMeter {
+    const arrivals = new Map<string, readonly Arrival[]>();
+    const typical = new Map<string, number>();
 
     return {
-        note(pool, coreMs, nowMs, ageMs = 0) {
-            const rate = decay(pool, nowMs);
-            // A new owner reads all open work at once. Counted as arriving now, a pool whose turn is over would look as
-            // if its turn had just begun, and its idle machines would stay there while others wait for them.
-            // All of a submission counts at once, though its steps follow each other: measured against counting it over
-            // its chain, days of high load gain 0.06 to 0.19 of worth for a fifth more moves.
-            rate.fast += coreMs / fastMs * Math.exp(-ageMs / fastMs);
-            rate.slow += coreMs / slowMs * Math.exp(-ageMs / slowMs);
-        },
-        offeredCpuMillis(pool, nowMs) {
-            const { fast, slow } = decay(pool, nowMs);
-            return 1000 * Math.max(slow, fast + riseShare * Math.max(0, fast - slow));
+        note(pool, { cpuMillis, stayMs }, nowMs, ageMs = 0) {
+            // A new owner reads all open work at once. Taken for arriving now, a pool whose turn is over would look as if
+            // its turn had just begun.
+            const arrival = { atMs: nowMs - ageMs, cpuMillis: cpuMillis * Math.min(1, stayMs / joinMs) };
+            const recent = (arrivals.get(pool) ?? []).filter(({ atMs }) => atMs > nowMs - joinMs);
+            arrivals.set(pool, [...recent, arrival]);
+            const mean = typical.get(pool) ?? cpuMillis;
+            typical.set(pool, mean + typicalWeight * (cpuMillis - mean));
         },
+        arrivingCpuMillis: (pool, nowMs) => estimateArrivals(arrivals.get(pool) ?? [], joinMs, nowMs),
+        typicalCpuMillis: (pool) => typical.get(pool) ?? 0,
     };
 }
--- a/src/machines/createMachineOrders.ts
+++ b/src/machines/createMachineOrders.ts
@@ -9,8 +9,6 @@
     readonly orderedAtMs: Readonly<Record<string, number>>;
     /** Machines of each wave whose upkeep has certainly begun. */
     readonly waves: Readonly<Record<string, readonly string[]>>;
-    /** When work first arrived for each pool, milliseconds since 1970. */
-    readonly demandSinceMs?: Readonly<Record<string, number>>;
     /** When each wave was first seen, milliseconds since 1970. */
     readonly waveSeenAtMs?: Readonly<Record<string, number>>;
 }
@@ -35,12 +33,6 @@
     isBlocked(machine: string): boolean;
     /** Machines of a wave whose upkeep has certainly begun. */
     begun(wave: number): ReadonlySet<string>;
-    /**
-     * When work first arrived for a pool, milliseconds since 1970; recorded. A new owner would else take each pool for
-     * one whose demand is not known yet, and leave idle machines on for seconds.
-     */
-    demandSinceMs(pool: string): number | undefined;
-    noteDemand(pool: string): void;
     /** When the wave was first seen, milliseconds since 1970; recorded with the next orders. */
     waveSeenAtMs(wave: number): number;
     /** Records and sends orders; tells of each as it is answered. */
@@ -68,7 +60,6 @@
     let orderedAtMs = new Map<string, number>();
     const waves = new Map<string, Set<string>>();
     const waveSeenAtMs = new Map<string, number>();
-    const demandSinceMs = new Map<string, number>();
     const own = new Set<string>();
     let revision = 0;
     let saving = Promise.resolve(true);
@@ -80,7 +71,6 @@
             orderedAtMs: Object.fromEntries(orderedAtMs),
             waves: Object.fromEntries([...waves].map(([wave, machines]) => [wave, [...machines]])),
             waveSeenAtMs: Object.fromEntries(waveSeenAtMs),
-            demandSinceMs: Object.fromEntries(demandSinceMs),
         };
         return JSON.stringify(record);
     }
@@ -145,7 +135,6 @@
                 const record = JSON.parse(result.item.text) as OrdersRecord;
                 revision = result.item.revision;
                 Object.entries(record.orderedAtMs).forEach(([machine, atMs]) => orderedAtMs.set(machine, atMs));
-                Object.entries(record.demandSinceMs ?? {}).forEach(([pool, atMs]) => demandSinceMs.set(pool, atMs));
                 Object.entries(record.waveSeenAtMs ?? {}).forEach(([wave, atMs]) => waveSeenAtMs.set(wave, atMs));
                 Object.entries(record.waves).forEach(([wave, machines]) => waves.set(wave, new Set(machines)));
             }
@@ -156,13 +145,6 @@
             return atMs !== undefined && !own.has(machine) && Date.now() - atMs < opts.turnMs + clockSkewMs;
         },
         begun: (wave) => waves.get(String(wave)) ?? new Set(),
-        demandSinceMs: (pool) => demandSinceMs.get(pool),
-        noteDemand(pool) {
-            if (!demandSinceMs.has(pool)) {
-                demandSinceMs.set(pool, Date.now());
-                void save();
-            }
-        },
         waveSeenAtMs(wave) {
             const key = String(wave);
             const atMs = waveSeenAtMs.get(key) ?? Date.now();
--- a/src/machines/hasSlack.ts
+++ b/src/machines/hasSlack.ts
@@ -8,6 +8,8 @@
     readonly sinceMs: number;
     /** How long an upkeep takes, in milliseconds. */
     readonly maintenanceMs: number;
+    /** How long the machine in question takes to be emptied, in milliseconds; 0 where the whole wave is meant. */
+    readonly emptyingMs?: number;
 }
 
 /** What a round of upkeep takes beside the upkeep itself, in milliseconds: emptying, the list's lag, a decision. */
@@ -25,9 +27,10 @@
  * A wave that comes in the middle of a queue's turn would take machines down that its tasks wait for, while the same
  * machines stand idle a few seconds later.
  */
-export function hasSlack({ wave, begun, sinceMs, maintenanceMs }: SlackOptions): boolean {
+export function hasSlack({ wave, begun, sinceMs, maintenanceMs, emptyingMs = 0 }: SlackOptions): boolean {
     const left = wave.machines.filter((id) => !begun.has(id)).length;
     const rounds = Math.ceil(left / Math.max(1, wave.maxDown));
-    const neededMs = rounds * (maintenanceMs + roundOverheadMs) * safetyFactor + reserveMs;
+    const roundsMs = rounds * (maintenanceMs + roundOverheadMs);
+    const neededMs = Math.max(roundsMs, emptyingMs + maintenanceMs) * safetyFactor + reserveMs;
     return wave.completeByS * 1000 - sinceMs > neededMs;
 }
--- a/src/machines/index.ts
+++ b/src/machines/index.ts
@@ -3,12 +3,14 @@
     chooseMoves,
     findShortage,
     type IdleMachine,
+    leastMissingShare,
     type MoveChoice,
     type PoolDemand,
-    shortageCpuMillis,
 } from "./chooseMoves";
 export { chooseUpkeep, type UpkeepChoice } from "./chooseUpkeep";
-export { createDemandMeter, type DemandMeter } from "./createDemandMeter";
+export { type ArrivedWork, createDemandMeter, type DemandMeter } from "./createDemandMeter";
 export { createMachineOrders, type MachineOrder, type MachineOrders } from "./createMachineOrders";
+export { estimateArrivals } from "./estimateArrivals";
+export { forecastNeedCpuMillis, type NeedInput } from "./forecastNeed";
 export { hasSlack } from "./hasSlack";
 export * from "./machines";
--- a/src/machines/test/machines.steps.ts
+++ b/src/machines/test/machines.steps.ts
@@ -6,10 +6,12 @@
     chooseUpkeep,
     createDemandMeter,
     type DemandMeter,
+    forecastNeedCpuMillis,
     hasSlack,
     type IdleMachine,
     type Machine,
     type MoveChoice,
+    type NeedInput,
     type PoolDemand,
     type UpkeepChoice,
 } from "../index";
@@ -20,32 +22,37 @@
     moves: readonly MoveChoice[];
     meter: DemandMeter;
     nowMs: number;
+    perSecond: number;
+    need: Omit<NeedInput, "joinMs">;
+    neededCpuMillis: number;
     choose: () => UpkeepChoice;
     upkeep: UpkeepChoice;
     wave?: Wave;
 }
 
+/** Time that a machine needs to join, in milliseconds. */
+const joinMs = 2000;
+
 const nothing = {
     isStandby: false,
     waitingCpuMillis: 0,
     unplaceableCpuMillis: 0,
-    offeredCpuMillis: 0,
-    busyCpuMillis: 0,
-    freeCpuMillis: 0,
+    neededCpuMillis: 0,
+    roomCpuMillis: 0,
     comingCpuMillis: 0,
-    isKnown: true,
+    reserveCpuMillis: 0,
 };
 
 Before(function(this: World) {
-    this.pools = [{ ...nothing, pool: "spare", isStandby: true }];
+    this.pools = [{ ...nothing, pool: "spare", isStandby: true, machines: 0 }];
     this.idle = [];
-    this.meter = createDemandMeter();
+    this.meter = createDemandMeter(joinMs);
     this.nowMs = 0;
 });
 
 function addPool(world: World, pool: string, cores: Partial<Record<keyof PoolDemand, number>>): void {
     const millis = Object.fromEntries(Object.entries(cores).map(([name, count]) => [name, count * 1000]));
-    world.pools.push({ ...nothing, ...millis, pool });
+    world.pools.push({ ...nothing, machines: 0, ...millis, pool });
 }
 
 function addIdle(world: World, count: number, cores: number, pool: string): void {
@@ -54,33 +61,40 @@
     }
     world.pools = world.pools.map((known) =>
         known.pool === pool && !known.isStandby
-            ? { ...known, freeCpuMillis: known.freeCpuMillis + count * cores * 1000 }
+            ? {
+                ...known,
+                roomCpuMillis: known.roomCpuMillis + count * cores * 1000,
+                machines: known.machines + count,
+            }
             : known
     );
 }
 
-Given("pool {string} where {int} cores wait", function(this: World, pool: string, waiting: number) {
-    addPool(this, pool, { waitingCpuMillis: waiting });
-});
+Given(
+    "pool {string} that needs {int} cores and has {int}",
+    function(this: World, pool: string, needed: number, room: number) {
+        addPool(this, pool, { neededCpuMillis: needed, roomCpuMillis: room });
+    },
+);
 
 Given(
-    "pool {string} where {int} cores wait and {int} are coming",
-    function(this: World, pool: string, waiting: number, coming: number) {
-        addPool(this, pool, { waitingCpuMillis: waiting, comingCpuMillis: coming });
+    "pool {string} that needs {int} cores and has {int}, with {int} coming",
+    function(this: World, pool: string, needed: number, room: number, coming: number) {
+        addPool(this, pool, { neededCpuMillis: needed, roomCpuMillis: room, comingCpuMillis: coming });
     },
 );
 
 Given(
-    "pool {string} where {int} cores of work arrive, {int} are busy and {int} are free",
-    function(this: World, pool: string, offered: number, busy: number, free: number) {
-        addPool(this, pool, { offeredCpuMillis: offered, busyCpuMillis: busy, freeCpuMillis: free });
+    "a pool {string} that keeps {int} cores for the next submissions",
+    function(this: World, pool: string, cores: number) {
+        addPool(this, pool, { reserveCpuMillis: cores });
     },
 );
 
 Given(
     "pool {string} where {int} cores wait without a place and {int} are free",
     function(this: World, pool: string, waiting: number, free: number) {
-        addPool(this, pool, { waitingCpuMillis: waiting, unplaceableCpuMillis: waiting, freeCpuMillis: free });
+        addPool(this, pool, { waitingCpuMillis: waiting, unplaceableCpuMillis: waiting, roomCpuMillis: free });
     },
 );
 
@@ -88,10 +102,6 @@
     addPool(this, pool, {});
 });
 
-Given("a pool {string} of which nothing is known", function(this: World, pool: string) {
-    this.pools.push({ ...nothing, pool, isKnown: false });
-});
-
 Given("{int} idle machine(s) of {int} cores in standby", function(this: World, count: number, cores: number) {
     addIdle(this, count, cores, "spare");
 });
@@ -104,7 +114,7 @@
 );
 
 When("moves are chosen", function(this: World) {
-    this.moves = chooseMoves({ pools: this.pools, idle: this.idle, impossible: new Set(), maxMoves: 10 });
+    this.moves = chooseMoves({ pools: this.pools, idle: this.idle, impossible: new Set(), maxMoves: 20 });
 });
 
 Then("{int} machine(s) go(es) to {string}", function(this: World, count: number, pool: string) {
@@ -115,32 +125,70 @@
     assert.deepEqual(this.moves, []);
 });
 
-Given("arrivals of {int} cores for {int} ms", function(this: World, cores: number, forMs: number) {
-    for (; this.nowMs < forMs; this.nowMs += 50) {
-        this.meter.note("stalls", cores * 50, this.nowMs);
+const submissionCpuMillis = 5000;
+
+/** Submissions at even distances, from now on. */
+function arrive(world: World, perSecond: number, forMs: number): void {
+    const untilMs = world.nowMs + forMs;
+    for (let atMs = world.nowMs; atMs < untilMs; atMs += 1000 / perSecond) {
+        world.meter.note("stalls", { cpuMillis: submissionCpuMillis, stayMs: joinMs }, atMs);
     }
+    world.nowMs = untilMs;
+}
+
+function arrivingCores(world: World): number {
+    return world.meter.arrivingCpuMillis("stalls", world.nowMs) / 1000;
+}
+
+Given(
+    "submissions of 5 cores come {int} a second for {int} ms, and then {int} a second",
+    function(this: World, before: number, forMs: number, after: number) {
+        arrive(this, before, forMs);
+        this.perSecond = after;
+    },
+);
+
+When("{int} ms have passed", function(this: World, ms: number) {
+    arrive(this, this.perSecond, ms);
 });
 
-Given("{int} cores of work were read that came {int} ms ago", function(this: World, cores: number, ageMs: number) {
-    this.meter.note("stalls", cores * 1000, this.nowMs, ageMs);
+Then("between {int} and {int} cores will arrive in 2000 ms", function(this: World, least: number, most: number) {
+    const cores = arrivingCores(this);
+    assert.ok(cores >= least && cores <= most, String(cores));
 });
 
-function offered(world: World): number {
-    return world.meter.offeredCpuMillis("stalls", world.nowMs) / 1000;
-}
+Given(
+    "{int} submissions of 5 cores were read that came {int} ms ago",
+    function(this: World, count: number, ageMs: number) {
+        for (let at = 0; at < count; at++) {
+            this.meter.note("stalls", { cpuMillis: submissionCpuMillis, stayMs: joinMs }, this.nowMs, ageMs);
+        }
+    },
+);
 
-Then("at least {int} cores are offered", function(this: World, cores: number) {
-    assert.ok(offered(this) >= cores, String(offered(this)));
+Then("at most {int} cores will arrive", function(this: World, most: number) {
+    assert.ok(arrivingCores(this) <= most, String(arrivingCores(this)));
 });
 
-Then("{int} ms later at least {int} cores are offered", function(this: World, ms: number, cores: number) {
-    this.nowMs += ms;
-    assert.ok(offered(this) >= cores, String(offered(this)));
+Given(
+    "{int} cores of open work of {int} ms, {int} cores that arrive, and room for {int}",
+    function(this: World, open: number, ms: number, arriving: number, room: number) {
+        this.need = {
+            openCpuMillis: open * 1000,
+            openCoreMs: open * ms,
+            arrivingCpuMillis: arriving * 1000,
+            roomCpuMillis: room * 1000,
+            comingCpuMillis: 0,
+        };
+    },
+);
+
+When("a machine joins after {int} ms", function(this: World, afterMs: number) {
+    this.neededCpuMillis = forecastNeedCpuMillis({ ...this.need, joinMs: afterMs });
 });
 
-Then("{int} ms later at most {int} cores are offered", function(this: World, ms: number, cores: number) {
-    this.nowMs += ms;
-    assert.ok(offered(this) <= cores, String(offered(this)));
+Then("{int} cores are needed", function(this: World, cores: number) {
+    assert.equal(Math.round(this.neededCpuMillis / 1000), cores);
 });
 
 const names = ["a", "b", "c", "d"];
@@ -157,6 +205,7 @@
     removed: readonly string[] = [],
     needed: readonly string[] = [],
     mayWait = false,
+    emptying: readonly string[] = [],
 ): UpkeepChoice {
     return chooseUpkeep({
         wave: { wave: 1, machines: names, completeByS: 20, maxDown },
@@ -167,6 +216,7 @@
         runsOn: ({ id }) => runsOn(id),
         isNeeded: ({ id }) => needed.includes(id),
         mayWait,
+        isEmptying: (id) => emptying.includes(id),
     });
 }
 
@@ -198,22 +248,34 @@
     },
 );
 
+Given(
+    "a wave over \"a\", \"b\", \"c\" and \"d\", {int} at once, whose pool needs {string}, with time left, and {string} being emptied",
+    function(this: World, maxDown: number, needed: string, emptying: string) {
+        this.choose = () => choose(maxDown, () => 2, [], [], needed.split(", "), true, emptying.split(", "));
+    },
+);
+
 Given("a wave over 4 machines, 2 at once, complete by {int} s", function(this: World, completeByS: number) {
     this.wave = { wave: 1, machines: names, completeByS, maxDown: 2 };
 });
 
+function mayWait({ wave }: World, sinceS: number, begun: number, emptyingMs: number): boolean {
+    assert.ok(wave);
+    const begunIds = new Set(names.slice(0, begun));
+    return hasSlack({ wave, begun: begunIds, sinceMs: sinceS * 1000, maintenanceMs: 2000, emptyingMs });
+}
+
 Then(
     "after {int} s with {int} machine(s) begun it {word} wait",
     function(this: World, sinceS: number, begun: number, word: string) {
-        const { wave } = this;
-        assert.ok(wave);
-        const mayWait = hasSlack({
-            wave,
-            begun: new Set(names.slice(0, begun)),
-            sinceMs: sinceS * 1000,
-            maintenanceMs: 2000,
-        });
-        assert.equal(mayWait, word === "may");
+        assert.equal(mayWait(this, sinceS, begun, 0), word === "may");
+    },
+);
+
+Then(
+    "after {int} s with {int} machine(s) begun one that is emptied in {int} ms {word} wait",
+    function(this: World, sinceS: number, begun: number, emptyingMs: number, word: string) {
+        assert.equal(mayWait(this, sinceS, begun, emptyingMs), word === "may");
     },
 );
 
@@ -221,6 +283,10 @@
     this.upkeep = this.choose();
 });
 
+Then("{string} is emptied", function(this: World, expected: string) {
+    assert.equal(this.upkeep.prepare.join(", "), expected);
+});
+
 Then("{string} go down now", function(this: World, expected: string) {
     assert.equal(this.upkeep.now.join(", "), expected);
 });
--- a/src/schedule/index.ts
+++ b/src/schedule/index.ts
@@ -14,7 +14,9 @@
     tasksOf,
 } from "./entries";
 export { createEstimates, type Estimates, remainingChainMs, remainingWork, waitingCpuMillis } from "./estimates";
+export { lookAhead, targetAgeMs } from "./lookAhead";
 export { listUnits, orderWork, type RankedEntry, type Unit } from "./orderWork";
+export { paceOfWorkCpuMillis } from "./paceOfWork";
 export { fitsEmpty, hasRoom, isEligible, isOpen, placeTask } from "./placeTask";
 export { planCopies } from "./planCopies";
 export { groupByPool, listAdviceCandidates, planStarts } from "./planStarts";
--- a/src/schedule/orderWork.ts
+++ b/src/schedule/orderWork.ts
@@ -1,8 +1,9 @@
 import type { Route } from "../policy";
 import type { Submission } from "../submissions";
-import type { Outlook, SubmissionEntry, Task } from "./board";
+import type { SubmissionEntry, Task } from "./board";
 import { isStepReady } from "./entries";
-import { type Estimates, remainingChainMs, remainingWork, wholeChainMs } from "./estimates";
+import type { Estimates } from "./estimates";
+import { lookAhead, targetAgeMs } from "./lookAhead";
 
 /** Tasks that start together or not at all, in the order in which they should be tried. */
 export interface Unit {
@@ -26,12 +27,6 @@
  */
 const starvingMs = 30_000;
 
-/**
- * How long a submission's outlook is used, in milliseconds. Working it out for each waiting submission in each round took
- * half of an owner's processor time with a few hundred of them waiting; the order changes little in this time.
- */
-const outlookReuseMs = 200;
-
 /** A submission that has something to start, with its queue. */
 export interface RankedEntry {
     readonly entry: SubmissionEntry;
@@ -69,23 +64,10 @@
     if (submission.steps.some(({ isLongRunning }) => isLongRunning)) {
         return { entry, route, group: 0, workCoreMs: 0 };
     }
-    const { workCoreMs, chainMs, wholeChainMs } = lookAhead(entry, opts);
+    const outlook = lookAhead(entry, opts.estimates, opts.nowMs);
     const ageMs = opts.timeOfDayMs - submission.acceptedAtMs;
-    const targetMs = route.targetLatencyMs + route.stretch * Math.max(chainMs, wholeChainMs);
-    const isInTime = ageMs + chainMs <= targetMs;
-    return { entry, route, group: isInTime || ageMs > starvingMs ? 1 : 2, workCoreMs };
-}
-
-function lookAhead(entry: SubmissionEntry, { estimates, nowMs }: OrderOptions): Outlook {
-    if (entry.outlook === undefined || nowMs - entry.outlook.atMs > outlookReuseMs) {
-        entry.outlook = {
-            workCoreMs: remainingWork(entry, estimates),
-            chainMs: remainingChainMs(entry, estimates),
-            wholeChainMs: wholeChainMs(entry, estimates),
-            atMs: nowMs,
-        };
-    }
-    return entry.outlook;
+    const isInTime = ageMs + outlook.chainMs <= targetAgeMs(route, outlook);
+    return { entry, route, group: isInTime || ageMs > starvingMs ? 1 : 2, workCoreMs: outlook.workCoreMs };
 }
 
 function hasStartable({ occurrences }: SubmissionEntry, nowMs: number): boolean {
--- a/src/scheduler/createFleetKeeper.ts
+++ b/src/scheduler/createFleetKeeper.ts
@@ -12,10 +12,11 @@
     type PoolDemand,
 } from "../machines";
 import type { Policy, Wave } from "../policy";
-import { type Board, groupByPool, type Run, type Worker } from "../schedule";
+import { type Board, type Estimates, groupByPool, type Run, type Worker } from "../schedule";
 import { createFleetView } from "./createFleetView";
 import { createWaves } from "./createWaves";
-import { measureDemand, sumRoom } from "./measureDemand";
+import { measureDemand } from "./measureDemand";
+import { sumRoom } from "./sumRoom";
 
 export interface FleetKeeperOptions {
     readonly board: Board;
@@ -25,6 +26,9 @@
     readonly machines: Machines;
     readonly orders: MachineOrders;
     readonly meter: DemandMeter;
+    readonly estimates: Estimates;
+    /** Time from a decision to move a machine until it takes work, in milliseconds. */
+    readonly joinMs: number;
     readonly policy: () => Policy | undefined;
     readonly waves: () => readonly Wave[];
     /** How long an upkeep takes, in milliseconds. */
@@ -71,17 +75,20 @@
         }
         reportedAtMs = nowMs;
         const pools = groupByPool(board);
-        for (const { pool, isStandby, waitingCpuMillis, comingCpuMillis: coming } of demand) {
+        for (const { pool, isStandby, waitingCpuMillis, neededCpuMillis, comingCpuMillis: coming } of demand) {
             const room = sumRoom(pools.get(pool) ?? []);
             if (!isStandby) {
                 opts.report({
                     kind: "room",
                     pool,
                     workers: room.workers,
+                    emptyWorkers: room.emptyWorkers,
+                    stayingWorkers: room.stayingWorkers,
                     cores: toCores(room.cpuMillis),
                     longRunningCores: toCores(room.longRunningCpuMillis),
                     shortCores: toCores(room.shortCpuMillis),
                     waitingCores: toCores(waitingCpuMillis),
+                    neededCores: toCores(neededCpuMillis),
                     comingCores: toCores(coming),
                 });
             }
@@ -128,12 +135,12 @@
         const demand = measureDemand({
             board,
             policy,
+            estimates: opts.estimates,
             meter: opts.meter,
             nowMs: clocks.steadyMs(),
             comingCpuMillis: view.comingCpuMillis,
-            demandSinceMs: opts.orders.demandSinceMs,
-            noteDemand: opts.orders.noteDemand,
             timeOfDayMs: Date.now(),
+            joinMs: opts.joinMs,
         });
         reportRoom(demand);
         const list = choose(demand);
--- a/src/scheduler/createIntake.ts
+++ b/src/scheduler/createIntake.ts
@@ -8,7 +8,7 @@
     createWorker,
     type Estimates,
     isComplete,
-    remainingWork,
+    lookAhead,
     type Run,
     type SubmissionEntry,
     tasksOf,
@@ -101,7 +101,11 @@
         }
         addDueOccurrences(entry, Date.now(), nowMs);
         const ageMs = Math.max(0, Date.now() - record.submission.acceptedAtMs);
-        opts.meter.note(record.submission.service, remainingWork(entry, opts.estimates), nowMs, ageMs);
+        const { workCoreMs, chainMs } = lookAhead(entry, opts.estimates, nowMs);
+        if (workCoreMs > 0) {
+            const cpuMillis = 1000 * workCoreMs / Math.max(1, chainMs);
+            opts.meter.note(record.submission.service, { cpuMillis, stayMs: chainMs }, nowMs, ageMs);
+        }
         reportChange(entry, "taken");
         settle(entry);
     }
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -34,6 +34,8 @@
     readonly machineTurnMs: number;
     /** How long the upkeep of a machine takes, in milliseconds. */
     readonly maintenanceMs: number;
+    /** How long a machine takes to change its pool, in milliseconds. */
+    readonly moveMs: number;
     /** Orders to machines that the platform takes a second, over all entries. */
     readonly machineOrdersPerSecond: number;
     /** Longest time that a stop takes on a worker, in milliseconds. */
@@ -85,12 +87,19 @@
 /** Pause before the state of an earlier owner is read again, in milliseconds. */
 const loadRetryMs = 100;
 
+/**
+ * What a machine needs to take work beside the move itself, in milliseconds: the next decision on moves, the order, its
+ * entry in the store and the first list of its runs. The first start came 30 to 160 ms after the move.
+ */
+const joinOverheadMs = 250;
+
 /** Decides and orders for all pools while the tenure lasts. */
 export function createScheduler(opts: SchedulerOptions): Scheduler {
     const { store, tenure, clocks, report } = opts;
     const board = createBoard();
     const estimates = createEstimates();
-    const meter = createDemandMeter();
+    const joinMs = opts.bounds.moveMs + joinOverheadMs;
+    const meter = createDemandMeter(joinMs);
     let isStopped = false;
     let isLoaded = false;
     let timer: NodeJS.Timeout | undefined;
@@ -210,6 +219,8 @@
         machines: opts.machines,
         orders,
         meter,
+        estimates,
+        joinMs,
         policy: opts.policy,
         waves: opts.waves,
         maintenanceMs: opts.bounds.maintenanceMs,
--- a/src/scheduler/createWaves.ts
+++ b/src/scheduler/createWaves.ts
@@ -4,6 +4,7 @@
 import type { Board, Run } from "../schedule";
 import { chooseEvacuations } from "./chooseEvacuations";
 import type { FleetView } from "./createFleetView";
+import { emptyingMs } from "./emptyingMs";
 
 export interface WavesOptions {
     readonly board: Board;
@@ -113,6 +114,18 @@
         return removed;
     }
 
+    /** Whether the wave will be in time though it leaves alone one machine, or any machine, for now. */
+    function mayWait(wave: Wave, machine?: Machine): boolean {
+        const worker = view.workerOf(machine);
+        return hasSlack({
+            wave,
+            begun: orders.begun(wave.wave),
+            sinceMs: Date.now() - orders.waveSeenAtMs(wave.wave),
+            maintenanceMs: opts.maintenanceMs,
+            emptyingMs: worker === undefined ? 0 : emptyingMs(worker, opts.maxStopMs),
+        });
+    }
+
     async function note(wave: Wave, isComplete: boolean): Promise<void> {
         if (reported.get(wave.wave) === isComplete || reported.get(wave.wave) === true) {
             return;
@@ -127,15 +140,11 @@
         listOpen: () =>
             opts.waves().filter(({ wave }) => reported.get(wave) !== true).map((wave) => ({
                 wave,
-                mayWait: hasSlack({
-                    wave,
-                    begun: orders.begun(wave.wave),
-                    sinceMs: Date.now() - orders.waveSeenAtMs(wave.wave),
-                    maintenanceMs: opts.maintenanceMs,
-                }),
+                mayWait: mayWait(wave),
             })),
         isEmptying: (id) => emptyingSince.has(id),
-        decide({ wave, mayWait }, isNeeded) {
+        decide(open, isNeeded) {
+            const { wave } = open;
             const onUpkeep = view.onUpkeep(wave.wave);
             const down = new Set(onUpkeep.map(({ machine }) => machine));
             // What an earlier owner has just ordered may not show in the list yet.
@@ -150,8 +159,9 @@
                 removed: findRemoved(wave),
                 down,
                 runsOn: countRuns,
-                isNeeded,
-                mayWait,
+                isNeeded: (machine) => isNeeded(machine) && mayWait(wave, machine),
+                mayWait: open.mayWait,
+                isEmptying: (id) => emptyingSince.has(id),
             });
             void note(wave, choice.isComplete && view.isKnown());
             wave.machines.filter((id) => begun.has(id)).forEach((id) => emptyingSince.delete(id));
--- a/standins/scheduling/createSchedulingWorld.ts
+++ b/standins/scheduling/createSchedulingWorld.ts
@@ -286,6 +286,7 @@
                     keepFinishedMs: 120_000,
                     machineTurnMs: 3000,
                     maintenanceMs: restartMs,
+                    moveMs: restartMs,
                     maxStopMs: 900,
                     machineOrdersPerSecond: 64,
                 },
