fix(evacuation): a task on a silent worker is not taken for at work

Two tasks of a step that bears one away sat on a worker that had lost power; until their leases were over they counted as at work, and the owner stopped a third for a wave. Ruled out: gathering of tasks, which had ordered nothing by then, and the owner's change. Change: only a worker that answers is taken to run what it is known to run.

--- a/src/scheduler/chooseEvacuations.ts
+++ b/src/scheduler/chooseEvacuations.ts
@@ -52,10 +52,13 @@
 }
 
 /**
- * Whether what the worker lists as running can't be on its way out by a stop of the owner before. A worker lists a run
- * until its stop is over; taken for at work, a second task of its step would be stopped beside it. An earlier owner's
- * stop arrived before this owner was shown the list, so once the longest stop has passed since then, a list is true.
+ * Whether what a worker is known to run is at work there.
+ *
+ * One that does not answer may have lost power: until its leases are over its tasks may run, and nobody knows. Nor can what
+ * it lists be on its way out by a stop of the owner before: a worker lists a run until its stop is over. Taken for at work,
+ * a second task of the step would be stopped beside it. An earlier owner's stop arrived before this owner was shown the
+ * list, so once the longest stop has passed since then, a list is true.
  */
-function isSurelyWanted({ heldAtMs, listedAtMs }: Worker, maxStopMs: number): boolean {
-    return listedAtMs - heldAtMs > longestMs(maxStopMs);
+function isSurelyWanted({ heldAtMs, listedAtMs, isReachable }: Worker, maxStopMs: number): boolean {
+    return isReachable && listedAtMs - heldAtMs > longestMs(maxStopMs);
 }
--- a/test/scheduling/scheduling.feature
+++ b/test/scheduling/scheduling.feature
@@ -287,6 +287,23 @@
         Then each machine went down once
         And at most 1 task was away by order at once
 
+    Scenario: a machine is due for a wave while a task of its step sits on a silent worker
+        A worker loses power. Until its leases have run out its task counts as one that may run there, but it serves nobody.
+        Taken for at work, a second task of its step would be stopped for the wave, and the users of the step would find
+        fewer of its tasks than their operators allow.
+
+        Given 1 entry and 10 workers
+        And a stop takes 900 ms
+        When a submission comes whose 4 tasks serve on, and 1 may be away
+        And 2000 ms pass
+        And worker 1 is "cut"
+        And 2000 ms pass
+        And a wave over machines 2 to 4, 3 at once
+        And 1900 ms pass
+        Then no task is stopped
+        And 20000 ms pass
+        And each machine went down once
+
     Scenario: the start of a serving task is not answered
         Its worker has begun the task, and only the answer is lost. Stopped for certainty's sake while another task of its
         step is away, it would leave the users of the step with fewer tasks than their operators allow.
--- a/test/scheduling/scheduling.steps.ts
+++ b/test/scheduling/scheduling.steps.ts
@@ -112,6 +112,10 @@
     assert.ok(away <= most, `${away} tasks were away`);
 });
 
+Then("no task is stopped", function(this: World) {
+    assert.equal(countOrderedAway(this.world.workers.events), 0);
+});
+
 When("{int} ms pass", async function(this: World, ms: number) {
     await pass(this, ms);
 });
