fix(duty): a right that ran out in an outage is written anew at the store's return

Calls sent right before the return are swallowed and were waited for until they time out, up to 0.9 s more. Change: a right that ran out in this very process counts as vacant for it, and a lease is waited for 450 ms.

--- a/src/duties/createDuty.ts
+++ b/src/duties/createDuty.ts
@@ -1,4 +1,4 @@
-import type { Clocks } from "../clock";
+import { type Clocks, pause } from "../clock";
 import type { Reporter } from "../logging";
 import type { Store, StoreItem } from "../store";
 import type { Standing } from "./rankCandidates";
@@ -72,6 +72,12 @@
 /** An owner looks for a stronger entry once it has held the duty for this long, in milliseconds. */
 const settledMs = 1500;
 
+/**
+ * How long a lease is waited for, in milliseconds; a slow store takes about 300. In an outage calls are swallowed: one that
+ * is sent right before the store's return and waited for until it times out adds a second without an owner.
+ */
+const grantWaitMs = 450;
+
 /** Pause after a failed application, in milliseconds. */
 const applyRetryMs = 250;
 
@@ -94,12 +100,20 @@
     /** Entries that this one has given the duty to for their strength; once each, so that it does not go to and fro. */
     const preferred = new Set<string>();
     let current: Held | undefined;
+    /** The key in the store is of a right of this very process that ran out: it ended at a time that this process knows. */
+    let isOwnLapsed = false;
     let isApplying = false;
     let isStopped = false;
     let isHandingOver = false;
     let applyTimer: NodeJS.Timeout | undefined;
     let renewTimer: NodeJS.Timeout | undefined;
 
+    /** Its lease ran out here; in the store it may stand on, as after an outage in which leases paused. */
+    function lapse(reason: string): void {
+        isOwnLapsed = current !== undefined;
+        lose(reason);
+    }
+
     function lose(reason: string): void {
         if (current === undefined) {
             return;
@@ -119,9 +133,14 @@
         }
     }
 
-    /** An earlier process on this very instance is gone: the platform runs one at a time. */
+    /**
+     * An earlier process on this very instance is gone: the platform runs one at a time. A right of this process that ran
+     * out is over as surely, and writing its key anew ends it in the store. Waiting for its lease there instead left the
+     * fleet without an owner for two seconds after each outage of the store in which leases paused.
+     */
     function isVacant(): boolean {
-        const isOwnPast = holder?.instance === opts.holder.instance && holder.boot !== opts.holder.boot;
+        const isOwnPast = holder?.instance === opts.holder.instance
+            && (holder.boot !== opts.holder.boot || isOwnLapsed);
         return knowsHolder && (holder === undefined || isOwnPast);
     }
 
@@ -148,8 +167,10 @@
     async function tryToGain(): Promise<void> {
         const expectedRevision = holder === undefined ? 0 : holderRevision;
         const sentAtMs = clocks.suspendAwareMs();
-        const leased = await store.grantLease(Math.max(ttlMs, opts.minTtlMs));
-        if (leased.kind !== "leased") {
+        const granting = store.grantLease(Math.max(ttlMs, opts.minTtlMs));
+        // A lease that is granted too late holds nothing and ends by itself.
+        const leased = await Promise.race([granting, pause(grantWaitMs)]);
+        if (leased?.kind !== "leased") {
             return;
         }
         const result = await store.commit({
@@ -166,6 +187,7 @@
     }
 
     function hold(lease: number, token: number, validUntilMs: number): void {
+        isOwnLapsed = false;
         const held = { lease, validUntilMs, gainedAtMs: performance.now() } as Held;
         held.tenure = {
             token,
@@ -186,7 +208,7 @@
 
     async function renew(held: Held): Promise<void> {
         if (clocks.suspendAwareMs() >= held.validUntilMs) {
-            lose("the lease could not be renewed in time");
+            lapse("the lease could not be renewed in time");
             return;
         }
         if (!opts.isFit()) {
@@ -212,7 +234,7 @@
                 held.validUntilMs = Math.max(held.validUntilMs, sentAtMs + result.ttlMs - validityMarginMs);
                 return;
             case "leaseEnded":
-                lose("the store has ended the lease");
+                lapse("the store has ended the lease");
                 return;
             case "unavailable":
         }
@@ -226,6 +248,7 @@
             knowsHolder = true;
             holder = item === undefined ? undefined : JSON.parse(item.text) as DutyHolder;
             holderRevision = item?.revision ?? 0;
+            isOwnLapsed &&= holder?.boot === opts.holder.boot;
             const isOther = item !== undefined && current !== undefined && item.revision > current.tenure.token;
             if (isOther) {
                 lose("another entry holds the duty");
--- a/src/duties/test/duties.feature
+++ b/src/duties/test/duties.feature
@@ -31,6 +31,17 @@
         And the store is "silent" for the holder
         Then at no time within 6000 ms do two entries hold the duty
 
+    Scenario: the store returns from an outage in which leases paused
+        The holder's right has run out, and its key still stands in the store. If it waits for its own lease to end there,
+        nobody decides for two seconds more: submissions are taken and nothing starts.
+
+        Given 3 entries
+        When 1000 ms pass
+        And the store is away for 5000 ms and leases pause
+        And 800 ms pass
+        Then 1 entry holds the duty
+        And its token is higher than before
+
     Scenario: a machine that was suspended
         Its steady clock stood still while its lease ran out. Without the time of day it would go on deciding beside its
         successor.
--- a/src/duties/test/duties.steps.ts
+++ b/src/duties/test/duties.steps.ts
@@ -124,6 +124,15 @@
     this.store.setFault(holderOf(this).name, fault);
 });
 
+When("the store is away for {int} ms and leases pause", async function(this: World, ms: number) {
+    holderOf(this);
+    this.store.pauseLeases(ms);
+    this.entries.forEach(({ name }) => this.store.setFault(name, "silent"));
+    await pass(this, ms);
+    assert.equal(holders(this).length, 0);
+    this.entries.forEach(({ name }) => this.store.setFault(name, undefined));
+});
+
 When("the machine is suspended for {int} ms", function(this: World, ms: number) {
     this.suspendedMs += ms;
 });
--- a/standins/scheduling/createFakeStore.ts
+++ b/standins/scheduling/createFakeStore.ts
@@ -45,6 +45,8 @@
     forgetHistory(): void;
     /** Leases that have ended are removed; the scenario's clock calls it. */
     expireLeases(): void;
+    /** Time that does not count for the leases that there are, in milliseconds, as in an outage. */
+    pauseLeases(ms: number): void;
     calls(client: string): number;
     /** How long each call takes from now on, in milliseconds. */
     setAnswerMs(ms: number): void;
@@ -273,6 +275,7 @@
             wake();
         },
         expireLeases,
+        pauseLeases: (ms) => leases.forEach((lease) => lease.endsAtMs += ms),
         slowDownRange: (prefix, ms) => void rangeDelays.set(prefix, ms),
         setAnswerMs: (ms) => void (answerMs = ms),
         calls: (client) => counts.get(client) ?? 0,
