fix(waves): machines that hold tasks of one step begin early together

They hold tasks of one step that bears only some away on all machines together; each was reckoned by itself. Ruled out: the order of machines, since the last ones had been needed all along. Change: the time to empty a machine counts the step's tasks on all machines that are due. The scenario failed first.

--- a/src/scheduler/createWaves.ts
+++ b/src/scheduler/createWaves.ts
@@ -1,10 +1,10 @@
 import type { Clocks } from "../clock";
 import { chooseUpkeep, hasSlack, type Machine, type MachineOrder, type MachineOrders } from "../machines";
 import type { Wave } from "../policy";
-import type { Board, Run } from "../schedule";
+import type { Board, Run, Worker } from "../schedule";
 import { chooseEvacuations } from "./chooseEvacuations";
 import type { FleetView } from "./createFleetView";
-import { emptyingMs } from "./emptyingMs";
+import { countStaying, emptyingMs } from "./emptyingMs";
 
 export interface WavesOptions {
     readonly board: Board;
@@ -114,16 +114,31 @@
         return removed;
     }
 
-    /** Whether the wave will be in time though it leaves alone one machine, or any machine, for now. */
-    function mayWait(wave: Wave, machine?: Machine): boolean {
-        const worker = view.workerOf(machine);
+    function workersDue({ wave, machines: ids }: Wave): readonly Worker[] {
+        const begun = orders.begun(wave);
+        return ids.filter((id) => !begun.has(id)).flatMap((id) => view.workerOf(machines.get(id)) ?? []);
+    }
+
+    /** Whether the wave will be in time though it leaves alone a machine that takes this long to empty, or any machine. */
+    function mayWait(wave: Wave, longestEmptyingMs = 0): boolean {
         return hasSlack({
             wave,
             begun: orders.begun(wave.wave),
             sinceMs: Date.now() - orders.waveSeenAtMs(wave.wave),
             maintenanceMs: opts.maintenanceMs,
-            emptyingMs: worker === undefined ? 0 : emptyingMs(worker, opts.maxStopMs),
+            emptyingMs: longestEmptyingMs,
+        });
+    }
+
+    /** Machines of the wave that take so long to empty that it has to be begun now. */
+    function findSlow(wave: Wave): ReadonlySet<string> {
+        const counts = countStaying(workersDue(wave));
+        const slow = wave.machines.filter((id) => {
+            const worker = view.workerOf(machines.get(id));
+            const neededMs = worker === undefined ? 0 : emptyingMs(worker, counts, opts.maxStopMs);
+            return neededMs > 0 && !mayWait(wave, neededMs);
         });
+        return new Set(slow);
     }
 
     async function note(wave: Wave, isComplete: boolean): Promise<void> {
@@ -145,6 +160,7 @@
         isEmptying: (id) => emptyingSince.has(id),
         decide(open, isNeeded) {
             const { wave } = open;
+            const slow = findSlow(wave);
             const onUpkeep = view.onUpkeep(wave.wave);
             const down = new Set(onUpkeep.map(({ machine }) => machine));
             // What an earlier owner has just ordered may not show in the list yet.
@@ -159,7 +175,7 @@
                 removed: findRemoved(wave),
                 down,
                 runsOn: countRuns,
-                isNeeded: (machine) => isNeeded(machine) && mayWait(wave, machine),
+                isNeeded: (machine) => isNeeded(machine) && !slow.has(machine.id),
                 mayWait: open.mayWait,
                 isEmptying: (id) => emptyingSince.has(id),
             });
--- a/test/scheduling/machines.steps.ts
+++ b/test/scheduling/machines.steps.ts
@@ -57,18 +57,34 @@
     startWave(this, 1, this.workers, maxDown);
 });
 
-Given("a wave over the worker's machine, {int} at once", function(this: World, maxDown: number) {
-    const worker = {
-        id: "machine-1",
+function startWaveOverWorkers(world: World, spare: number, maxDown: number, completeByS: number): void {
+    const machines = Array.from({ length: world.workers }, (_, at) => ({
+        id: `machine-${at + 1}`,
         pool: "stalls",
         state: "up",
         zone: "zone-a",
         labels: [],
         capacity: { cpuMillis: 4000, memoryMb: 16_000, accelerators: 0 },
-        workerId: workerName(1),
-    } as const;
-    this.world.setMachines([worker, ...spareMachines(3)]);
-    this.world.waves = [{ wave: 1, machines: [worker.id], completeByS: 20, maxDown }];
+        workerId: workerName(at + 1),
+    } as const));
+    world.world.setMachines([...machines, ...spareMachines(spare)]);
+    world.world.waves = [{ wave: 1, machines: machines.map(({ id }) => id), completeByS, maxDown }];
+}
+
+Given("a wave over the worker's machine, {int} at once", function(this: World, maxDown: number) {
+    startWaveOverWorkers(this, 3, maxDown, 20);
+});
+
+Given(
+    "a wave over the machines of the workers, {int} at once, complete by {int} s",
+    function(this: World, maxDown: number, completeByS: number) {
+        startWaveOverWorkers(this, 6, maxDown, completeByS);
+    },
+);
+
+Then("the machines of the workers went down once each", function(this: World) {
+    const orders = this.world.machineOrders.filter((order) => order.startsWith("maintain")).sort();
+    assert.deepEqual(orders, Array.from({ length: this.workers }, (_, at) => `maintain machine-${at + 1} 1`));
 });
 
 Then("the worker's machine went down once", function(this: World) {
--- a/test/scheduling/scheduling.feature
+++ b/test/scheduling/scheduling.feature
@@ -391,3 +391,16 @@
         And 2 tasks run
         And 1 worker is in use
         And idle machines have been parked
+
+    Scenario: machines that hold tasks of one step are due for a wave
+        Each of three machines holds four tasks of a step that bears one away, on all of them together. Emptied one after the
+        other they take a good deal longer than the wave has time for rounds of upkeep, while their pool seems to need each
+        of them.
+
+        Given 1 entry and 3 workers
+        And 6 idle machines are in the standby pool
+        And a wave over the machines of the workers, 3 at once, complete by 40 s
+        When a submission comes whose 12 tasks serve on a worker together, and 1 may be away
+        And 40000 ms pass
+        Then the machines of the workers went down once each
+        And 12 tasks run
