fix(waves): a machine comes before the last place of a step is given up

Cause: a step that bears one task on each worker fills its pool though processors are free. Ruled out: the availability of the step's other tasks, all of which were at work. Change: tasks on machines that are being emptied and have no other place count as unplaceable before they are stopped.

--- a/src/scheduler/findUnplaceable.ts
+++ b/src/scheduler/findUnplaceable.ts
@@ -28,3 +28,20 @@
 function hasPlace(task: Parameters<typeof placeTask>[0], workers: readonly Worker[], nowMs: number): boolean {
     return placeTask(task, { workers, nowMs }) !== undefined;
 }
+
+/**
+ * Processors of tasks that last on workers that are being emptied, for which no other worker of the pool has a place, in
+ * thousandths. A step that bears one task on each worker fills a pool that looks half empty; stopped before its next
+ * machine is there, each task was away for three seconds, and a wave took five for each of them.
+ */
+export function unplaceableStayingCpuMillis(workers: readonly Worker[], nowMs: number): number {
+    let cpuMillis = 0;
+    for (const { isListed, isReserved, runs } of workers) {
+        for (const { phase, task } of isListed && isReserved ? runs : []) {
+            if (phase === "running" && task.step.isLongRunning && !hasPlace(task, workers, nowMs)) {
+                cpuMillis += task.step.size.cpuMillis;
+            }
+        }
+    }
+    return cpuMillis;
+}
--- a/src/scheduler/measureDemand.ts
+++ b/src/scheduler/measureDemand.ts
@@ -13,7 +13,7 @@
     waitingCpuMillis,
     type Worker,
 } from "../schedule";
-import { unplaceableCpuMillis } from "./findUnplaceable";
+import { unplaceableCpuMillis, unplaceableStayingCpuMillis } from "./findUnplaceable";
 import { sumRoom } from "./sumRoom";
 
 export interface DemandOptions {
@@ -81,11 +81,12 @@
     const isShort = neededCpuMillis - roomCpuMillis >= leastMissingShare * room.largestCpuMillis;
     // Where so much is missing, a machine is sent in any case.
     const looked = isShort && workers.length > 0 ? [] : open.waiting.slice(0, maxLookedAt);
+    const unplaceable = looked.reduce((sum, entry) => sum + unplaceableCpuMillis(entry, workers, nowMs), 0);
     return {
         pool,
         isStandby,
         waitingCpuMillis: open.waitingCpuMillis,
-        unplaceableCpuMillis: looked.reduce((sum, entry) => sum + unplaceableCpuMillis(entry, workers, nowMs), 0),
+        unplaceableCpuMillis: unplaceable + unplaceableStayingCpuMillis(workers, nowMs),
         neededCpuMillis,
         roomCpuMillis,
         comingCpuMillis,
--- a/standins/scheduling/createSchedulingWorld.ts
+++ b/standins/scheduling/createSchedulingWorld.ts
@@ -44,6 +44,8 @@
     /** The list shows machines as they were this long ago, in milliseconds. */
     setListLag(lagMs: number): void;
     setMachines(machines: readonly Machine[]): void;
+    /** The platform's list of machines as it is now. */
+    listed(): readonly Machine[];
     waves: Wave[];
     policy: Policy;
     /** What the advice service answers; all workers are good at first. */
@@ -207,6 +209,7 @@
             listLagMs = lagMs;
         },
         setMachines: setList,
+        listed: () => machineList,
         addEntry(name) {
             const entry = createEntry(name, world, machines);
             entries.push(entry);
--- a/test/scheduling/machines.steps.ts
+++ b/test/scheduling/machines.steps.ts
@@ -57,20 +57,27 @@
     startWave(this, 1, this.workers, maxDown);
 });
 
+/** The machines of the workers, and some in standby. */
+function listWithSpare(world: World, spare: number): readonly string[] {
+    const ids = listMachines(world);
+    world.world.setMachines([...world.world.listed(), ...spareMachines(spare)]);
+    return ids;
+}
+
 function startWaveOverWorkers(world: World, spare: number, maxDown: number, completeByS: number): void {
-    const machines = Array.from({ length: world.workers }, (_, at) => ({
-        id: `machine-${at + 1}`,
-        pool: "stalls",
-        state: "up",
-        zone: "zone-a",
-        labels: [],
-        capacity: { cpuMillis: 4000, memoryMb: 16_000, accelerators: 0 },
-        workerId: workerName(at + 1),
-    } as const));
-    world.world.setMachines([...machines, ...spareMachines(spare)]);
-    world.world.waves = [{ wave: 1, machines: machines.map(({ id }) => id), completeByS, maxDown }];
+    world.world.waves = [{ wave: 1, machines: listWithSpare(world, spare), completeByS, maxDown }];
 }
 
+Given("{int} idle machines are in the standby pool beside those of the workers", function(this: World, count: number) {
+    addStandby(this);
+    listWithSpare(this, count);
+});
+
+When("a wave over the machines of the workers comes, {int} at once", function(this: World, maxDown: number) {
+    const machines = Array.from({ length: this.workers }, (_, at) => `machine-${at + 1}`);
+    this.world.waves = [{ wave: 1, machines, completeByS: 60, maxDown }];
+});
+
 Given("a wave over the worker's machine, {int} at once", function(this: World, maxDown: number) {
     startWaveOverWorkers(this, 3, maxDown, 20);
 });
--- a/test/scheduling/scheduling.feature
+++ b/test/scheduling/scheduling.feature
@@ -404,3 +404,16 @@
         And 40000 ms pass
         Then the machines of the workers went down once each
         And 12 tasks run
+
+    Scenario: a wave in a pool whose step bears one task on each worker
+        All its workers are taken, and a task that is stopped has no place until another machine has joined. Its users find
+        it away for three seconds where half of one would do.
+
+        Given 1 entry and 4 workers
+        And 4 idle machines are in the standby pool beside those of the workers
+        When a submission comes whose 4 tasks serve on, and 1 may be away
+        And 1000 ms pass
+        And a wave over the machines of the workers comes, 1 at once
+        And a task is being stopped
+        And 1000 ms pass
+        Then 4 tasks run
