--- a/scripts/explain.ts
+++ b/scripts/explain.ts
@@ -1,4 +1,4 @@
-import { type LogLine, readLogLines } from "./readLogLines";
+import { type LogLine, readLogLines, sortByTime } from "./readLogLines";
 
 /**
  * Joins the log lines of all processes that concern one submission into one story:
@@ -40,11 +40,11 @@
         return;
     }
     const lines = await readLogLines(files);
-    const own = lines.filter((line) => isOwn(line, id)).sort((a, b) => a.timestamp < b.timestamp ? -1 : 1);
+    const own = lines.filter((line) => isOwn(line, id));
     const workers = new Set(own.flatMap(({ worker }) => worker === undefined ? [] : [worker]));
     const [from, to] = [own[0]?.timestamp ?? "", own.at(-1)?.timestamp ?? ""];
     const around = lines.filter((line) => isAround(line, workers, from, to) && !own.includes(line));
-    const story = [...own, ...around].sort((a, b) => a.timestamp < b.timestamp ? -1 : 1);
+    const story = sortByTime([...own, ...around]);
     process.stdout.write(story.map((line) => `${render(line)}\n`).join(""));
     process.stdout.write(`${own.length} lines of ${id}, ${around.length} around it\n`);
 }
--- a/scripts/machineTime.ts
+++ b/scripts/machineTime.ts
@@ -82,7 +82,7 @@
 }
 
 async function main(files: readonly string[]): Promise<void> {
-    const lines = (await readLogLines(files)).sort((a, b) => a.timestamp < b.timestamp ? -1 : 1);
+    const lines = await readLogLines(files);
     process.stdout.write("pool        empty s  staying s  working s  processors used\n");
     for (const [pool, { emptyS, stayingS, workingS, coreS, usedCoreS }] of sumPools(lines)) {
         const figures = [emptyS, stayingS, workingS].map((each) => each.toFixed(0).padStart(9)).join("  ");
--- a/scripts/readLogLines.ts
+++ b/scripts/readLogLines.ts
@@ -11,9 +11,13 @@
     readonly [field: string]: unknown;
 }
 
-/** Reads the log lines of files; whatever else they hold is named on standard error and left out. */
-export async function readLogLines(files: readonly string[]): Promise<LogLine[]> {
-    return (await Promise.all(files.map(readFile))).flat();
+/** Reads the log lines of files, in order of time; whatever else they hold is named on standard error and left out. */
+export async function readLogLines(files: readonly string[]): Promise<readonly LogLine[]> {
+    return sortByTime((await Promise.all(files.map(readFile))).flat());
+}
+
+export function sortByTime(lines: readonly LogLine[]): readonly LogLine[] {
+    return [...lines].sort((a, b) => a.timestamp < b.timestamp ? -1 : 1);
 }
 
 async function readFile(file: string): Promise<readonly LogLine[]> {
