fix(submissions): a count that the owner can't give is refused, not read from the whole store

Cause: on the small twin of the large site every entry answered counts by reading all submissions (170 to 250 KB) from the store while no owner was loaded. On links of 2 Mbit/s each read takes a second; renewals of the duty's lease and of clients' calls came late, the next owner was lost as well, and from 13 s on no entry reached the store in time. Ruled out: the processor of the owner alone (0.04 of 0.12 cores), bytes of starts and looks (60 KB/s of 250). Change: the door refuses such a count with 503 and Retry-After. With it, an owner bounds the starts under way to what workers' answers show that it gets through, and does not hand the duty on for slowness within 10 s of its last change.

--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -119,7 +119,7 @@
         holder: { boot, instance: settings.instance },
         report,
         minTtlMs: settings.minLeaseTtlMs,
-        isFit: () => !lagGuard.isSlow() && !store.isTurnedAway(),
+        fitness: () => store.isTurnedAway() ? "turnedAway" : lagGuard.isSlow() ? "slow" : "fit",
         onGained: beginTenure,
         onLost() {
             scheduler?.stop();
--- a/src/duties/createDuty.ts
+++ b/src/duties/createDuty.ts
@@ -19,6 +19,12 @@
     readonly instance: string;
 }
 
+/**
+ * - `slow`: it gets too little processor time for what it has to do.
+ * - `turnedAway`: the store answers others, and this entry only through them.
+ */
+export type Fitness = "fit" | "slow" | "turnedAway";
+
 export interface DutyOptions {
     readonly store: Store;
     readonly clocks: Clocks;
@@ -26,8 +32,8 @@
     readonly report: Reporter;
     /** Shortest lease that the store grants, in milliseconds. */
     readonly minTtlMs: number;
-    /** Whether this entry can do the work well: it reaches the store itself and is not slow. */
-    readonly isFit: () => boolean;
+    /** Whether this entry can do the work well. */
+    readonly fitness: () => Fitness;
     /** This entry holds the duty from now on. */
     onGained(tenure: Tenure): void;
     /** The right has run out or been refused; nothing may be ordered any more. */
@@ -69,6 +75,13 @@
 /** An entry that is not fit applies only when nobody else has for this long, in milliseconds. */
 const unfitDelayMs = 3000;
 
+/**
+ * After the duty has changed hands, its owner does not give it up for being slow for this long, in milliseconds. The
+ * load of the fleet makes each owner slow where instances are small; handed round, the duty left hundreds of submissions
+ * without a single order, since each owner reads for a second or more before its first one.
+ */
+const slowAgainMs = 10_000;
+
 /** An owner looks for a stronger entry once it has held the duty for this long, in milliseconds. */
 const settledMs = 1500;
 
@@ -95,6 +108,7 @@
     let holderRevision = 0;
     let knowsHolder = false;
     let vacantSinceMs = 0;
+    let givenUpAtMs = Number.NEGATIVE_INFINITY;
     let rank = 0;
     let muchStronger: string | undefined;
     /** Entries that this one has given the duty to for their strength; once each, so that it does not go to and fro. */
@@ -148,7 +162,7 @@
         if (isApplying || isStopped || isHandingOver || current !== undefined || !isVacant()) {
             return;
         }
-        if (!opts.isFit() && performance.now() - vacantSinceMs < unfitDelayMs) {
+        if (opts.fitness() !== "fit" && performance.now() - vacantSinceMs < unfitDelayMs) {
             schedule(applyRetryMs);
             return;
         }
@@ -206,14 +220,29 @@
         return isSettled && muchStronger !== undefined && !preferred.has(muchStronger) ? muchStronger : undefined;
     }
 
+    /** Why another entry should do the work; `undefined`: none should. */
+    function findUnfitness(): string | undefined {
+        const fitness = opts.fitness();
+        switch (fitness) {
+            case "fit":
+                return undefined;
+            case "slow":
+                return performance.now() - givenUpAtMs > slowAgainMs ? "this entry is slow" : undefined;
+            case "turnedAway":
+                return "the store turns this entry away";
+        }
+    }
+
     async function renew(held: Held): Promise<void> {
         if (clocks.suspendAwareMs() >= held.validUntilMs) {
             lapse("the lease could not be renewed in time");
             return;
         }
-        if (!opts.isFit()) {
+        const unfit = findUnfitness();
+        if (unfit !== undefined) {
             // Another entry does the work at full speed; the change costs it a quarter of a second.
-            lose("this entry is slow, or the store turns it away");
+            givenUpAtMs = performance.now();
+            lose(unfit);
             await store.endLease(held.lease);
             return;
         }
@@ -245,6 +274,9 @@
             if (item === undefined && (holder !== undefined || !knowsHolder)) {
                 vacantSinceMs = performance.now();
             }
+            if (holder !== undefined && holder.boot !== opts.holder.boot) {
+                givenUpAtMs = performance.now();
+            }
             knowsHolder = true;
             holder = item === undefined ? undefined : JSON.parse(item.text) as DutyHolder;
             holderRevision = item?.revision ?? 0;
--- a/src/duties/test/duties.feature
+++ b/src/duties/test/duties.feature
@@ -72,6 +72,17 @@
         Then 1 entry holds the duty
         And it has held it for 2000 ms
 
+    Scenario: the load of the fleet makes every entry slow
+        Instances are small, and whoever decides falls behind. If each owner gives the duty up for it, the next one reads all
+        that is open, falls behind as well and gives it up in turn: submissions are taken for tens of seconds and nothing runs.
+
+        Given 3 entries
+        When 1000 ms pass
+        And every entry is slow from now on
+        And 9000 ms pass
+        Then 1 entry holds the duty
+        And the duty was gained 2 times at most
+
     Scenario Outline: where an entry stands
         Given entries with cores "<cores>" and links of "<mbps>" megabits a second
         Then the order in which they apply is "<order>"
--- a/src/duties/test/duties.steps.ts
+++ b/src/duties/test/duties.steps.ts
@@ -25,6 +25,8 @@
     store: FakeStore;
     entries: Entry[];
     suspendedMs: number;
+    areSlow: boolean;
+    gains: number;
     tokenBefore: number;
     formerHolder: string;
     formerToken: number;
@@ -36,6 +38,8 @@
     this.store = createFakeStore();
     this.entries = [];
     this.suspendedMs = 0;
+    this.areSlow = false;
+    this.gains = 0;
 });
 
 After(function(this: World) {
@@ -55,8 +59,10 @@
         holder: { boot: name, instance: name },
         report() {},
         minTtlMs: 1000,
-        isFit: () => true,
-        onGained() {},
+        fitness: () => world.areSlow ? "slow" : "fit",
+        onGained() {
+            world.gains++;
+        },
         onLost() {},
     });
     const follower = createFollower({
@@ -114,6 +120,14 @@
     holderOf(this).stop();
 });
 
+When("every entry is slow from now on", function(this: World) {
+    this.areSlow = true;
+});
+
+Then("the duty was gained {int} times at most", function(this: World, most: number) {
+    assert.ok(this.gains <= most, String(this.gains));
+});
+
 When("the holder hands over", function(this: World) {
     const holder = holderOf(this);
     holder.isKilled = true;
--- a/src/runs/createRuns.ts
+++ b/src/runs/createRuns.ts
@@ -20,6 +20,8 @@
     findTicket(run: Run): string | undefined;
     /** Asks a worker at once what it runs. */
     lookNow(worker: Worker): void;
+    /** A worker has answered a start; the time that it took, in milliseconds. */
+    onStartAnswered(tookMs: number): void;
     /** Room or tasks have become free. */
     onChange(): void;
 }
@@ -142,7 +144,9 @@
             ticket: opts.findTicket(run),
         });
         if ("workerMs" in result && result.workerMs !== undefined) {
-            noteClock(worker, result.workerMs, nowMs, clocks.steadyMs());
+            const answeredAtMs = clocks.steadyMs();
+            noteClock(worker, result.workerMs, nowMs, answeredAtMs);
+            opts.onStartAnswered(answeredAtMs - nowMs);
         }
         orderLog(run, "start", result.kind === "refused" ? result.reason : result.kind);
         if (worker.runs.has(run)) {
--- a/src/runs/index.ts
+++ b/src/runs/index.ts
@@ -2,5 +2,6 @@
 export { applyEnd } from "./applyEnds";
 export { createLooks, type Looks } from "./createLooks";
 export { createRuns, type Runs } from "./createRuns";
+export { createStartWindow, type StartWindow } from "./createStartWindow";
 export * from "./taskWorkers";
 export { earliestWorkerMs, latestWorkerMs, longestMs, noteClock } from "./workerClock";
--- /dev/null
+++ b/src/runs/test/startWindow.steps.ts
@@ -0,0 +1,49 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import type { Run, Worker } from "../../schedule";
+import { createStartWindow, type StartWindow } from "../index";
+
+interface World {
+    nowMs: number;
+    window: StartWindow;
+    worker: Pick<Worker, "runs">;
+    runs: Run[];
+}
+
+Given("a window of starts", function(this: World) {
+    this.nowMs = 0;
+    this.window = createStartWindow(() => this.nowMs);
+    this.worker = { runs: new Set() };
+});
+
+When("{int} starts are sent and answered after {int} ms each", function(this: World, count: number, ms: number) {
+    Array.from({ length: count }, () => this.window.noteAnswer(ms));
+});
+
+When(
+    "{int} starts are sent and answered after {int} ms each, one after the other",
+    function(this: World, count: number, ms: number) {
+        for (let at = 0; at < count; at++) {
+            this.nowMs += ms;
+            this.window.noteAnswer(ms);
+        }
+    },
+);
+
+When("{int} starts are under way", function(this: World, count: number) {
+    this.runs = Array.from({ length: count }, () => ({ phase: "starting", worker: this.worker }) as Run);
+    this.runs.forEach((run) => this.worker.runs.add(run));
+    this.window.add(this.runs);
+});
+
+When("{int} of them are answered", function(this: World, count: number) {
+    this.runs.slice(0, count).forEach((run) => run.phase = "running");
+});
+
+When("the worker of the others is gone", function(this: World) {
+    this.worker.runs.clear();
+});
+
+Then("{int} starts may be sent", function(this: World, count: number) {
+    assert.equal(this.window.free(), count);
+});
--- a/src/scheduler/createPlanner.ts
+++ b/src/scheduler/createPlanner.ts
@@ -1,6 +1,7 @@
 import type { Advisor } from "../advice";
 import type { Tenure } from "../duties";
 import type { Policy } from "../policy";
+import type { StartWindow } from "../runs";
 import {
     type Board,
     type Estimates,
@@ -23,6 +24,7 @@
     readonly steadyMs: () => number;
     readonly policy: () => Policy | undefined;
     readonly advisor: Advisor;
+    readonly window: StartWindow;
     /** Records and orders new runs of a submission. */
     startAll(entry: SubmissionEntry, runs: readonly Run[]): void;
 }
@@ -45,9 +47,6 @@
  */
 const planPauseFactor = 3;
 
-/** Starts of one round of planning; the next follows at once. */
-const maxStartsPerRound = 200;
-
 /** Plans starts and copies in rounds. */
 export function createPlanner(opts: PlannerOptions): Planner {
     const { board, estimates, steadyMs } = opts;
@@ -72,7 +71,8 @@
 
     function plan(nowMs: number): void {
         const policy = opts.policy();
-        if (isStopped || policy === undefined || !opts.tenure.isValid()) {
+        const maxStarts = opts.window.free();
+        if (isStopped || policy === undefined || !opts.tenure.isValid() || maxStarts === 0) {
             return;
         }
         const planned = planStarts({
@@ -82,7 +82,7 @@
             nowMs,
             timeOfDayMs: Date.now(),
             allowedWorkers: findAllowed,
-            maxStarts: maxStartsPerRound,
+            maxStarts,
         });
         const pools = groupByPool(board);
         const copies = planCopies({
@@ -93,6 +93,7 @@
             nowMs,
         });
         const bySubmission = new Map<SubmissionEntry, Run[]>();
+        opts.window.add([...planned, ...copies]);
         for (const run of [...planned, ...copies]) {
             const group = bySubmission.get(run.task.owner) ?? [];
             bySubmission.set(run.task.owner, group);
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -5,7 +5,7 @@
 import { createDemandMeter, createMachineOrders, type Machines } from "../machines";
 import type { Policy, Wave } from "../policy";
 import { createProgressWriter, decodeProgress, progressPrefix } from "../progress";
-import { applyEnd, createLooks, createRuns, type TaskWorkers } from "../runs";
+import { applyEnd, createLooks, createRuns, createStartWindow, type TaskWorkers } from "../runs";
 import {
     addDueOccurrences,
     createBoard,
@@ -136,6 +136,7 @@
         onEnded: (entry) => intake.noteEnded(entry),
         onCancelled: (entry) => intake.cancel(entry),
     });
+    const window = createStartWindow(clocks.steadyMs);
     const runs = createRuns({
         api: opts.workerApi,
         tenure,
@@ -146,6 +147,7 @@
         onLifeEnded,
         lookNow: (worker) => looks.lookNow(worker),
         findTicket: ({ task, worker }) => advisor.ticket(stepName(task), worker.id),
+        onStartAnswered: window.noteAnswer,
         onChange: () => planner.planSoon(),
     });
     const looks = createLooks({
@@ -199,6 +201,7 @@
         steadyMs: clocks.steadyMs,
         policy: opts.policy,
         advisor,
+        window,
         startAll: (entry, group) => void startAll(entry, group),
     });
     const pacer = createPacer({ api: opts.workerApi, tenure, clocks });
--- a/src/submissions/createDoor.ts
+++ b/src/submissions/createDoor.ts
@@ -14,7 +14,7 @@
     QueueCall,
     Refusal,
 } from "./door";
-import { decodeRecord, encodeRecord, submissionKey, submissionPrefix, type SubmissionRecord } from "./record";
+import { decodeRecord, encodeRecord, submissionKey, type SubmissionRecord } from "./record";
 import type { Submission, SubmissionRequest, SubmissionState } from "./submission";
 
 export interface DoorOptions {
@@ -40,6 +40,9 @@
 /** Clients come back when the store may have recovered: its outages last seconds. */
 const storeRetryAfterMs = 1000;
 
+/** A new owner has read what is open after a second or two. */
+const ownerRetryAfterMs = 1000;
+
 /** Pause before a read that got no answer is made again, in milliseconds. */
 const storeRetryMs = 150;
 
@@ -50,7 +53,6 @@
 export function createDoor(opts: DoorOptions): Door {
     const { policySource, store, writer, owner, report, steadyMs } = opts;
     const counts = new Map<string, { readonly count: number; readonly readAtMs: number; }>();
-    let openRecords: ReturnType<typeof readOpenRecords> | undefined;
 
     /**
      * Without news from the store for `revokeMs` a key may have been withdrawn without this entry knowing; to go on
@@ -147,24 +149,6 @@
         }
     }
 
-    /** All submissions are read once for all who ask meanwhile: they are some megabytes, and a small link takes seconds. */
-    async function readOpenRecords() {
-        const result = await store.range(submissionPrefix);
-        return result.kind === "unavailable"
-            ? unavailable(result.detail)
-            : result.items.map(({ text }) => decodeRecord(text));
-    }
-
-    async function countOpen(route: string): Promise<CountResult> {
-        openRecords ??= readOpenRecords().finally(() => openRecords = undefined);
-        const records = await openRecords;
-        if ("kind" in records) {
-            return records;
-        }
-        // Which of them have begun is known to the owner alone; a count that is too high does less harm.
-        return { kind: "count", pendingSubmissions: records.filter((record) => isOpenOn(record, route)).length };
-    }
-
     function log<R extends { kind: string; detail?: string; }>(call: QueueCall, action: string, id: string, result: R) {
         report({
             kind: "request",
@@ -229,15 +213,17 @@
             if (reused !== undefined && steadyMs() - reused.readAtMs < countReuseMs) {
                 return { kind: "count", pendingSubmissions: reused.count };
             }
-            const count = await owner.countPending(name);
-            const result = count === undefined
-                ? await countOpen(name)
-                : { kind: "count", pendingSubmissions: count } as const;
-            if (result.kind === "count") {
-                counts.set(name, { count: result.pendingSubmissions, readAtMs: steadyMs() });
-                return result;
+            const pendingSubmissions = await owner.countPending(name);
+            if (pendingSubmissions === undefined) {
+                // The store could tell it too, by all submissions there are. Read by every entry while nobody decides, they
+                // fill the links of small instances for seconds: renewals of leases are late, and the next owner is lost too.
+                return log<CountResult>(call, "count", "", {
+                    kind: "ownerUnavailable",
+                    retryAfterMs: ownerRetryAfterMs,
+                });
             }
-            return log(call, "count", "", result);
+            counts.set(name, { count: pendingSubmissions, readAtMs: steadyMs() });
+            return { kind: "count", pendingSubmissions };
         },
     };
 }
@@ -253,10 +239,6 @@
     return { ...request, tenant, route: route.name, service: route.service, acceptedAtMs: Date.now() };
 }
 
-function isOpenOn(record: SubmissionRecord | undefined, route: string): boolean {
-    return record?.kind === "open" && !record.isCancelled && record.submission.route === route;
-}
-
 /** What the record alone tells; whether tasks have started is known to the owner. */
 function stateOf(record: SubmissionRecord): SubmissionState {
     switch (record.kind) {
--- a/src/submissions/door.ts
+++ b/src/submissions/door.ts
@@ -21,6 +21,8 @@
     | { readonly kind: "invalid"; readonly detail: string; }
     /** The store took nothing, so the submission was not accepted and never runs. */
     | { readonly kind: "storeUnavailable"; readonly detail: string; readonly retryAfterMs: number; }
+    /** Nobody decides just now, or whoever does is not reached: what only the owner knows can't be told. */
+    | { readonly kind: "ownerUnavailable"; readonly retryAfterMs: number; }
     /** Whether it was stored is not known; the same request may be sent again. */
     | { readonly kind: "unknown"; readonly detail: string; };
 
--- a/src/submissions/test/submissions.feature
+++ b/src/submissions/test/submissions.feature
@@ -95,3 +95,13 @@
         When a submission is handed in
         And its state is asked for
         Then the state is "pending"
+
+    Scenario: a queue is counted while nobody decides
+        The owner of a large fleet is gone for a moment, and operators ask every entry how much waits. If each reads all
+        submissions from the store to tell, the links of small instances are full for seconds, clients' requests run out of
+        time, and the next owner's lease can't be renewed.
+
+        Given 40 submissions are in the store
+        When the queue is counted
+        Then the answer is "ownerUnavailable"
+        And counting took no call of the store
--- a/src/submissions/test/submissions.steps.ts
+++ b/src/submissions/test/submissions.steps.ts
@@ -13,6 +13,7 @@
     ageMs: number | undefined;
     isStoreLost: boolean;
     askedAtMs: number;
+    callsBefore: number;
     answers: { readonly kind: string; readonly state?: string; }[];
 }
 
@@ -116,6 +117,23 @@
     await handIn(this, `/stalls/${id}`, "key-1", [{ after: [1] }, {}]);
 });
 
+Given("{int} submissions are in the store", async function(this: World, count: number) {
+    for (let at = 0; at < count; at++) {
+        const name = at.toString(16).padStart(16, "0");
+        await finish(this, this.door.accept(callOf(`/stalls/${name}`, "key-1"), requestOf([{}], name)));
+    }
+    this.answers = [];
+    this.callsBefore = this.store.calls("entry-1");
+});
+
+When("the queue is counted", async function(this: World) {
+    await finish(this, this.door.count(callOf("/stalls/", "key-1")));
+});
+
+Then("counting took no call of the store", function(this: World) {
+    assert.equal(this.store.calls("entry-1"), this.callsBefore);
+});
+
 When("{int} submissions are handed in at once", async function(this: World, count: number) {
     const names = Array.from({ length: count }, (_, at) => at.toString(16).padStart(16, "0"));
     const calls = names.map(async (name) => {
--- a/standins/scheduling/createSchedulingWorld.ts
+++ b/standins/scheduling/createSchedulingWorld.ts
@@ -272,7 +272,7 @@
         holder: { boot: name, instance: name },
         report: (event) => log.push(event),
         minTtlMs: 1000,
-        isFit: () => isFit,
+        fitness: () => isFit ? "fit" : "slow",
         onGained(tenure) {
             scheduler = createScheduler({
                 store,
