perf(schedule, logging): submissions without a place aren't ranked; log lines keep their order

Cause: of 2 s of a full owner 0.4 s went into planning, half of it into ranking some 300 submissions whose pool is full; 0.12 s into log lines, half of it into sorting their fields (16 us against 7.5 us a line on a plain loop). Change: a submission is ranked only if one of its steps may fit the largest hole of its pool; lines are rendered without sorting.

--- a/src/logging/createReporter.ts
+++ b/src/logging/createReporter.ts
@@ -43,7 +43,8 @@
     const logger = createLogger({
         level: opts.level,
         defaultMeta: opts.fields,
-        format: format.combine(format.timestamp(), format.json()),
+        // The library's own rendering sorts the fields of each line, which takes twice the time of all the rest.
+        format: format.combine(format.timestamp(), format.printf((line) => JSON.stringify(line))),
         transports: [new transports.Stream({ stream: sink.stream })],
     });
     process.once("exit", sink.flush);
--- a/src/schedule/planStarts.ts
+++ b/src/schedule/planStarts.ts
@@ -1,5 +1,6 @@
 import type { Policy } from "../policy";
-import type { Board, Run, Task, Worker } from "./board";
+import type { Step } from "../submissions";
+import type { Board, Run, SubmissionEntry, Task, Worker } from "./board";
 import { type Estimates } from "./estimates";
 import { listUnits, orderWork, type Unit } from "./orderWork";
 import { isEligible, isOpen, placeTask } from "./placeTask";
@@ -31,7 +32,7 @@
     const misses = new Map<string, number>();
     const started: Run[] = [];
     const ranked = orderWork({
-        entries: board.submissions.values(),
+        entries: listPlaceable(board, (entry) => pools.get(routeOf(policy, entry.submission).service)?.hole),
         routeOf: (submission) => routeOf(policy, submission),
         estimates,
         nowMs,
@@ -86,10 +87,28 @@
 }
 
 function fits({ tasks }: Unit, hole: Hole): boolean {
-    return tasks.every(({ step: { size, isFiller } }) =>
-        (isFiller || size.cpuMillis <= hole.cpuMillis) && size.memoryMb <= hole.memoryMb
-        && size.accelerators <= hole.accelerators
-    );
+    return tasks.every(({ step }) => fitsStep(step, hole));
+}
+
+function fitsStep({ size, isFiller }: Step, hole: Hole): boolean {
+    return (isFiller || size.cpuMillis <= hole.cpuMillis) && size.memoryMb <= hole.memoryMb
+        && size.accelerators <= hole.accelerators;
+}
+
+/**
+ * Submissions that have a step for which their pool may have a place. In a peak most wait for a full pool: ranking all of
+ * them in each round took a sixth of an owner's time with 300 waiting, to find that none of them has a place.
+ */
+function* listPlaceable(
+    { submissions }: Board,
+    holeOf: (entry: SubmissionEntry) => Hole | undefined,
+): Generator<SubmissionEntry> {
+    for (const entry of submissions.values()) {
+        const hole = holeOf(entry);
+        if (hole !== undefined && entry.submission.steps.some((step) => fitsStep(step, hole))) {
+            yield entry;
+        }
+    }
 }
 
 export function groupByPool(board: Board): ReadonlyMap<string, Worker[]> {
