feat(runs): a busy owner has its peers call the workers

Cause: an owner of 0.12 cores makes some 60 starts a second by itself and spends the rest on HTTP; 170 a second are due. Ruled out: the link (60 KB/s of 250), the store. Ways weighed: owners by pool (a turn's load falls on one pool), batches to workers (no such call), calls through peers (taken: tokens, leases and the order of writes stay the owner's). Change: while more than half of its time is work, calls to workers go through linked peers, always the same one a worker.

--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -14,11 +14,12 @@
     workerDecoder,
 } from "../../platform";
 import { createClocks, pause } from "../clock";
-import { createDuty, createLagGuard, createPresence, measureStrength, type Tenure } from "../duties";
+import { createDuty, createLagGuard, createLoadMeter, createPresence, measureStrength, type Tenure } from "../duties";
 import type { Reporter } from "../logging";
 import { createEventMetrics } from "../metrics";
 import { createPeers, type Peer } from "../peers";
 import { createPolicyFeed } from "../policy";
+import { createRelayedWorkers } from "../runs";
 import { createScheduler, type Scheduler } from "../scheduler";
 import { createRelayedStore } from "../store";
 import { createDoor, createRecordWriter } from "../submissions";
@@ -102,9 +103,14 @@
     });
     const machines = createMachines(callWorker, settings.machinesAddress);
     const advice = createAdvice(callWorker, settings.adviceAddress);
-    const workerApi = createTaskWorkers(callWorker, workerAnswerTimeoutMs);
-
     const lagGuard = createLagGuard();
+    const loadMeter = createLoadMeter();
+    const workerApi = createRelayedWorkers({
+        direct: createTaskWorkers(callWorker, workerAnswerTimeoutMs),
+        peers,
+        isBusy: loadMeter.isBusy,
+        nowMs: clocks.steadyMs,
+    });
     let scheduler: Scheduler | undefined;
     const policyFeed = createPolicyFeed({
         store,
@@ -227,6 +233,7 @@
             policyFeed.start();
             presence.start();
             lagGuard.start();
+            loadMeter.start();
             duty.start();
             report({ kind: "started", boot, zone: settings.zone, region: settings.region });
         },
--- a/src/duties/index.ts
+++ b/src/duties/index.ts
@@ -1,5 +1,6 @@
 /** Who decides: one entry at a time, under a lease of the platform's store, with a token that only rises. */
 export { createDuty, type Duty, type DutyHolder, dutyKey, type Fitness, type Tenure } from "./createDuty";
 export { createLagGuard, type LagGuard } from "./createLagGuard";
+export { createLoadMeter, type LoadMeter } from "./createLoadMeter";
 export { createPresence, type Presence } from "./createPresence";
 export { type Candidate, measureStrength, rankCandidates, type Standing } from "./rankCandidates";
--- a/src/runs/index.ts
+++ b/src/runs/index.ts
@@ -1,6 +1,7 @@
 /** Orders to workers: starts, stops, leases, and what workers list in return. */
 export { applyEnd } from "./applyEnds";
 export { createLooks, type Looks } from "./createLooks";
+export { createRelayedWorkers } from "./createRelayedWorkers";
 export { createRuns, type Runs } from "./createRuns";
 export { createStartWindow, type StartWindow } from "./createStartWindow";
 export * from "./taskWorkers";
--- /dev/null
+++ b/src/runs/test/relayedWorkers.steps.ts
@@ -0,0 +1,131 @@
+import { After, Before, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { type Clock, installClock } from "../../../standins/dispatch";
+import { createFakeNetwork, type FakeNetwork } from "../../../standins/fakes";
+import { createRelayedWorkers, type StartOrder, type StartResult, type TaskWorkers, type WorkerTarget } from "../index";
+
+interface Call {
+    readonly by: string;
+    readonly worker: string;
+    readonly order?: StartOrder;
+}
+
+interface World {
+    clock: Clock;
+    network: FakeNetwork;
+    isBusy: boolean;
+    calls: Call[];
+    workers: TaskWorkers;
+    peerNames: readonly string[];
+    start: StartResult | undefined;
+}
+
+const startOrder: StartOrder = {
+    task: "5c0e7a21d94b36f8.0.0.0",
+    run: 2,
+    payload: "payload",
+    checkpoint: "",
+    leaseUntilMs: 1800,
+    token: 7,
+    ticket: undefined,
+};
+
+Before(function(this: World) {
+    this.clock = installClock();
+    this.network = createFakeNetwork();
+    this.isBusy = false;
+    this.calls = [];
+    this.start = undefined;
+});
+
+After(function(this: World) {
+    this.clock.uninstall();
+});
+
+/** Workers that note who called them. */
+function createNotingWorkers(world: World, by: string): TaskWorkers {
+    const note = ({ id }: WorkerTarget, order?: StartOrder) =>
+        world.calls.push({ by, worker: id, ...order === undefined ? {} : { order } });
+    const taken = { kind: "taken", workerMs: 1 } as const;
+    return {
+        start(worker, order) {
+            note(worker, order);
+            return Promise.resolve({ kind: "started", workerMs: 1 });
+        },
+        look(worker) {
+            note(worker);
+            return Promise.resolve({ kind: "listed", workerMs: 1, bornMs: undefined, running: [], ended: [] });
+        },
+        stop(worker) {
+            note(worker);
+            return Promise.resolve(taken);
+        },
+        pace(worker) {
+            note(worker);
+            return Promise.resolve(taken);
+        },
+    };
+}
+
+function addEntry(world: World, boot: string): TaskWorkers {
+    const peers = world.network.connect({ boot, instance: boot, region: "r", zone: "z", peerUrl: `ws://${boot}` });
+    return createRelayedWorkers({
+        direct: createNotingWorkers(world, boot),
+        peers,
+        isBusy: () => world.isBusy,
+        nowMs: () => performance.now(),
+    });
+}
+
+Given("an owner with {int} peer/peers", function(this: World, count: number) {
+    this.workers = addEntry(this, "owner");
+    this.peerNames = Array.from({ length: count }, (_, at) => `peer-${at + 1}`);
+    this.peerNames.forEach((name) => addEntry(this, name));
+});
+
+Given("the owner is busy", function(this: World) {
+    this.isBusy = true;
+});
+
+Given("the peers are cut off from the owner with the next call", function(this: World) {
+    setTimeout(() => this.peerNames.forEach((name) => this.network.cuts.add(`owner>${name}`)), 0);
+});
+
+When("the links are well again", function(this: World) {
+    this.network.cuts.clear();
+});
+
+When("it looks at {int} worker/workers", async function(this: World, count: number) {
+    const order = { token: 7, ackedEnd: 0, leaseUntilMs: 4500, waitMs: 0 };
+    const looks = Array.from({ length: count }, (_, at) => this.workers.look({ id: `w${at}`, address: "" }, order));
+    await this.clock.advance(1000);
+    (await Promise.all(looks)).forEach(({ kind }) => assert.equal(kind, "listed"));
+});
+
+When("a task is started", async function(this: World) {
+    void this.workers.start({ id: "w0", address: "" }, startOrder).then((result) => this.start = result);
+    await this.clock.advance(1000);
+});
+
+Then("{int} call/calls was/were made by {string}", function(this: World, count: number, by: string) {
+    assert.equal(this.calls.filter((call) => call.by === by).length, count);
+});
+
+Then("{int} calls were made by each peer", function(this: World, count: number) {
+    for (const name of this.peerNames) {
+        assert.equal(this.calls.filter(({ by }) => by === name).length, count, name);
+    }
+});
+
+Then("each worker was called by one entry", function(this: World) {
+    const ways = new Set(this.calls.map(({ by, worker }) => `${by} ${worker}`));
+    assert.equal(ways.size, new Set(this.calls.map(({ worker }) => worker)).size);
+});
+
+Then("the start has no answer", function(this: World) {
+    assert.equal(this.start?.kind, "noAnswer");
+});
+
+Then("the worker has the order as it was given", function(this: World) {
+    assert.deepEqual(this.calls, [{ by: "peer-1", worker: "w0", order: startOrder }]);
+});
