perf(peers): links to the owner and to a few others in place of all

Cause: each link is used four times a second both ways; at 97 entries that is 768 frames a second an entry of 0.324 cores. Change: an entry links to the owner and to those 1, 2, 4, .. places on a ring by boot; up to 16 others all are linked as before. Links that neither end wants are closed.

--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -17,7 +17,7 @@
 import { createDuty, createLagGuard, createLoadMeter, createPresence, measureStrength, type Tenure } from "../duties";
 import type { Reporter } from "../logging";
 import { createEventMetrics } from "../metrics";
-import { createPeers, type Peer } from "../peers";
+import { chooseLinks, createPeers, type Peer } from "../peers";
 import { createPolicyFeed } from "../policy";
 import { createRelayedWorkers } from "../runs";
 import { createScheduler, type Scheduler } from "../scheduler";
@@ -137,7 +137,10 @@
         clocks,
         self: { ...self, strength: measureStrength(settings.cores, settings.linkMbps) },
         duty,
-        onPeers: (others) => peers.setAddresses(others.map(({ peerUrl }) => peerUrl)),
+        onPeers(others) {
+            const links = chooseLinks({ self: boot, others, owner: presence.ownerBoot() });
+            peers.setAddresses(links.map(({ peerUrl }) => peerUrl));
+        },
     });
 
     function beginTenure(tenure: Tenure): void {
--- a/src/peers/createPeers.ts
+++ b/src/peers/createPeers.ts
@@ -32,6 +32,9 @@
 /** Requests that may wait for an answer at once. */
 const maxWaiting = 10_000;
 
+/** A link that this entry made and wants no more is closed after this many heartbeats: it may be wanted again soon. */
+const unwantedHeartbeats = 20;
+
 /** How long a link may take to close by itself at a planned stop, in milliseconds. */
 const closeMs = 500;
 
@@ -50,6 +53,8 @@
     const waiting = new Map<number, Waiting>();
     const dialing = new Set<string>();
     const unreachedSince = new Map<string, number>();
+    /** Addresses of the links that this entry made, and since when it does not want them. */
+    const dialed = new Map<Link, { readonly url: string; unwantedSinceMs: number | undefined; }>();
     let addresses: readonly string[] = [];
     let nextId = 1;
     let server: WebSocketServer | undefined;
@@ -89,6 +94,7 @@
 
     function drop(link: Link): void {
         links.delete(link);
+        dialed.delete(link);
         for (const [id, entry] of waiting) {
             if (entry.link === link) {
                 settle(id, Left({ kind: "unknown", detail: "the link broke" }));
@@ -178,6 +184,7 @@
             ...opts.certificates ?? {},
         });
         const link = adoptSocket(socket);
+        dialed.set(link, { url, unwantedSinceMs: undefined });
         socket.on("open", () => link.write({ kind: "hello", peer: self }));
         socket.on("close", () => dialing.delete(url));
     }
@@ -193,9 +200,22 @@
                 link.write({ kind: "heartbeat" });
             }
         }
+        closeUnwanted(now);
         dialUnreached(now);
     }
 
+    /** If the other end wants the link still, it makes one of its own. */
+    function closeUnwanted(now: number): void {
+        for (const [link, made] of dialed) {
+            made.unwantedSinceMs = addresses.includes(made.url) ? undefined : made.unwantedSinceMs ?? now;
+            if (
+                made.unwantedSinceMs !== undefined && now - made.unwantedSinceMs > unwantedHeartbeats * opts.heartbeatMs
+            ) {
+                link.socket.close(1000);
+            }
+        }
+    }
+
     /**
      * Of two entries, the one with the lower address dials, so that they do not end with two links. The other dials
      * too after a while: the first may not know of it yet, or may not get through in its direction.
--- a/src/peers/test/peers.feature
+++ b/src/peers/test/peers.feature
@@ -44,3 +44,22 @@
         answer for others.
         Given two entries with certificates "entry" and "stranger"
         Then they are not linked after 1500 ms
+
+    Scenario: a link that nobody wants any more is closed
+        The owner of a large fleet is linked to all entries, and another entry takes its place. Kept, its links would cost every
+        entry processor time and memory with each change of owners.
+        Given two linked entries
+        When neither wants the other any more
+        Then no link is left after 3000 ms
+
+    Scenario Outline: which entries are linked
+        Given <entries> entries of a fleet, one of them the owner
+        Then each entry links to the owner, and the owner to all
+        And each other entry makes at most <links> links
+        And any two entries are joined over at most <hops> links without the owner
+
+        Examples:
+            | entries | links | hops |
+            | 9       | 8     | 1    |
+            | 97      | 8     | 5    |
+            | 400     | 10    | 6    |
--- a/src/peers/test/peers.steps.ts
+++ b/src/peers/test/peers.steps.ts
@@ -7,13 +7,16 @@
 import type { Either } from "purify-ts";
 import { WebSocket } from "ws";
 import { findFreePort } from "../../../standins/processes";
-import { createPeers, type PeerFailure, type Peers } from "../index";
+import { createRandom } from "../../../standins/random";
+import { chooseLinks, createPeers, type Peer, type PeerFailure, type Peers } from "../index";
 
 interface World {
     entries: Peers[];
     answer: Either<PeerFailure, unknown>;
     waitedMs: number;
     refused: number;
+    fleet: readonly Peer[];
+    links: ReadonlyMap<string, readonly string[]>;
 }
 
 setDefaultTimeout(20_000);
@@ -21,7 +24,7 @@
 const packr = new Packr({ useRecords: false });
 
 After(async function(this: World) {
-    await Promise.all(this.entries.map((peers) => peers.stop()));
+    await Promise.all((this.entries ?? []).map((peers) => peers.stop()));
 });
 
 async function startEntry(name: string, certificate?: string): Promise<Peers> {
@@ -198,3 +201,53 @@
     assert.equal(await isLinkedWithin(this, ms), false);
     assert.ok(this.entries.every((peers) => peers.connected().length === 0));
 });
+
+When("neither wants the other any more", function(this: World) {
+    this.entries.forEach((peers) => peers.setAddresses([]));
+});
+
+Then("no link is left after {int} ms", async function(this: World, ms: number) {
+    const endAtMs = Date.now() + ms;
+    const count = () => this.entries.reduce((sum, peers) => sum + (peers.traffic?.().links ?? 0), 0);
+    while (count() > 0 && Date.now() < endAtMs) {
+        await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+    assert.equal(count(), 0);
+});
+
+Given("{int} entries of a fleet, one of them the owner", function(this: World, count: number) {
+    const random = createRandom(count);
+    const names = Array.from({ length: count }, () => random.int(0, 2 ** 30).toString(16));
+    this.fleet = names.map((boot) => ({ boot, instance: boot, region: "r", zone: "z", peerUrl: `ws://${boot}` }));
+    const owner = names[0];
+    this.links = new Map(names.map((self) => {
+        const others = this.fleet.filter(({ boot }) => boot !== self);
+        return [self, chooseLinks({ self, others, owner }).map(({ boot }) => boot)];
+    }));
+});
+
+Then("each entry links to the owner, and the owner to all", function(this: World) {
+    const [owner, ...others] = this.fleet.map(({ boot }) => boot);
+    assert.equal(this.links.get(owner ?? "")?.length, others.length);
+    others.forEach((boot) => assert.ok(this.links.get(boot)?.includes(owner ?? "")));
+});
+
+Then("each other entry makes at most {int} links", function(this: World, most: number) {
+    this.fleet.slice(1).forEach(({ boot }) => assert.ok((this.links.get(boot)?.length ?? 0) <= most));
+});
+
+Then("any two entries are joined over at most {int} links without the owner", function(this: World, most: number) {
+    const others = this.fleet.slice(1).map(({ boot }) => boot);
+    const joined = new Map(others.map((boot) => [boot, new Set<string>()]));
+    for (const from of others) {
+        for (const to of this.links.get(from) ?? []) {
+            joined.get(from)?.add(to);
+            joined.get(to)?.add(from);
+        }
+    }
+    let reached = new Set(others.slice(0, 1));
+    for (let hop = 0; hop < most; hop++) {
+        reached = new Set([...reached].flatMap((boot) => [boot, ...joined.get(boot) ?? []]));
+    }
+    others.forEach((boot) => assert.ok(reached.has(boot), boot));
+});
