--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -104,7 +104,9 @@
     const machines = createMachines(callWorker, settings.machinesAddress);
     const advice = createAdvice(callWorker, settings.adviceAddress);
     const lagGuard = createLagGuard();
-    const loadMeter = createLoadMeter();
+    const loadMeter = createLoadMeter((isBusy) =>
+        report({ kind: "note", slice: "load", message: isBusy ? "this entry is busy" : "this entry is busy no more" })
+    );
     const workerApi = createRelayedWorkers({
         direct: createTaskWorkers(callWorker, workerAnswerTimeoutMs),
         peers,
--- a/src/duties/createLoadMeter.ts
+++ b/src/duties/createLoadMeter.ts
@@ -14,11 +14,15 @@
 const lookWeight = 0.25;
 
 /** Shares of time spent working at which the process counts as busy, and from which on no longer. */
-const busyShare = 0.5;
-const calmShare = 0.15;
+const busyShare = 0.7;
+const calmShare = 0.3;
 
-/** Measures the share of time that the event loop works, as against waiting for something to happen. */
-export function createLoadMeter(): LoadMeter {
+/**
+ * Measures the share of time that the event loop works, as against waiting for something to happen.
+ *
+ * @param onChange told whether the process counts as busy, whenever that changes
+ */
+export function createLoadMeter(onChange: (isBusy: boolean) => void): LoadMeter {
     let share = 0;
     let isBusy = false;
     let last = performance.eventLoopUtilization();
@@ -28,7 +32,11 @@
         const now = performance.eventLoopUtilization();
         share += (performance.eventLoopUtilization(now, last).utilization - share) * lookWeight;
         last = now;
-        isBusy = share > (isBusy ? calmShare : busyShare);
+        const wasBusy = isBusy;
+        isBusy = share > (wasBusy ? calmShare : busyShare);
+        if (isBusy !== wasBusy) {
+            onChange(isBusy);
+        }
     }
 
     return {
