feat(schedule): tasks of one submission keep to one availability zone

Cause: a submission ends with its last task; spread over five zones nearly each one has a task in any zone that is cut off, and waits 4.5 s until that task's lease must have run out. Change: a worker of the zone in which the submission's last task was placed goes before others of equal standing.

--- a/src/schedule/board.ts
+++ b/src/schedule/board.ts
@@ -79,6 +79,8 @@
     /** The end that has been decided; shown once it is in the store. */
     ending: "complete" | "failed" | "cancelled" | undefined;
     readonly seenAtMs: number;
+    /** Availability zone of the worker that a task of it was placed on last; `undefined`: of none yet. */
+    zone: string | undefined;
     /** What the order goes by, as it was worked out last. */
     outlook: Outlook | undefined;
 }
--- a/src/schedule/entries.ts
+++ b/src/schedule/entries.ts
@@ -23,6 +23,7 @@
         occurrences: [],
         ending: undefined,
         seenAtMs: nowMs,
+        zone: undefined,
         outlook: undefined,
     };
     board.submissions.set(submission.id, entry);
--- a/src/schedule/placeTask.ts
+++ b/src/schedule/placeTask.ts
@@ -62,7 +62,9 @@
  * Near its data a task takes its time, elsewhere `remoteFactor` times as long, so the data's rack goes first. Long-running
  * tasks then take the fullest worker that holds them: they stay, and whatever they leave free on other machines can be
  * moved to where work waits. Short tasks take the fullest worker too, but those that hold long-running tasks first, so
- * that machines which serve a burst run empty soon after it. Tasks that disturb each other are kept apart: a filler goes
+ * that machines which serve a burst run empty soon after it. Tasks of one submission that ends by itself keep to one
+ * availability zone: it ends with its last task, and spread over all zones nearly each one would wait for leases to run out
+ * when any zone is cut off. Tasks that disturb each other are kept apart: a filler goes
  * where the fewest serving tasks are.
  */
 export function placeTask(task: Task, opts: PlaceOptions): Worker | undefined {
@@ -84,6 +86,7 @@
 const dataRackBonus = 100;
 const failedHerePenalty = 50;
 const stayingBonus = 2;
+const sameZoneBonus = 4;
 
 function scorePlace(worker: Worker, task: Task): number {
     const { step } = task;
@@ -95,8 +98,9 @@
     if (task.failedOn.has(worker.id)) {
         score -= failedHerePenalty;
     }
-    if (!step.isLongRunning && hasStaying(worker)) {
-        score += stayingBonus;
+    if (!step.isLongRunning) {
+        score += hasStaying(worker) ? stayingBonus : 0;
+        score += worker.zone === task.owner.zone ? sameZoneBonus : 0;
     }
     return score;
 }
--- a/src/schedule/runs.ts
+++ b/src/schedule/runs.ts
@@ -28,6 +28,7 @@
     task.runs.push(run);
     task.lastRun = Math.max(task.lastRun, number);
     worker.runs.add(run);
+    task.owner.zone = worker.zone || task.owner.zone;
     count(board, run, 1);
     return run;
 }
--- a/src/schedule/test/schedule.feature
+++ b/src/schedule/test/schedule.feature
@@ -62,6 +62,24 @@
         When starts are planned
         Then worker 1 is empty
 
+    Scenario: a burst over all zones, any of which may be cut off
+        A submission ends with its last task. Cut off with its zone, a task is only started again when its lease must have run
+        out, seconds later. With its tasks spread over all zones, nearly every submission of a turn is late when one is cut.
+
+        Given 8 workers with 3 cores in each of 5 zones
+        And 10 submissions of 8 tasks
+        When starts are planned
+        Then tasks of all have started
+        And each zone holds tasks of at most 4 submissions
+
+    Scenario: tasks that last keep to no zone
+        Given 1 worker with 8 cores in each of 2 zones
+        And a submission "short" of 2 tasks that came just now
+        And starts are planned
+        When a long-running submission "lasting" of 8 tasks comes
+        And starts are planned
+        Then tasks of "lasting" have started: 8
+
     Scenario: a worker where two submissions failed gets no third
         A worker that fails all it starts is free again at once and draws ever more work.
 
--- a/src/schedule/test/schedule.steps.ts
+++ b/src/schedule/test/schedule.steps.ts
@@ -83,6 +83,38 @@
     Array.from({ length: count }, () => addWorker(this, cores));
 });
 
+Given(
+    "{int} worker(s) with {int} cores in each of {int} zones",
+    function(this: World, count: number, cores: number, zones: number) {
+        // One zone after the other for each, as machines come to a pool from anywhere.
+        for (let at = 0; at < count * zones; at++) {
+            addWorker(this, cores).zone = `zone-${at % zones}`;
+        }
+    },
+);
+
+Given("{int} submissions of {int} tasks", function(this: World, count: number, tasks: number) {
+    Array.from({ length: count }, (_, at) => submit(this, `burst-${at}`, { count: tasks }));
+});
+
+Then("tasks of all have started", function(this: World) {
+    for (const entry of this.entries.values()) {
+        assert.ok([...tasksOf(entry)].every(({ runs }) => runs.length === 1));
+    }
+});
+
+Then("each zone holds tasks of at most {int} submissions", function(this: World, most: number) {
+    const held = new Map<string, Set<SubmissionEntry>>();
+    for (const { zone, runs } of this.board.workers.values()) {
+        runs.forEach(({ task }) => held.set(zone, (held.get(zone) ?? new Set()).add(task.owner)));
+    }
+    held.forEach((entries, zone) => assert.ok(entries.size <= most, `${zone}: ${entries.size}`));
+});
+
+When("a long-running submission {string} of {int} tasks comes", function(this: World, name: string, count: number) {
+    submit(this, name, { count, isLongRunning: true });
+});
+
 Given("the tenant may have {int} cores", function(this: World, cores: number) {
     const cap = { cpuMillis: cores * 1000, memoryMb: 0, accelerators: 0 };
     this.policy = { ...plainPolicy, tenants: plainPolicy.tenants.map((tenant) => ({ ...tenant, cap })) };
@@ -149,7 +181,7 @@
         nowMs: world.nowMs,
         timeOfDayMs,
         allowedWorkers,
-        maxStarts: 100,
+        maxStarts: 200,
     });
 }
 
