fix(store): the first answer through a peer has the direct way tried at once

Cause: in an outage the probe of the direct way hangs for 0.9 s; at the store's return an owner that hears it through a peer first counted as turned away, and left the duty to nobody for 1.4 s. Test: fails before.

--- a/src/store/createRelayedStore.ts
+++ b/src/store/createRelayedStore.ts
@@ -73,14 +73,31 @@
         }
     }
 
-    async function probe(): Promise<void> {
+    async function tryDirect(): Promise<void> {
         const result = await direct.read(probeKey);
         noteDirect(result.kind, "");
+    }
+
+    async function probe(): Promise<void> {
+        await tryDirect();
         if (isGivenUp) {
             setTimeout(() => void probe(), probeMs);
         }
     }
 
+    /**
+     * Through a peer the store answers again after a time in which it did not: an outage may be over. The probe that is under
+     * way was swallowed by it and hangs for its full time; until then this entry would count as turned away, and an owner
+     * leave its duty to nobody.
+     */
+    function noteRelayed(): void {
+        const isFirst = nowMs() - relayedAtMs > relayFreshMs;
+        relayedAtMs = nowMs();
+        if (isFirst) {
+            void tryDirect();
+        }
+    }
+
     /**
      * The store may cut any watch that waits, as when it drops its history. Taken for being turned away, each owner would
      * give its duty up at that moment, and all others with it; a short read tells the two apart.
@@ -116,7 +133,7 @@
                         & { detail: string; },
             });
             if (result.kind !== "unavailable") {
-                relayedAtMs = nowMs();
+                noteRelayed();
                 return result;
             }
         }
--- a/src/store/test/store.feature
+++ b/src/store/test/store.feature
@@ -59,6 +59,21 @@
         And 1500 ms pass
         Then "entry-1" is not turned away
 
+    Scenario: the store returns from an outage, and a peer hears it first
+        Calls sent in the outage hang until they time out. An owner that sees answers through a peer alone takes itself for
+        turned away and leaves the duty to others, which may stand worse: nobody decides for a second and more.
+
+        Given entries "entry-1" and "entry-2" with links
+        When the store is "silent" for "entry-1"
+        And the store is "refused" for "entry-2"
+        And "entry-1" reads
+        And 1100 ms pass
+        And the store is well for "entry-1"
+        And the store is well for "entry-2"
+        And "entry-1" reads
+        And 50 ms pass
+        Then "entry-1" is not turned away
+
     Scenario: a write whose answer was lost is not sent a second way
         Its sender alone knows whether that is safe.
 
