feat(schedule): tasks on a worker that has fallen silent get a copy at once, where they may have one

Cause: what runs in a cut zone is given up when its lease must have run out, 4.5 s after the worker fell silent; where the client allows two runs of a task nothing has to be waited for. Test: fails before.

--- a/src/schedule/planCopies.ts
+++ b/src/schedule/planCopies.ts
@@ -23,10 +23,12 @@
 const earliestMs = 700;
 
 /**
- * Starts a second copy of tasks that may have one and take far longer than others of their kind, on another worker.
+ * Starts a second copy of tasks that may have one, on another worker, where the first takes far longer than others of its
+ * kind or its worker has fallen silent.
  *
  * A worker that turned slow or stands still holds up the last tasks of a step, and with them everything that waits for
- * the step. A copy on a sound worker ends at about the usual time; the other is stopped.
+ * the step. A copy on a sound worker ends at about the usual time; the other is stopped. What runs on a silent worker can
+ * only be given up when its lease must have run out, seconds after the step should have ended; a copy need not wait.
  */
 export function planCopies(opts: CopyOptions): readonly Run[] {
     const copies: Run[] = [];
@@ -56,6 +58,10 @@
     if (!task.step.isSpeculative || task.phase !== "waiting" || run === undefined || task.runs.length >= maxRuns) {
         return false;
     }
+    // A worker that this owner has not asked yet has not fallen silent either.
+    if (run.worker.isHeld && !run.worker.isReachable) {
+        return true;
+    }
     const tookMs = nowMs - (run.seenAtMs ?? run.plannedAtMs);
     return run.phase === "running" && tookMs > earliestMs && tookMs > lateFactor * estimates.expectMs(task);
 }
--- a/src/schedule/test/schedule.feature
+++ b/src/schedule/test/schedule.feature
@@ -104,6 +104,20 @@
         Then tasks of "checked" have started: 4
         And no worker has both copies of a task
 
+    Scenario: a worker falls silent with tasks that may have copies
+        Its zone is cut off. Until the lease of a task there must have run out, nobody can tell that it has ended; a client
+        who may have two copies run would wait for it all the same.
+
+        Given 2 workers with 4 cores
+        And a submission "twice" of 2 tasks that may have copies
+        And a submission "once" of 2 tasks that came just now
+        When starts are planned
+        And worker 1 falls silent
+        And 100 ms later copies are planned
+        Then tasks of "twice" have started: 4
+        And tasks of "once" have started: 2
+        And no worker has both copies of a task
+
     Scenario: a full pool is not searched for each task that waits
         In a peak thousands of tasks wait for a pool of a few hundred workers. Searched for each of them in each round, it
         would take the owner's whole processor, and orders and renewals would wait.
--- a/src/schedule/test/schedule.steps.ts
+++ b/src/schedule/test/schedule.steps.ts
@@ -203,6 +203,10 @@
     });
 });
 
+When("worker {int} falls silent", function(this: World, number: number) {
+    workerOf(this, number).isReachable = false;
+});
+
 Then("tasks of {string} have started: {int}", function(this: World, name: string, count: number) {
     const entry = this.entries.get(name);
     assert.ok(entry);
