--- a/bench/experiments.ts
+++ b/bench/experiments.ts
@@ -8,6 +8,7 @@
 import { onceExperiment } from "./once/onceExperiment";
 import { overheadExperiment } from "./overhead";
 import { overloadExperiment } from "./overload";
+import { planningExperiment } from "./planning";
 import { schedules } from "./schedules/schedules";
 import { sharesExperiment } from "./shares";
 import { soak } from "./soak/soak";
@@ -20,6 +21,7 @@
     overloadExperiment,
     overheadExperiment,
     decisionsExperiment,
+    planningExperiment,
     configuration,
     soak,
     schedules,
