perf(runs): the window of starts shrinks later and grows faster

Change: late above 150 ms in place of 100, prompt below 75 in place of 50, two starts more for a prompt answer, never below 8.

--- a/src/runs/createStartWindow.ts
+++ b/src/runs/createStartWindow.ts
@@ -11,14 +11,21 @@
 }
 
 /** Bounds of the window, in starts. The most is what one round of planning may begin on an instance that keeps up. */
-const leastStarts = 4;
+const leastStarts = 8;
 const mostStarts = 200;
 
-/** Workers answer within about 10 ms; beyond this the owner itself, or its link, is what holds answers up. */
-const lateAnswerMs = 100;
+/**
+ * Workers answer within about 10 ms; beyond this the owner itself, or its link, is what holds answers up, in milliseconds.
+ * Well below the time after which a start counts as unanswered, and not as low as might be: an owner that has just begun is late for a moment with all
+ * it does, and needs its full window right then.
+ */
+const lateAnswerMs = 150;
 
 /** Answers below this make room for more, in milliseconds. */
-const promptAnswerMs = 50;
+const promptAnswerMs = 75;
+
+/** Starts by which a prompt answer widens the window. */
+const growth = 2;
 
 /** Part of the window that is left after a late answer. */
 const shrinkFactor = 0.7;
@@ -56,7 +63,7 @@
         add: (runs) => runs.forEach((run) => underWay.add(run)),
         noteAnswer(tookMs) {
             if (tookMs < promptAnswerMs) {
-                size = Math.min(mostStarts, size + 1);
+                size = Math.min(mostStarts, size + growth);
             }
             else if (tookMs > lateAnswerMs && nowMs() - shrunkAtMs > shrinkPauseMs) {
                 shrunkAtMs = nowMs();
