--- a/src/machines/chooseMoves.ts
+++ b/src/machines/chooseMoves.ts
@@ -45,7 +45,7 @@
 
 /**
  * Room that a pool gets for each processor that it needs: tasks take a tenth to a third of a machine each, and the holes
- * that they leave add up to a tenth and more. Days cost 2% more machine time than with a tenth.
+ * that they leave add up to a tenth and more.
  */
 const roomFactor = 1.2;
 
@@ -57,11 +57,11 @@
 
 /**
  * A machine beyond what its pool needs is parked in the standby pool after this time without work, in milliseconds: about
- * what the move costs. Left for twice as long, days cost 7% more machine time for 5% fewer moves, and served no better.
+ * what the move costs.
  */
 const parkAfterMs = 1200;
 
-/** Machines that each pool keeps, so that its first task does not wait for one to join; no measured cost. */
+/** Machines that each pool keeps, so that its first task does not wait for one to join. */
 const keptMachines = 1;
 
 /** Processors that a pool lacks (above 0) or could do without (below 0), in thousandths. */
--- a/src/machines/estimateArrivals.ts
+++ b/src/machines/estimateArrivals.ts
@@ -29,10 +29,8 @@
  * A queue's turn begins with a jump or rises for seconds, to five times its mean and more, and falls as fast. One long window
  * notices it when its machines should already be there; one short window takes each cluster of arrivals for a jump, and
  * machines go to and fro. So arrivals are counted over windows of different lengths, and a shorter one counts only where
- * chance doesn't explain the difference, upwards as well as downwards; what is significant of its rise is carried on. With the
- * longest window alone, ten days earned 0.04 less of worth; with the higher bound of each window they paid 0.04 more for
- * machines and moves. Without the rise, and with a tenth of room for holes, four days of a customer whose worst seconds weigh
- * most fell from 0.44 to 0.42; with both they earned 0.46.
+ * chance doesn't explain the difference, upwards as well as downwards; what is significant of its rise is carried on, since
+ * machines that are sent for what has come so far arrive when as much again has come.
  */
 export function estimateArrivals(arrivals: readonly Arrival[], windowMs: number, nowMs: number): number {
     let spanMs = windowMs;
--- a/src/machines/forecastNeed.ts
+++ b/src/machines/forecastNeed.ts
@@ -20,7 +20,7 @@
  * Processors that a pool needs, now or when a machine that is sent now has joined, whichever is more, in thousandths.
  *
  * While a pool waits for its machines, work piles up: at that time it needs room for what arrives and for what is left
- * over. Without what is left over, ten days earned 0.016 less of worth.
+ * over.
  */
 export function forecastNeedCpuMillis(input: NeedInput): number {
     const { openCpuMillis, openCoreMs, arrivingCpuMillis } = input;
--- a/src/progress/createProgressWriter.ts
+++ b/src/progress/createProgressWriter.ts
@@ -33,7 +33,7 @@
 
 /**
  * Shortest time between two commits, in milliseconds. What comes meanwhile goes into one call: a call is paid for, and
- * a start waits 30 ms longer at most. Against 8 ms, days made a quarter fewer calls for as many submissions in time.
+ * a start waits 30 ms longer at most.
  */
 const gatherMs = 30;
 
--- a/src/runs/createStartWindow.ts
+++ b/src/runs/createStartWindow.ts
@@ -16,8 +16,8 @@
 
 /**
  * Workers answer within about 10 ms; beyond this the owner itself, or its link, is what holds answers up, in milliseconds.
- * Well below the time after which a start counts as unanswered, and not as low as might be: an owner that has just begun is late for a moment with all
- * it does, and needs its full window right then.
+ * An owner that has just begun is late with everything for a moment and needs its full window right then, so the limit is
+ * not much below the time after which a start counts as unanswered.
  */
 const lateAnswerMs = 150;
 
--- a/src/schedule/lookAhead.ts
+++ b/src/schedule/lookAhead.ts
@@ -3,8 +3,8 @@
 import { type Estimates, remainingChainMs, remainingWork, wholeChainMs } from "./estimates";
 
 /**
- * How long a submission's outlook is used, in milliseconds. Working it out for each waiting submission in each round took
- * half of an owner's processor time with a few hundred of them waiting; the order changes little in this time.
+ * How long a submission's outlook is used, in milliseconds. Worked out for each waiting submission in each round it would
+ * take more time than all the rest of planning; the order changes little in this time.
  */
 const outlookReuseMs = 200;
 
--- a/src/schedule/paceOfWork.ts
+++ b/src/schedule/paceOfWork.ts
@@ -11,8 +11,8 @@
  *
  * One that can be in time gets what it would use unhindered: its work over its chain. Steps follow each other, so counting
  * all its tasks at once asks for twice as much with two steps, and half of the machines that were sent found nothing to do.
- * Spread over the time until its target, work asks for fewer machines, and nothing is left for declared times that are off:
- * six days earned 0.777 of what they were owed in place of 0.790. One that is late already is spread over the time in which
+ * Spread over the time until its target, work asks for fewer machines, and nothing is left for declared times that are off.
+ * One that is late already is spread over the time in which
  * it still earns something.
  */
 export function paceOfWorkCpuMillis({ workCoreMs, chainMs }: Outlook, targetAgeMs: number, ageMs: number): number {
--- a/src/schedule/planStarts.ts
+++ b/src/schedule/planStarts.ts
@@ -96,8 +96,8 @@
 }
 
 /**
- * Submissions that have a step for which their pool may have a place. In a peak most wait for a full pool: ranking all of
- * them in each round took a sixth of an owner's time with 300 waiting, to find that none of them has a place.
+ * Submissions that have a step for which their pool may have a place. In a peak most wait for a full pool: an owner that
+ * ranks all of them in each round spends its time on finding that none of them has a place.
  */
 function* listPlaceable(
     { submissions }: Board,
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -89,7 +89,7 @@
 
 /**
  * What a machine needs to take work beside the move itself, in milliseconds: the next decision on moves, the order, its
- * entry in the store and the first list of its runs. The first start came 30 to 160 ms after the move.
+ * entry in the store and the first list of its runs.
  */
 const joinOverheadMs = 250;
 
--- a/src/scheduler/measureDemand.ts
+++ b/src/scheduler/measureDemand.ts
@@ -34,8 +34,7 @@
 
 /**
  * Submissions whose first tasks find room in a pool that has little to do. A turn of short submissions begins with several
- * within a tenth of a second, and they are late when they wait for a machine to join. Worth 0.005 to 0.012 over ten days;
- * room for six was worth no more.
+ * within a tenth of a second, and they are late when they wait for a machine to join.
  */
 const reservedSubmissions = 3;
 
--- a/standins/scheduling/createSchedulingWorld.ts
+++ b/standins/scheduling/createSchedulingWorld.ts
@@ -2,9 +2,11 @@
 import { createDuty, dutyKey } from "../../src/duties";
 import type { Machine, MachineOrderResult, Machines } from "../../src/machines";
 import type { Policy, Wave } from "../../src/policy";
+import { createRelayedWorkers } from "../../src/runs";
 import { createScheduler, type Scheduler, type WorkerDecoder, type WorkerEntry } from "../../src/scheduler";
 import { createFollower, type Store } from "../../src/store";
 import { encodeRecord, type Step, submissionKey } from "../../src/submissions";
+import { createFakeNetwork, type FakeNetwork } from "../fakes";
 import { createFakeStore, type FakeStore } from "./createFakeStore";
 import { createFakeTaskWorkers, type FakeTaskWorkers } from "./createFakeTaskWorkers";
 
@@ -31,6 +33,10 @@
 }
 
 export interface SchedulingWorld {
+    /** Links between the entries. */
+    readonly network: FakeNetwork;
+    /** Whether entries have their peers call the workers. */
+    areBusy: boolean;
     /** The platform's interface for machines. */
     readonly machines: Machines;
     readonly store: FakeStore;
@@ -191,6 +197,8 @@
     }
 
     const world: SchedulingWorld = {
+        network: createFakeNetwork(),
+        areBusy: false,
         machines,
         store,
         workers,
@@ -266,6 +274,13 @@
     let scheduler: Scheduler | undefined;
     let isKilled = false;
     let isFit = true;
+    const peer = { boot: name, instance: name, region: "north", zone: "zone-a", peerUrl: `ws://${name}` };
+    const workerApi = createRelayedWorkers({
+        direct: world.workers.api,
+        peers: world.network.connect(peer),
+        isBusy: () => world.areBusy,
+        nowMs: clocks.steadyMs,
+    });
     const duty = createDuty({
         store,
         clocks,
@@ -276,7 +291,7 @@
         onGained(tenure) {
             scheduler = createScheduler({
                 store,
-                workerApi: world.workers.api,
+                workerApi,
                 machines,
                 advice: { ask: (_step, workerIds) => world.advise(workerIds) },
                 decoder,
@@ -330,6 +345,7 @@
         },
         kill() {
             isKilled = true;
+            world.network.remove(name);
             duty.stop();
             follower.stop();
             scheduler?.stop();
--- a/test/scheduling/scheduling.feature
+++ b/test/scheduling/scheduling.feature
@@ -431,3 +431,44 @@
         And 1 submission of 1 task of 500 ms comes
         And 3200 ms pass
         Then 1 submission is complete
+
+    Scenario: peers call the workers for a busy owner
+        Given 4 entries and 3 workers
+        And every entry is busy
+        When 6 submissions of 6 tasks of 300 ms come
+        And 5000 ms pass
+        Then 6 submissions are complete
+        And no task ran twice
+
+    Scenario: a busy owner is killed
+        Starts that it handed to its peers are still on their way to the workers while the next owner reads what was recorded.
+
+        Given 4 entries and 3 workers
+        And every entry is busy
+        When 6 submissions of 6 tasks of 800 ms come
+        And 30 ms pass
+        And the owner is killed
+        And 12000 ms pass
+        Then 6 submissions are complete
+        And no task ran twice
+
+    Scenario: peers freeze with orders of a busy owner in hand
+        They wake up seconds later and pass them on, when the tasks have run elsewhere. A payment would be made twice.
+
+        Given 4 entries and 3 workers
+        And every entry is busy
+        When 6 submissions of 6 tasks of 300 ms come
+        And the owner's peers freeze for 4000 ms
+        And 10000 ms pass
+        Then 6 submissions are complete
+        And no task ran twice
+
+    Scenario: a worker of a busy owner is cut off and runs on
+        Given 3 entries and 2 workers
+        And every entry is busy
+        When 4 submissions of 4 tasks of 700 ms come
+        And 300 ms pass
+        And worker 1 is "cut"
+        And 15000 ms pass
+        Then 4 submissions are complete
+        And no task ran twice
--- a/test/scheduling/scheduling.steps.ts
+++ b/test/scheduling/scheduling.steps.ts
@@ -42,6 +42,18 @@
     this.world.store.slowDownRange("samphirepin/sub/", ms);
 });
 
+Given("every entry is busy", function(this: World) {
+    this.world.areBusy = true;
+});
+
+When("the owner's peers freeze for {int} ms", async function(this: World, ms: number) {
+    const owner = this.world.owner()?.name;
+    const frozen = storesOf(this).filter((name) => name !== owner);
+    frozen.forEach((name) => this.world.network.frozen.add(name));
+    await pass(this, ms);
+    frozen.forEach((name) => this.world.network.wake(name));
+});
+
 When("the owner is stopped in the middle of a turn", function(this: World) {
     assert.deepEqual(this.world.machineOrders.filter((order) => order.startsWith("move")), []);
     this.world.owner()?.stop();
