--- a/src/duties/createDuty.ts
+++ b/src/duties/createDuty.ts
@@ -108,6 +108,7 @@
     let holderRevision = 0;
     let knowsHolder = false;
     let vacantSinceMs = 0;
+    /** When an owner, this entry or another, last gave the duty up or lost it, as far as this entry has heard. */
     let givenUpAtMs = Number.NEGATIVE_INFINITY;
     let rank = 0;
     let muchStronger: string | undefined;
