feat(runs, metrics): the log tells what a run was given up for, and of runs that show again

A task of a customer ran again after it had been done. The log said that a run was given up, but not what the owner knew of its worker: whether it had shown its lists, which answer gave the reading of its clock, what was left of its lease. So the hypotheses (a lease taken for over, a life taken for ended, an end acknowledged without a record) could not be told apart. runDropped carries its cause and this evidence now; runReappeared and samphirepin_runs_reappeared_total tell of a run that was given up and that its worker lists later. No logic is changed.

--- a/src/logging/createReporter.ts
+++ b/src/logging/createReporter.ts
@@ -29,6 +29,7 @@
     "dependency",
     "machineOrder",
     "workerEnded",
+    "runReappeared",
     "configurationApplied",
     "started",
 ]);
--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -114,12 +114,34 @@
         readonly worker: string;
         readonly how: string;
     }
+    /** A run was given up as one of which nothing can run any more; the fields are what this was concluded from. */
     | {
         readonly kind: "runDropped";
         readonly task: string;
         readonly run: number;
         readonly worker: string;
+        readonly cause: string;
         readonly reason: string;
+        /** The worker has shown what it runs to this owner. */
+        readonly isWorkerListed: boolean;
+        /** Time since the worker last answered any call of this owner; `undefined`: it never did. */
+        readonly silentMs: number | undefined;
+        /** Call whose answer gave the latest reading of the worker's clock, and the age of that reading. */
+        readonly clockFrom: string | undefined;
+        readonly clockAgeMs: number | undefined;
+        /** What was left of the longest lease known, by the earliest that the worker's clock could show. */
+        readonly leaseLeftMs: number | undefined;
+    }
+    /** A worker lists a run, or its end, that this owner had given up: it ran on after its task could start again. */
+    | {
+        readonly kind: "runReappeared";
+        readonly task: string;
+        readonly run: number;
+        readonly worker: string;
+        /** `running`, or how it ended. */
+        readonly state: string;
+        /** Number of the task's latest run. */
+        readonly lastRun: number;
     }
     /** A worker lists a run that belongs to no task any more; it is told to stop. */
     | { readonly kind: "stray"; readonly task: string; readonly run: number; readonly worker: string; }
--- a/src/metrics/createEventMetrics.ts
+++ b/src/metrics/createEventMetrics.ts
@@ -35,7 +35,8 @@
     );
     const orders = counter("orders", "Starts and stops sent to workers, by outcome", "order", "outcome");
     const ends = counter("ends", "Ends that workers have listed", "how");
-    const dropped = counter("runs_dropped", "Runs given up without an end listed by their worker");
+    const dropped = counter("runs_dropped", "Runs given up without an end listed by their worker, by cause", "cause");
+    const reappeared = counter("runs_reappeared", "Runs given up that their worker listed later, by state", "state");
     const submissions = counter("submissions", "Submissions taken and ended by this owner", "change");
     const machineOrders = counter("machine_orders", "Moves and upkeeps, by outcome", "order", "outcome");
     const duties = counter("duty_changes", "Changes of the scheduling duty", "change");
@@ -93,7 +94,10 @@
                     ends.inc({ how: event.how });
                     return;
                 case "runDropped":
-                    dropped.inc();
+                    dropped.inc({ cause: event.cause });
+                    return;
+                case "runReappeared":
+                    reappeared.inc({ state: event.state });
                     return;
                 case "submission":
                     submissions.inc({ change: event.change });
--- a/src/runs/createLooks.ts
+++ b/src/runs/createLooks.ts
@@ -1,7 +1,8 @@
 import { type Clocks, pause } from "../clock";
 import type { Tenure } from "../duties";
 import type { Reporter } from "../logging";
-import { type Board, findTask, type Run, type SubmissionEntry, type Worker } from "../schedule";
+import { type Board, findTask, type Run, type SubmissionEntry, type Task, type Worker } from "../schedule";
+import { DropCause } from "./dropCause";
 import type { EndRow, LookResult, RunningRow, TaskWorkers } from "./taskWorkers";
 import { earliestWorkerMs, longestMs, noteClock } from "./workerClock";
 
@@ -17,7 +18,7 @@
     applyEnd(worker: Worker, end: EndRow): SubmissionEntry | undefined;
     /** Resolves once a submission's progress is stored; false: the tenure has ended. */
     save(entry: SubmissionEntry): Promise<boolean>;
-    drop(run: Run, reason: string): void;
+    drop(run: Run, cause: DropCause, detail: string): void;
     sendStops(worker: Worker): void;
     onFenced(): void;
     onLifeEnded(worker: Worker, reason: string): void;
@@ -143,7 +144,9 @@
             opts.report({ kind: "dependency", name: `worker ${worker.id}`, state: "lost", detail });
         }
         if (isLeaseOver(worker)) {
-            [...worker.runs].forEach((run) => opts.drop(run, "its lease has run out on a silent worker"));
+            [...worker.runs].forEach((run) =>
+                opts.drop(run, DropCause.leaseOver, "its lease has run out on a silent worker")
+            );
             worker.strays = 0;
             opts.onChange();
         }
@@ -168,7 +171,12 @@
             opts.onLifeEnded(worker, "it has started again under the same id");
             return;
         }
-        noteClock(worker, result.workerMs, sentAtMs, clocks.steadyMs());
+        noteClock(worker, {
+            workerMs: result.workerMs,
+            sentAtMs,
+            receivedAtMs: clocks.steadyMs(),
+            from: "list",
+        });
         if (sentAtMs < worker.listedAtMs) {
             // A list asked for later has been taken in; the ends in this one are listed again.
             return;
@@ -201,11 +209,11 @@
     function noteRunning(worker: Worker, rows: readonly RunningRow[]): void {
         let strays = 0;
         for (const row of rows) {
-            const run = findTask(board, row.task)?.runs.find((known) =>
-                known.number === row.run && known.worker === worker
-            );
+            const task = findTask(board, row.task);
+            const run = task?.runs.find((known) => known.number === row.run && known.worker === worker);
             if (run === undefined) {
                 strays++;
+                noteReappeared(worker, task, row.run, "running");
                 opts.report({ kind: "stray", task: row.task, run: row.run, worker: worker.id });
                 void api.stop(worker, row.task, row.run, tenure.token);
                 continue;
@@ -215,6 +223,14 @@
         worker.strays = strays;
     }
 
+    /** Tells, once, of a run that was given up and ran on all the same. */
+    function noteReappeared(worker: Worker, task: Task | undefined, number: number, state: string): void {
+        if (task?.droppedRuns.delete(number) === true) {
+            const { name, lastRun } = task;
+            opts.report({ kind: "runReappeared", task: name, run: number, worker: worker.id, state, lastRun });
+        }
+    }
+
     function noteProgress(run: Run, row: RunningRow): void {
         const nowMs = clocks.steadyMs();
         if (run.phase === "unconfirmed" || run.phase === "starting") {
@@ -242,6 +258,7 @@
             if (end.number <= worker.ackedEnd) {
                 continue;
             }
+            noteReappeared(worker, findTask(board, end.task), end.run, end.how);
             const entry = opts.applyEnd(worker, end);
             opts.report({ kind: "end", task: end.task, run: end.run, worker: worker.id, how: end.how });
             if (entry !== undefined) {
@@ -261,7 +278,7 @@
         for (const run of [...worker.runs]) {
             const isSettled = run.phase === "unconfirmed" || run.answeredAtMs <= sentAtMs;
             if (isSettled && !listed.has(`${run.task.name} ${run.number}`)) {
-                opts.drop(run, "the worker does not have it");
+                opts.drop(run, DropCause.absent, "the worker does not have it");
             }
         }
     }
--- a/src/runs/createRuns.ts
+++ b/src/runs/createRuns.ts
@@ -2,6 +2,7 @@
 import type { Tenure } from "../duties";
 import type { Reporter } from "../logging";
 import type { Run, Worker } from "../schedule";
+import { DropCause } from "./dropCause";
 import type { StartResult, TaskWorkers } from "./taskWorkers";
 import { earliestWorkerMs, latestWorkerMs, longestMs, noteClock } from "./workerClock";
 
@@ -11,7 +12,7 @@
     readonly clocks: Clocks;
     readonly report: Reporter;
     /** Removes a run of which nothing can run any more. */
-    drop(run: Run, reason: string): void;
+    drop(run: Run, cause: DropCause, detail: string): void;
     /** A worker has seen a higher token. */
     onFenced(): void;
     /** The life of the worker has ended; nothing runs there. */
@@ -80,7 +81,7 @@
                     worker.outcomes.quarantinedUntilMs = clocks.steadyMs() + unhealthyPauseMs;
                 }
                 pauseTask(run, refusedPauseMs);
-                opts.drop(run, `the worker refused the start: ${result.reason}`);
+                opts.drop(run, DropCause.refused, `the worker refused the start: ${result.reason}`);
                 return;
             case "fenced":
                 opts.onFenced();
@@ -128,7 +129,11 @@
         const workerMs = latestWorkerMs(worker, nowMs);
         const isStale = run.phase !== "recording" || !tenure.isValid() || workerMs === undefined;
         if (isStale || worker.isDraining || task.owner.isCancelled) {
-            opts.drop(run, "it was not needed or not allowed any more when its record was written");
+            opts.drop(
+                run,
+                DropCause.notOrdered,
+                "it was not needed or not allowed any more when its record was written",
+            );
             return;
         }
         run.phase = "starting";
@@ -145,7 +150,12 @@
         });
         if ("workerMs" in result && result.workerMs !== undefined) {
             const answeredAtMs = clocks.steadyMs();
-            noteClock(worker, result.workerMs, nowMs, answeredAtMs);
+            noteClock(worker, {
+                workerMs: result.workerMs,
+                sentAtMs: nowMs,
+                receivedAtMs: answeredAtMs,
+                from: "start",
+            });
             opts.onStartAnswered(answeredAtMs - nowMs);
         }
         orderLog(run, "start", result.kind === "refused" ? result.reason : result.kind);
@@ -157,7 +167,7 @@
 
     function stop(run: Run, reason: string): void {
         if (run.phase === "recording") {
-            opts.drop(run, reason);
+            opts.drop(run, DropCause.notOrdered, reason);
             return;
         }
         if (run.phase !== "stopping") {
@@ -179,7 +189,12 @@
         switch (result.kind) {
             case "taken":
                 run.answeredAtMs = clocks.steadyMs();
-                noteClock(run.worker, result.workerMs, sentAtMs, run.answeredAtMs);
+                noteClock(run.worker, {
+                    workerMs: result.workerMs,
+                    sentAtMs,
+                    receivedAtMs: run.answeredAtMs,
+                    from: "stop",
+                });
                 if (run.seenAtMs === undefined) {
                     // Its start was lost or is on its way; a list from now on settles it, and the task can start again.
                     opts.lookNow(run.worker);
--- a/src/runs/index.ts
+++ b/src/runs/index.ts
@@ -4,5 +4,7 @@
 export { createRelayedWorkers } from "./createRelayedWorkers";
 export { createRuns, type Runs } from "./createRuns";
 export { createStartWindow, type StartWindow } from "./createStartWindow";
+export { DropCause } from "./dropCause";
+export { dropEvidence } from "./dropEvidence";
 export * from "./taskWorkers";
 export { earliestWorkerMs, latestWorkerMs, longestMs, noteClock } from "./workerClock";
--- a/src/runs/workerClock.ts
+++ b/src/runs/workerClock.ts
@@ -1,13 +1,13 @@
-import type { Worker } from "../schedule";
+import type { ClockReading, Worker } from "../schedule";
 
 /** A worker's clock may be this much slower than ours (bound of the platform). */
 const slowestRate = 0.98;
 
-export function noteClock(worker: Worker, workerMs: number, sentAtMs: number, receivedAtMs: number): void {
-    worker.answeredAtMs = Math.max(worker.answeredAtMs, receivedAtMs);
-    // Answers on different connections overtake each other; the one that was under way for less tells more.
-    if (worker.clock === undefined || receivedAtMs >= worker.clock.receivedAtMs) {
-        worker.clock = { workerMs, sentAtMs, receivedAtMs };
+/** Takes in a reading of a worker's clock from an answer; an earlier one that arrives late changes nothing. */
+export function noteClock(worker: Worker, reading: ClockReading): void {
+    worker.answeredAtMs = Math.max(worker.answeredAtMs, reading.receivedAtMs);
+    if (worker.clock === undefined || reading.receivedAtMs >= worker.clock.receivedAtMs) {
+        worker.clock = reading;
     }
 }
 
--- a/src/schedule/board.ts
+++ b/src/schedule/board.ts
@@ -50,6 +50,8 @@
     lastRun: number;
     /** Numbers of the runs that ended as failed; their count is the number of attempts used up. */
     readonly failedRuns: Set<number>;
+    /** Numbers of the ordered runs that were given up without an end; one that shows again was given up too early. */
+    readonly droppedRuns: Set<number>;
     checkpoint: string;
     readonly runs: Run[];
     /** Not started before this time, on the steady clock. */
@@ -101,6 +103,8 @@
     readonly workerMs: number;
     readonly sentAtMs: number;
     readonly receivedAtMs: number;
+    /** Call whose answer showed it. */
+    readonly from: "start" | "stop" | "list";
 }
 
 /** One life of a machine. */
--- a/src/schedule/entries.ts
+++ b/src/schedule/entries.ts
@@ -55,6 +55,7 @@
             phase: "waiting",
             lastRun: 0,
             failedRuns: new Set(),
+            droppedRuns: new Set(),
             checkpoint: "",
             runs: [],
             notBeforeMs: 0,
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -5,7 +5,15 @@
 import { createDemandMeter, createMachineOrders, type Machines } from "../machines";
 import type { Policy, Wave } from "../policy";
 import { createProgressWriter, decodeProgress, progressPrefix } from "../progress";
-import { applyEnd, createLooks, createRuns, createStartWindow, type TaskWorkers } from "../runs";
+import {
+    applyEnd,
+    createLooks,
+    createRuns,
+    createStartWindow,
+    DropCause,
+    dropEvidence,
+    type TaskWorkers,
+} from "../runs";
 import {
     addDueOccurrences,
     createBoard,
@@ -110,10 +118,15 @@
         }
     }
 
-    function drop(run: Run, reason: string): void {
-        const { task } = run;
-        report({ kind: "runDropped", task: task.name, run: run.number, worker: run.worker.id, reason });
-        removeRun(board, run, clocks.steadyMs());
+    function drop(run: Run, cause: DropCause, reason: string): void {
+        const { task, worker, number } = run;
+        const nowMs = clocks.steadyMs();
+        const evidence = dropEvidence(worker, nowMs);
+        report({ kind: "runDropped", task: task.name, run: number, worker: worker.id, cause, reason, ...evidence });
+        if (cause !== DropCause.notOrdered) {
+            task.droppedRuns.add(number);
+        }
+        removeRun(board, run, nowMs);
         intake.forgetIfOver(task.owner);
         planner.planSoon();
     }
@@ -122,7 +135,7 @@
         report({ kind: "workerEnded", worker: worker.id, pool: worker.pool, runs: worker.runs.size, reason });
         worker.isListed = false;
         worker.strays = 0;
-        [...worker.runs].forEach((run) => drop(run, reason));
+        [...worker.runs].forEach((run) => drop(run, DropCause.lifeEnded, reason));
         if (board.workers.get(worker.id) === worker) {
             board.workers.delete(worker.id);
         }
--- a/standins/scheduling/createFakeTaskWorkers.ts
+++ b/standins/scheduling/createFakeTaskWorkers.ts
@@ -26,7 +26,9 @@
     /** Calls arrive, and their answers are lost. */
     | "mute"
     /** Starts arrive, and their answers are lost; all other calls are answered. */
-    | "muteStarts";
+    | "muteStarts"
+    /** Calls for lists are lost; all other calls are answered. */
+    | "lostLooks";
 
 interface FakeRun {
     readonly task: string;
@@ -254,7 +256,13 @@
                 return { kind: "noAnswer", detail: "no answer in time" };
             },
             stop: (target, task, run, token) => call<OrderResult>(target, (worker) => stop(worker, task, run, token)),
-            look: (target, order) => call<LookResult>(target, (worker) => look(worker, order)),
+            async look(target, order) {
+                if (workers.get(target.id)?.fault === "lostLooks") {
+                    await pause(clientTimeoutMs);
+                    return { kind: "noAnswer", detail: "no answer in time" };
+                }
+                return call<LookResult>(target, (worker) => look(worker, order));
+            },
             pace: (target) => call<OrderResult>(target, () => ({ kind: "taken", workerMs: performance.now() })),
         },
         add(id) {
--- a/standins/scheduling/createSchedulingWorld.ts
+++ b/standins/scheduling/createSchedulingWorld.ts
@@ -1,5 +1,6 @@
 import type { AdviceResult } from "../../src/advice";
 import { createDuty, dutyKey } from "../../src/duties";
+import type { LogEvent } from "../../src/logging";
 import type { Machine, MachineOrderResult, Machines } from "../../src/machines";
 import type { Policy, Wave } from "../../src/policy";
 import { createRelayedWorkers } from "../../src/runs";
@@ -22,7 +23,7 @@
     /** The process is told to end and gives the duty up. */
     stop(): void;
     /** Events at the owner, as it logged them. */
-    readonly log: readonly { readonly kind: string; }[];
+    readonly log: readonly LogEvent[];
 }
 
 export interface SchedulingWorldOptions {
@@ -269,7 +270,7 @@
 
 function createEntry(name: string, world: SchedulingWorld, machines: Machines): SchedulingEntry {
     const store = world.store.connect(name);
-    const log: { kind: string; }[] = [];
+    const log: LogEvent[] = [];
     const clocks = { steadyMs: () => performance.now(), suspendAwareMs: () => performance.now() };
     let scheduler: Scheduler | undefined;
     let isKilled = false;
--- a/test/scheduling/scheduling.feature
+++ b/test/scheduling/scheduling.feature
@@ -64,6 +64,7 @@
         And 15000 ms pass
         Then 1 submission is complete
         And no task ran twice
+        And the log tells that 4 runs were given up for "leaseOver" on a worker that had been listed
 
     Scenario Outline: a worker is cut off right after a change of owners
         The new owner has reached the worker once. What the owner before granted last runs longer than what the new one has
--- a/test/scheduling/scheduling.steps.ts
+++ b/test/scheduling/scheduling.steps.ts
@@ -274,6 +274,17 @@
     }
 });
 
+Then(
+    "the log tells that {int} run(s) was/were given up for {string} on a worker that had been listed",
+    function(this: World, count: number, cause: string) {
+        const dropped = this.world.owner()?.log.flatMap((event) => event.kind === "runDropped" ? [event] : []) ?? [];
+        const told = dropped.filter((event) =>
+            event.cause === cause && event.isWorkerListed && event.clockFrom === "list" && (event.leaseLeftMs ?? 0) < 0
+        );
+        assert.equal(told.length, count);
+    },
+);
+
 Then("no task lapsed", function(this: World) {
     assert.deepEqual(this.world.workers.events.filter(({ kind }) => kind === "lapsed"), []);
 });
