fix(runs): a clock that a stop's answer showed is not taken for knowledge of a worker's leases

Cause: a new owner stops what it need not let run (a submission that was cancelled, a copy of a task that is done) before the worker has shown its runs. The answer to a stop gives a reading of the worker's clock. isLeaseOver took 'a clock is known' for 'the runs are known' and compared the reading with a lease bound of 0, so that the next call without an answer had all runs there given up as over, though earlier owners' leases ran on. They started elsewhere at once; the worker's list told of their ends later. Class of fault: a fact about the past inferred from a field that answers another question.

Change: what a worker runs is 'unread' or 'read' (a union in place of three fields); until it has been read, earlier owners' leases are bounded by the age of the tenure alone, and this owner's own grants by the worker's clock (workerLease, without network or clock).

--- a/bench/planning/createBusyBoard.ts
+++ b/bench/planning/createBusyBoard.ts
@@ -39,7 +39,7 @@
             capacity: { cpuMillis: capacityMillis, memoryMb: 64_000, accelerators: 0 },
             used: { cpuMillis: isFree ? 0 : capacityMillis - leftMillis, memoryMb: 0, accelerators: 0 },
             isListed: true,
-            isHeld: true,
+            runList: { kind: "read", firstReadAtMs: 0, askedAtMs: 0 },
         });
     }
     for (let at = 0; at < waiting / tasksPerSubmission; at++) {
--- a/src/runs/createLooks.ts
+++ b/src/runs/createLooks.ts
@@ -4,7 +4,8 @@
 import { type Board, findTask, type Run, type SubmissionEntry, type Task, type Worker } from "../schedule";
 import { DropCause } from "./dropCause";
 import type { EndRow, LookResult, RunningRow, TaskWorkers } from "./taskWorkers";
-import { earliestWorkerMs, longestMs, noteClock } from "./workerClock";
+import { earliestWorkerMs, noteClock } from "./workerClock";
+import { isLeaseOver, type LeaseBounds, noteEarlierLeases, noteLease } from "./workerLease";
 
 export interface LooksOptions {
     readonly api: TaskWorkers;
@@ -56,21 +57,20 @@
 /** Questions beside the waiting look are gathered for this long, in milliseconds: a cancellation stops many runs at once. */
 const askMs = 5;
 
-/** Allowance for orders of an earlier owner that were under way when its right ended, in milliseconds. */
-const earlierOrdersMs = 1000;
-
 /** Keeps leases alive and learns what runs and what has ended, one loop for each worker in use. */
 export function createLooks(opts: LooksOptions): Looks {
     const { api, tenure, clocks, board } = opts;
-    const startedAtMs = clocks.steadyMs();
     const followed = new Set<Worker>();
-    const leaseMs = Math.min(runLeaseMs, opts.maxLeaseMs);
+    const bounds: LeaseBounds = {
+        leaseMs: Math.min(runLeaseMs, opts.maxLeaseMs),
+        tenureStartedAtMs: clocks.steadyMs(),
+    };
     /** Workers that are about to be asked beside their waiting look. */
     const asked = new Set<Worker>();
     let isStopped = false;
 
     function isNeeded(worker: Worker): boolean {
-        return worker.runs.size > 0 || worker.strays > 0 || (worker.isListed && !worker.isHeld);
+        return worker.runs.size > 0 || worker.strays > 0 || (worker.isListed && worker.runList.kind === "unread");
     }
 
     async function run(worker: Worker): Promise<void> {
@@ -106,13 +106,13 @@
         if (workerMs === undefined || !worker.isReachable) {
             return undefined;
         }
-        const leaseUntilMs = Math.floor(workerMs + leaseMs);
-        worker.leaseUntilWorkerMs = Math.max(worker.leaseUntilWorkerMs, leaseUntilMs);
+        const leaseUntilMs = Math.floor(workerMs + bounds.leaseMs);
+        noteLease(worker, leaseUntilMs);
         return leaseUntilMs;
     }
 
     function chooseWait(worker: Worker): number {
-        if (!worker.isHeld || !worker.isReachable) {
+        if (worker.runList.kind === "unread" || !worker.isReachable) {
             return 0;
         }
         const runs = [...worker.runs];
@@ -143,7 +143,7 @@
             worker.isReachable = false;
             opts.report({ kind: "dependency", name: `worker ${worker.id}`, state: "lost", detail });
         }
-        if (isLeaseOver(worker)) {
+        if (isLeaseOver(worker, bounds, clocks.steadyMs())) {
             [...worker.runs].forEach((run) =>
                 opts.drop(run, DropCause.leaseOver, "its lease has run out on a silent worker")
             );
@@ -152,16 +152,6 @@
         }
     }
 
-    /** Whether nothing can run there any more, by the slowest clock that the worker may have. */
-    function isLeaseOver(worker: Worker): boolean {
-        const nowMs = clocks.steadyMs();
-        const workerMs = earliestWorkerMs(worker, nowMs);
-        // A worker that this owner has never reached may hold what the owner before gave it last.
-        return workerMs === undefined
-            ? nowMs - startedAtMs > longestMs(leaseMs + earlierOrdersMs)
-            : workerMs > worker.leaseUntilWorkerMs;
-    }
-
     async function takeIn(
         worker: Worker,
         result: Extract<LookResult, { kind: "listed"; }>,
@@ -177,23 +167,15 @@
             receivedAtMs: clocks.steadyMs(),
             from: "list",
         });
-        if (sentAtMs < worker.listedAtMs) {
+        if (worker.runList.kind === "read" && sentAtMs < worker.runList.askedAtMs) {
             // A list asked for later has been taken in; the ends in this one are listed again.
             return;
         }
-        if (!worker.isHeld) {
-            // The owner before may have granted more than this one will for a while. Without this, a worker that is cut
-            // off right after a change of owners would be taken for empty while it still runs what it had.
-            const earlierUntilMs = result.workerMs + leaseMs + earlierOrdersMs;
-            worker.leaseUntilWorkerMs = Math.max(worker.leaseUntilWorkerMs, earlierUntilMs);
-            worker.heldAtMs = clocks.steadyMs();
-        }
+        noteListed(worker, result.workerMs, sentAtMs);
         if (!worker.isReachable) {
             worker.isReachable = true;
             opts.report({ kind: "dependency", name: `worker ${worker.id}`, state: "regained", detail: "" });
         }
-        worker.isHeld = true;
-        worker.listedAtMs = sentAtMs;
         noteRunning(worker, result.running);
         const changed = applyEnds(worker, result.ended);
         dropAbsent(worker, result, sentAtMs);
@@ -206,6 +188,20 @@
         await pause(gatherMs);
     }
 
+    function noteListed(worker: Worker, workerMs: number, askedAtMs: number): void {
+        const { runList } = worker;
+        switch (runList.kind) {
+            case "unread":
+                // Without this, a worker that is cut off right after a change of owners would be taken for empty while it
+                // still runs what the owner before ordered.
+                noteEarlierLeases(worker, workerMs, bounds);
+                worker.runList = { kind: "read", firstReadAtMs: clocks.steadyMs(), askedAtMs };
+                return;
+            case "read":
+                worker.runList = { ...runList, askedAtMs };
+        }
+    }
+
     function noteRunning(worker: Worker, rows: readonly RunningRow[]): void {
         let strays = 0;
         for (const row of rows) {
--- a/src/runs/createRuns.ts
+++ b/src/runs/createRuns.ts
@@ -5,6 +5,7 @@
 import { DropCause } from "./dropCause";
 import type { StartResult, TaskWorkers } from "./taskWorkers";
 import { earliestWorkerMs, latestWorkerMs, longestMs, noteClock } from "./workerClock";
+import { noteLease } from "./workerLease";
 
 export interface RunsOptions {
     readonly api: TaskWorkers;
@@ -138,7 +139,7 @@
         }
         run.phase = "starting";
         const leaseUntilMs = workerMs + startValidMs;
-        worker.leaseUntilWorkerMs = Math.max(worker.leaseUntilWorkerMs, leaseUntilMs);
+        noteLease(worker, leaseUntilMs);
         const result = await api.start(worker, {
             task: task.name,
             run: run.number,
--- a/src/runs/dropEvidence.ts
+++ b/src/runs/dropEvidence.ts
@@ -14,7 +14,7 @@
     const { clock, answeredAtMs, leaseUntilWorkerMs } = worker;
     const workerMs = earliestWorkerMs(worker, nowMs);
     return {
-        isWorkerListed: worker.isHeld,
+        isWorkerListed: worker.runList.kind === "read",
         silentMs: answeredAtMs === 0 ? undefined : Math.round(nowMs - answeredAtMs),
         clockFrom: clock?.from,
         clockAgeMs: clock === undefined ? undefined : Math.round(nowMs - clock.receivedAtMs),
--- a/src/runs/index.ts
+++ b/src/runs/index.ts
@@ -8,3 +8,4 @@
 export { dropEvidence } from "./dropEvidence";
 export * from "./taskWorkers";
 export { earliestWorkerMs, latestWorkerMs, longestMs, noteClock } from "./workerClock";
+export { isLeaseOver, type LeaseBounds, noteEarlierLeases, noteLease } from "./workerLease";
--- /dev/null
+++ b/src/runs/test/workerLease.steps.ts
@@ -0,0 +1,55 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { createWorker, type Worker } from "../../schedule";
+import { isLeaseOver, type LeaseBounds, noteClock, noteEarlierLeases, noteLease } from "../index";
+
+interface World {
+    bounds: LeaseBounds;
+    leaseWorker: Worker;
+    nowMs: number;
+}
+
+/** When the tenure began, and what the worker's clock is ahead of ours, in milliseconds. */
+const tenureStartedAtMs = 10_000;
+const clockAheadMs = 70_000;
+
+function answer(worker: World["leaseWorker"], ageMs: number, from: "stop" | "list"): number {
+    const atMs = tenureStartedAtMs + ageMs;
+    const workerMs = atMs + clockAheadMs;
+    noteClock(worker, { workerMs, sentAtMs: atMs, receivedAtMs: atMs, from });
+    return workerMs;
+}
+
+Given("a tenure that grants leases of {int} ms", function(this: World, leaseMs: number) {
+    this.bounds = { leaseMs, tenureStartedAtMs };
+    this.leaseWorker = createWorker("worker-1", 1);
+});
+
+Given("a worker of which nothing has been heard", function(this: World) {
+    assert.equal(this.leaseWorker.clock, undefined);
+});
+
+Given("a worker of which a stop has been answered", function(this: World) {
+    answer(this.leaseWorker, 200, "stop");
+});
+
+Given(
+    "a worker of which a stop has been answered and a lease of {int} ms has been granted at {int} ms",
+    function(this: World, leaseMs: number, ageMs: number) {
+        noteLease(this.leaseWorker, answer(this.leaseWorker, ageMs, "stop") + leaseMs);
+    },
+);
+
+Given("a worker whose runs have been shown at {int} ms", function(this: World, ageMs: number) {
+    const askedAtMs = tenureStartedAtMs + ageMs;
+    noteEarlierLeases(this.leaseWorker, answer(this.leaseWorker, ageMs, "list"), this.bounds);
+    this.leaseWorker.runList = { kind: "read", firstReadAtMs: askedAtMs, askedAtMs };
+});
+
+When("it is silent until {int} ms of the tenure", function(this: World, ageMs: number) {
+    this.nowMs = tenureStartedAtMs + ageMs;
+});
+
+Then(/^its leases are (over|not over)$/, function(this: World, state: string) {
+    assert.equal(isLeaseOver(this.leaseWorker, this.bounds, this.nowMs), state === "over");
+});
--- a/src/schedule/board.ts
+++ b/src/schedule/board.ts
@@ -107,6 +107,22 @@
     readonly from: "start" | "stop" | "list";
 }
 
+/**
+ * What a worker runs, as far as this tenure has been shown it.
+ *
+ * - `unread`: not yet, whatever else the worker has answered; an earlier owner may have ordered anything there.
+ * - `read`: the worker has seen this tenure's token and has shown its list.
+ */
+export type RunList =
+    | { readonly kind: "unread"; }
+    | {
+        readonly kind: "read";
+        /** When the first list came, on the steady clock. */
+        readonly firstReadAtMs: number;
+        /** When the latest list was asked for, on the steady clock. */
+        readonly askedAtMs: number;
+    };
+
 /** One life of a machine. */
 export interface Worker {
     readonly id: string;
@@ -123,18 +139,13 @@
     drainLeftMs: number;
     /** Its entry stands in the store. */
     isListed: boolean;
-    /** It has seen this tenure's token and shown what it runs. */
-    isHeld: boolean;
-    /** When this tenure was first shown what it runs, on the steady clock. */
-    heldAtMs: number;
-    /** When the latest list of what it runs was asked for, on the steady clock. */
-    listedAtMs: number;
+    runList: RunList;
     /** The last call was answered. */
     isReachable: boolean;
     /** Kept free of new work, to be moved or maintained. */
     isReserved: boolean;
     clock: ClockReading | undefined;
-    /** Latest time on the worker's clock until which a lease may run. */
+    /** Latest time on the worker's clock until which a lease may run, among those that this tenure knows of. */
     leaseUntilWorkerMs: number;
     /** When it last answered any call, on the steady clock. */
     answeredAtMs: number;
--- a/src/schedule/placeTask.ts
+++ b/src/schedule/placeTask.ts
@@ -29,7 +29,8 @@
 
 /** Whether new work may be given to a worker at all. */
 export function isOpen(worker: Worker): boolean {
-    return worker.isListed && worker.isHeld && worker.isReachable && !worker.isDraining && !worker.isReserved
+    return worker.isListed && worker.runList.kind === "read" && worker.isReachable && !worker.isDraining
+        && !worker.isReserved
         && worker.strays === 0;
 }
 
--- a/src/schedule/planCopies.ts
+++ b/src/schedule/planCopies.ts
@@ -59,7 +59,7 @@
         return false;
     }
     // A worker that this owner has not asked yet has not fallen silent either.
-    if (run.worker.isHeld && !run.worker.isReachable) {
+    if (run.worker.runList.kind === "read" && !run.worker.isReachable) {
         return true;
     }
     const tookMs = nowMs - (run.seenAtMs ?? run.plannedAtMs);
--- a/src/schedule/test/schedule.steps.ts
+++ b/src/schedule/test/schedule.steps.ts
@@ -46,7 +46,7 @@
         rack: "r1",
         capacity: { cpuMillis: cores * 1000, memoryMb: 64_000, accelerators: 0 },
         isListed: true,
-        isHeld: true,
+        runList: { kind: "read", firstReadAtMs: 0, askedAtMs: 0 },
     };
     world.board.workers.set(id, worker);
     return worker;
--- a/src/scheduler/chooseEvacuations.ts
+++ b/src/scheduler/chooseEvacuations.ts
@@ -59,6 +59,7 @@
  * a second task of the step would be stopped beside it. An earlier owner's stop arrived before this owner was shown the
  * list, so once the longest stop has passed since then, a list is true.
  */
-function isSurelyWanted({ heldAtMs, listedAtMs, isReachable }: Worker, maxStopMs: number): boolean {
-    return isReachable && listedAtMs - heldAtMs > longestMs(maxStopMs);
+function isSurelyWanted({ runList, isReachable }: Worker, maxStopMs: number): boolean {
+    return isReachable && runList.kind === "read"
+        && runList.askedAtMs - runList.firstReadAtMs > longestMs(maxStopMs);
 }
--- a/src/scheduler/createWaves.ts
+++ b/src/scheduler/createWaves.ts
@@ -63,7 +63,7 @@
             return 0;
         }
         const worker = view.workerOf(machine);
-        return worker?.isHeld === true && worker.strays === 0 ? worker.runs.size : undefined;
+        return worker?.runList.kind === "read" && worker.strays === 0 ? worker.runs.size : undefined;
     }
 
     /** Takes work off a machine that is to go down, as far as the availability of each step allows. */
--- a/test/scheduling/scheduling.feature
+++ b/test/scheduling/scheduling.feature
@@ -86,6 +86,27 @@
             | 3500     |
             | 3750     |
 
+    Scenario Outline: a new owner's stop is answered and its first lists are lost
+        Guards against a task that starts again while a worker that has not shown its runs may still run it.
+
+        Given 2 entries and 2 workers
+        When 2 submissions of 2 tasks of 3000 ms come
+        And 500 ms pass
+        And the owner is killed
+        And the submission is cancelled
+        And the worker that runs it is "lostLooks"
+        And <lostMs> ms pass
+        And every worker is well
+        And 9000 ms pass
+        Then no task ran twice
+        And 1 submission is complete
+
+        Examples:
+            | lostMs |
+            | 2600   |
+            | 3400   |
+            | 4200   |
+
     Scenario: a worker is cut off for a moment
         Given 1 entry and 2 workers
         When 1 submission of 4 tasks of 3000 ms comes
