fix(runs): a worker that was silent until its leases ran out is asked again

What callers see: a machine that was cut off from the entries for longer than a lease (4.5 s) and keeps its entry in the store gets no work until the next change of owners; its pool is that much smaller, and a submission whose only machine it was never ends.

Cause: a worker was followed while it had runs or had not been asked yet. Once its runs are given up it has none, so nobody asks it again, and nothing else marks it as reachable.

Change: a listed worker that does not answer is followed, once a second where nothing runs on it.

--- a/src/runs/createLooks.ts
+++ b/src/runs/createLooks.ts
@@ -28,7 +28,7 @@
 }
 
 export interface Looks {
-    /** Follows a worker while it runs anything or has not been asked yet. */
+    /** Follows a worker while it runs anything or does not answer, and until it has been asked once. */
     follow(worker: Worker): void;
     /** Asks a worker at once what it runs, beside a look that waits for an end. */
     lookNow(worker: Worker): void;
@@ -51,6 +51,9 @@
 /** Pause after a look without an answer, in milliseconds. */
 const retryMs = 250;
 
+/** The same where nothing runs on the worker, in milliseconds: it is asked only to learn that it can be used again. */
+const idleRetryMs = 1000;
+
 /** Shortest time between two looks at one worker, in milliseconds, so that ends come in groups. Each look is paid for. */
 const gatherMs = 25;
 
@@ -70,7 +73,12 @@
     let isStopped = false;
 
     function isNeeded(worker: Worker): boolean {
-        return worker.runs.size > 0 || worker.strays > 0 || (worker.isListed && worker.runList.kind === "unread");
+        const isUnknown = worker.runList.kind === "unread" || !worker.isReachable;
+        return worker.runs.size > 0 || worker.strays > 0 || (worker.isListed && isUnknown);
+    }
+
+    function isIdle(worker: Worker): boolean {
+        return worker.runList.kind === "read" && worker.runs.size === 0 && worker.strays === 0;
     }
 
     async function run(worker: Worker): Promise<void> {
@@ -131,7 +139,7 @@
                 return;
             case "noAnswer":
                 noteSilence(worker, result.detail);
-                await pause(retryMs);
+                await pause(isIdle(worker) ? idleRetryMs : retryMs);
                 return;
             case "listed":
                 await takeIn(worker, result, sentAtMs);
--- a/test/scheduling/scheduling.feature
+++ b/test/scheduling/scheduling.feature
@@ -107,6 +107,18 @@
             | 3400   |
             | 4200   |
 
+    Scenario: a worker is well again after its leases have run out
+        Guards against a worker that stays shut out until the next change of owners.
+
+        Given 1 entry and 1 worker
+        When 1 submission of 4 tasks of 3000 ms comes
+        And 500 ms pass
+        And worker 1 is "cut"
+        And 9000 ms pass
+        And worker 1 is well
+        And 6000 ms pass
+        Then 1 submission is complete
+
     Scenario: a worker is cut off for a moment
         Given 1 entry and 2 workers
         When 1 submission of 4 tasks of 3000 ms comes
