test(soak): the entry that decides is killed while several workers misbehave

The incident of a task that ran again needed three things at once: the owner lost, a stop answered before a list, the next call unanswered. The soak drew each fault by itself, on any entry. One action now kills the entry that holds the duty and gives half of the workers a fault at that moment; workers may lose calls for lists alone (lostLooks).

--- a/soak/createFaults.ts
+++ b/soak/createFaults.ts
@@ -3,6 +3,7 @@
 import type { StoreFault, WorkerFault } from "../standins/scheduling";
 import type { PathState, Proxy } from "./createProxy";
 import { revokedKey, type World } from "./createWorld";
+import type { Entry } from "./startEntry";
 
 /** One fault as it was injected, for the report. */
 export interface InjectedFault {
@@ -36,6 +37,7 @@
     "standstill",
     "mute",
     "muteStarts",
+    "lostLooks",
 ];
 
 type Action = () => Promise<string | undefined>;
@@ -85,6 +87,17 @@
         return proxy && `${proxy.name} ${state.kind}`;
     }
 
+    /** Gives a worker a fault for a while; `undefined` where it has one. */
+    function spoilWorker(id: string): string | undefined {
+        if (busy.has(id)) {
+            return undefined;
+        }
+        const fault = random.pick(workerFaults);
+        const worker = world.platform.workers.get(id);
+        start(during(id, () => worker.fault = fault, () => void (worker.fault = undefined)));
+        return `${id} ${fault}`;
+    }
+
     const actions: Readonly<Record<string, Action>> = {
         "path to the store": async () => spoilOne(world.entries.map(({ toStore }) => toStore)),
         "path from clients": async () => spoilOne(world.entries.map(({ fromClients }) => fromClients)),
@@ -114,16 +127,21 @@
         },
         async "worker"() {
             const id = pickFree(world.workerIds);
-            const fault = random.pick(workerFaults);
-            if (id !== undefined) {
-                const worker = world.platform.workers.get(id);
-                start(during(id, () => worker.fault = fault, () => void (worker.fault = undefined)));
-            }
-            return id && `${id} ${fault}`;
+            return id && spoilWorker(id);
         },
         async "process killed"() {
             return stopProcess("SIGKILL");
         },
+        async "owner killed among faulty workers"() {
+            const name = world.findOwner();
+            const owner = world.entries.find((entry) => entry.name === name && !busy.has(entry));
+            if (owner === undefined) {
+                return undefined;
+            }
+            kill(owner, "SIGKILL");
+            const spoilt = world.workerIds.flatMap((id) => random.int(0, 1) === 0 ? [] : spoilWorker(id) ?? []);
+            return [owner.name, ...spoilt].join(", ");
+        },
         async "process stopped"() {
             return stopProcess("SIGTERM");
         },
@@ -164,9 +182,14 @@
 
     function stopProcess(signal: "SIGKILL" | "SIGTERM"): string | undefined {
         const entry = pickFree(world.entries);
-        if (entry === undefined) {
-            return undefined;
+        if (entry !== undefined) {
+            kill(entry, signal);
         }
+        return entry?.name;
+    }
+
+    /** Ends a process by signal; the platform starts it again after a while. */
+    function kill(entry: Entry, signal: "SIGKILL" | "SIGTERM"): void {
         start((async () => {
             busy.add(entry);
             entry.signal(signal);
@@ -174,7 +197,6 @@
             await entry.restart();
             busy.delete(entry);
         })());
-        return entry.name;
     }
 
     return {
--- a/soak/createWorld.ts
+++ b/soak/createWorld.ts
@@ -1,6 +1,7 @@
 import { mkdtempSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { type DutyHolder, dutyKey } from "../src/duties";
 import { createSchedulingWorld, plainPolicy, type SchedulingWorld } from "../standins/scheduling";
 import {
     encodePolicy,
@@ -29,6 +30,8 @@
     readonly toWorkers: ReadonlyMap<string, Proxy>;
     /** Where the entries' logs lie. */
     readonly folder: string;
+    /** Name of the entry that holds the duty by the store; `undefined`: none. */
+    findOwner(): string | undefined;
     /** Takes a key away from the tenant, as operators do. */
     revokeKey(key: string): void;
     /** Asks for the upkeep of all machines. */
@@ -110,6 +113,10 @@
         workerIds,
         toWorkers,
         folder,
+        findOwner() {
+            const item = platform.store.get(dutyKey);
+            return item === undefined ? undefined : (JSON.parse(item.text) as DutyHolder).instance;
+        },
         revokeKey(key) {
             policy = {
                 ...policy,
