--- a/soak/createFaults.ts
+++ b/soak/createFaults.ts
@@ -40,10 +40,17 @@
     "lostLooks",
 ];
 
+/** Faults that leave a new owner without a worker's list, or with one that is out of date. */
+const takeoverFaults: readonly WorkerFault[] = ["late", "mute", "lostLooks"];
+
+/** Workers that get one of these when the owner is killed, in hundredths, and submissions that are cancelled with it. */
+const spoiltWithOwnerPercent = 50;
+const cancelledWithOwner = 3;
+
 type Action = () => Promise<string | undefined>;
 
 /** Injects faults from outside the processes, in an order and at times that follow the seed. */
-export function createFaults(world: World, random: Random): Faults {
+export function createFaults(world: World, random: Random, cancelOne: () => void): Faults {
     const injected: InjectedFault[] = [];
     const pending = new Set<Promise<void>>();
     let isOver = false;
@@ -88,11 +95,11 @@
     }
 
     /** Gives a worker a fault for a while; `undefined` where it has one. */
-    function spoilWorker(id: string): string | undefined {
+    function spoilWorker(id: string, faults: readonly WorkerFault[]): string | undefined {
         if (busy.has(id)) {
             return undefined;
         }
-        const fault = random.pick(workerFaults);
+        const fault = random.pick(faults);
         const worker = world.platform.workers.get(id);
         start(during(id, () => worker.fault = fault, () => void (worker.fault = undefined)));
         return `${id} ${fault}`;
@@ -127,7 +134,7 @@
         },
         async "worker"() {
             const id = pickFree(world.workerIds);
-            return id && spoilWorker(id);
+            return id && spoilWorker(id, workerFaults);
         },
         async "process killed"() {
             return stopProcess("SIGKILL");
@@ -139,7 +146,9 @@
                 return undefined;
             }
             kill(owner, "SIGKILL");
-            const spoilt = world.workerIds.flatMap((id) => random.int(0, 1) === 0 ? [] : spoilWorker(id) ?? []);
+            Array.from({ length: cancelledWithOwner }, cancelOne);
+            const chosen = world.workerIds.filter(() => random.chance(spoiltWithOwnerPercent));
+            const spoilt = chosen.flatMap((id) => spoilWorker(id, takeoverFaults) ?? []);
             return [owner.name, ...spoilt].join(", ");
         },
         async "process stopped"() {
--- a/soak/regressionSeeds.ts
+++ b/soak/regressionSeeds.ts
@@ -4,4 +4,10 @@
     readonly cause: string;
 }
 
-export const regressionSeeds: readonly RegressionSeed[] = [];
+const leaseTakenForOver =
+    "a new owner took a worker's leases for over by the clock that the answer to a stop had shown";
+
+export const regressionSeeds: readonly RegressionSeed[] = [
+    { seed: 5306, cause: leaseTakenForOver },
+    { seed: 5323, cause: leaseTakenForOver },
+];
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -1,6 +1,6 @@
 import { pause } from "../src/clock";
 import { createRandom, type Random } from "../standins/random";
-import { createClients, isFinal } from "./createClients";
+import { type Clients, createClients, isFinal } from "./createClients";
 import { createFaults } from "./createFaults";
 import { createWorld, keptKey, revokedKey } from "./createWorld";
 import { judge } from "./judge";
@@ -62,7 +62,7 @@
         return workMs;
     });
     const clients = createClients(world, clientRandom);
-    const faults = createFaults(world, faultRandom);
+    const faults = createFaults(world, faultRandom, () => cancelOne(clients, clientRandom));
     try {
         await pause(startMs);
         void clients.submit({ tasks: 3, isLasting: true });
@@ -101,7 +101,7 @@
 }
 
 async function sendTraffic(
-    clients: ReturnType<typeof createClients>,
+    clients: Clients,
     random: Random,
     forMs: number,
 ): Promise<void> {
@@ -113,12 +113,17 @@
             key: random.chance(revokedKeyPercent) ? revokedKey : keptKey,
         });
         if (random.chance(cancelPercent)) {
-            const open = [...clients.stories.values()].filter((story) =>
-                story.acceptedAtMs !== undefined && !story.isLasting && !isFinal(story)
-            );
-            if (open.length > 0) {
-                void clients.cancel(random.pick(open).id);
-            }
+            cancelOne(clients, random);
         }
     }
 }
+
+/** Cancels one of the open submissions, if there are any. */
+function cancelOne(clients: Clients, random: Random): void {
+    const open = [...clients.stories.values()].filter((story) =>
+        story.acceptedAtMs !== undefined && !story.isLasting && !isFinal(story)
+    );
+    if (open.length > 0) {
+        void clients.cancel(random.pick(open).id);
+    }
+}
--- a/test/soak/soak.feature
+++ b/test/soak/soak.feature
@@ -10,6 +10,14 @@
         Then no promise was broken
         And at least 10 submissions were accepted
 
+    Scenario: a soak in which the owner is killed among workers that lose calls for lists
+        Guards against tasks that start again while a worker that has not shown its runs may still run them.
+
+        Given the daemon is built
+        When a soak of 12 s with seed 5306 has been played
+        Then no promise was broken
+        And at least 20 submissions were accepted
+
     Scenario: the judge sees nothing wrong in a sound run
         Given a submission of 1 task that was accepted, run and shown as "complete"
         Then the judge finds nothing
