fix(scheduler): a machine takes work again once the order to it is over

Seen by callers: a machine that is up, listed and empty gets no task for as long as the owner stays the same, and is not moved or parked either. In a full pool that is one machine's tasks that wait; elsewhere it is paid for and unused.

Cause: an order reserves the machine's worker, and only a refusal lifted that. A move that was lost without an answer left the journey after 6 s, and the worker reserved. An upkeep without an answer is sent again each round; once the list showed the machine's next worker, that one was reserved, while a refusal lifted it for the one before.

Change: the worker that the machine has is released when the journey ends, and when an order is taken back.

The stand-in for the platform can now lose orders to machines, or the answers to them.

--- a/src/scheduler/createFleetView.ts
+++ b/src/scheduler/createFleetView.ts
@@ -89,10 +89,18 @@
             journey.wasAway ||= machine?.state !== "up";
             if (isOver(journey, machine, sentAtMs)) {
                 journeys.delete(id);
+                release(workerOf(machine));
             }
         }
     }
 
+    /** The order was lost, or sent again when the next worker was up: nothing else would give this one work again. */
+    function release(worker: Worker | undefined): void {
+        if (worker !== undefined) {
+            worker.isReserved = false;
+        }
+    }
+
     /**
      * An upkeep that was ordered counts as going on until it has been answered and its time has passed: the list lags, and
      * an order without an answer may be carried out seconds later. Another machine taken down meanwhile would be one
@@ -158,9 +166,8 @@
     function takeBack(order: MachineOrder, worker: Worker | undefined): void {
         journeys.delete(order.machine);
         obstacles.set(order.machine, clocks.steadyMs() + obstacleMs);
-        if (worker !== undefined) {
-            worker.isReserved = false;
-        }
+        release(worker);
+        release(workerOf(machines.get(order.machine)));
     }
 
     return {
--- a/standins/scheduling/createSchedulingWorld.ts
+++ b/standins/scheduling/createSchedulingWorld.ts
@@ -10,6 +10,7 @@
 import { createFakeNetwork, type FakeNetwork } from "../fakes";
 import { createFakeStore, type FakeStore } from "./createFakeStore";
 import { createFakeTaskWorkers, type FakeTaskWorkers } from "./createFakeTaskWorkers";
+import { delayOrder, type MachineOrderFault } from "./delayOrder";
 
 /** One entry that competes for the duty. */
 export interface SchedulingEntry {
@@ -48,6 +49,7 @@
     mostMaintained(): number;
     /** Orders that reached the platform's interface for machines. */
     readonly machineOrders: readonly string[];
+    machineOrderFault: MachineOrderFault | undefined;
     /** The list shows machines as they were this long ago, in milliseconds. */
     setListLag(lagMs: number): void;
     setMachines(machines: readonly Machine[]): void;
@@ -140,10 +142,14 @@
     const listHistory: { readonly atMs: number; readonly machines: readonly Machine[]; }[] = [];
     const machines: Machines = {
         list: () => Promise.resolve({ kind: "machines", machines: listAsOf(performance.now() - listLagMs) }),
-        move: (machine, pool) => order(`move ${machine} ${pool}`),
-        maintain: (machine, wave) => order(`maintain ${machine} ${wave}`),
+        move: (machine, pool) => callOrder(`move ${machine} ${pool}`),
+        maintain: (machine, wave) => callOrder(`maintain ${machine} ${wave}`),
     };
 
+    function callOrder(text: string): Promise<MachineOrderResult> {
+        return delayOrder(world.machineOrderFault, () => order(text));
+    }
+
     function listAsOf(atMs: number): readonly Machine[] {
         return listHistory.findLast((known) => known.atMs <= atMs)?.machines ?? listHistory[0]?.machines ?? [];
     }
@@ -153,14 +159,14 @@
         listHistory.push({ atMs: performance.now(), machines: next });
     }
 
-    function order(text: string): Promise<MachineOrderResult> {
+    function order(text: string): MachineOrderResult {
         if (text.startsWith("maintain") && machineOrders.includes(text)) {
-            return Promise.resolve({ kind: "done" });
+            return { kind: "done" };
         }
         const [, id = "", target = ""] = text.split(" ");
         const machine = machineList.find((known) => known.id === id);
         if (away.has(id)) {
-            return Promise.resolve({ kind: "busy" });
+            return { kind: "busy" };
         }
         machineOrders.push(text);
         if (text.startsWith("maintain")) {
@@ -170,7 +176,7 @@
         if (machine !== undefined) {
             restart(machine, text.startsWith("move") ? target : machine.pool);
         }
-        return Promise.resolve({ kind: "done" });
+        return { kind: "done" };
     }
 
     /** Everything on the machine ends; after a while a new worker joins the pool. */
@@ -204,6 +210,7 @@
         store,
         workers,
         machineOrders,
+        machineOrderFault: undefined,
         mostDown: () => mostDown,
         mostMaintained: () => mostMaintained,
         waves: [],
--- a/standins/scheduling/index.ts
+++ b/standins/scheduling/index.ts
@@ -16,4 +16,5 @@
     type SchedulingWorld,
     type SchedulingWorldOptions,
 } from "./createSchedulingWorld";
+export type { MachineOrderFault } from "./delayOrder";
 export { countOrderedAway, findDoubleRun } from "./judgeEvents";
