fix(scheduler): the answer to a machine order no longer ends a worker's life

Seen by callers: a task that is at work is started a second time elsewhere, and one of the two is stopped later. More often, after a change of owners in a wave: a machine that has had its upkeep leaves the board and takes no work until its worker's entry is read again.

Cause: on "done" the life of the worker that the list had shown was taken for ended. The platform answers so as well where the upkeep was done before, which the next owner asks for because a begun upkeep is recorded only with the next orders; and the worker was found by its id, which a later life may have. A worker that is ordered is empty and reserved, but the reservation is lost when its entry vanishes for a moment, and a later life has none.

Change: the life that was ordered ends when a list that was asked for later shows the machine on its way or with another worker; where it has runs, the worker must be silent, too, since a list may be old. If the list still shows the worker after "done", the worker is asked; when it answers, nothing ended and the machine is free at once.

--- a/src/machines/chooseMoves.ts
+++ b/src/machines/chooseMoves.ts
@@ -23,7 +23,7 @@
     readonly comingCpuMillis: number;
     /** Processors beyond its need that are left to it while it has little to do. */
     readonly reserveCpuMillis: number;
-    /** Machines that serve it. */
+    /** Machines that serve it, without those that are kept free of work to be moved or maintained. */
     readonly machines: number;
 }
 
--- a/src/scheduler/createFleetKeeper.ts
+++ b/src/scheduler/createFleetKeeper.ts
@@ -40,6 +40,8 @@
     readonly maxStopMs: number;
     readonly reportWave: (wave: number, isComplete: boolean) => Promise<boolean>;
     stop(run: Run, reason: string): void;
+    /** Asks a worker at once what it runs. */
+    lookNow(worker: Worker): void;
     onLifeEnded(worker: Worker, reason: string): void;
     onChange(): void;
 }
--- a/src/scheduler/createFleetView.ts
+++ b/src/scheduler/createFleetView.ts
@@ -13,6 +13,8 @@
     readonly maintenanceMs: number;
     /** Pool whose machines are off; `undefined` where there is none. */
     readonly standby: () => string | undefined;
+    /** Asks a worker at once what it runs. */
+    lookNow(worker: Worker): void;
     onLifeEnded(worker: Worker, reason: string): void;
 }
 
@@ -52,6 +54,8 @@
 interface Journey {
     readonly toPool: string;
     readonly workerBefore: string | undefined;
+    /** The worker, as the board had it; tells its life from a later one under the same id. */
+    readonly lifeBefore: Worker | undefined;
     readonly orderedAtMs: number;
     /** When the order was answered as done; it takes its time from then at the earliest. */
     answeredAtMs: number | undefined;
@@ -60,6 +64,8 @@
     readonly wave: number | undefined;
     /** The platform's list has shown it away since. */
     wasAway: boolean;
+    /** When the worker was asked whether it is still there. */
+    askedAtMs: number | undefined;
 }
 
 /** Follows the platform's list of machines and the orders that are under way to them. */
@@ -87,6 +93,9 @@
                 continue;
             }
             journey.wasAway ||= machine?.state !== "up";
+            if (machine !== undefined) {
+                settleLife(journey, machine, sentAtMs);
+            }
             if (isOver(journey, machine, sentAtMs)) {
                 journeys.delete(id);
                 release(workerOf(machine));
@@ -101,6 +110,47 @@
         }
     }
 
+    /** The worker that was on the machine when it was ordered, while the board has this life of it. */
+    function findLife(before: Worker | undefined): Worker | undefined {
+        const worker = before === undefined ? undefined : board.workers.get(before.id);
+        return worker?.bornMs === before?.bornMs ? worker : undefined;
+    }
+
+    /**
+     * Ends a worker's life once the list shows it gone. The answer "done" does not tell: an order that had been carried out
+     * before, as by an earlier owner whose record of it is missing, gets it too and ends nothing. A list may be old, so a
+     * worker with runs has to be silent as well: taken for gone, it would run on what is started a second time elsewhere.
+     */
+    function settleLife(journey: Journey, machine: Machine, listSentAtMs: number): void {
+        const worker = findLife(journey.lifeBefore);
+        if (worker === undefined) {
+            return;
+        }
+        const isGone = hasLeft(worker, machine);
+        if (isGone && (worker.runs.size === 0 || !worker.isReachable)) {
+            opts.onLifeEnded(worker, "its machine was ordered and shows without it");
+            return;
+        }
+        const isDoubtful = isGone || listSentAtMs > (journey.answeredAtMs ?? Number.POSITIVE_INFINITY);
+        if (isDoubtful && journey.askedAtMs === undefined) {
+            journey.askedAtMs = clocks.steadyMs();
+            opts.lookNow(worker);
+        }
+    }
+
+    /** Sets machines free whose worker, asked after the answer "done", has shown what it runs: nothing ended there. */
+    function dropSpared(): void {
+        for (const [id, { lifeBefore, askedAtMs, answeredAtMs }] of journeys) {
+            const worker = findLife(lifeBefore);
+            const isSpared = askedAtMs !== undefined && answeredAtMs !== undefined
+                && (worker?.listedAtMs ?? 0) >= Math.max(askedAtMs, answeredAtMs);
+            if (isSpared) {
+                journeys.delete(id);
+                release(worker);
+            }
+        }
+    }
+
     /**
      * An upkeep that was ordered counts as going on until it has been answered and its time has passed: the list lags, and
      * an order without an answer may be carried out seconds later. Another machine taken down meanwhile would be one
@@ -136,15 +186,12 @@
 
     function applyResult(order: MachineOrder, result: MachineOrderResult): void {
         const journey = journeys.get(order.machine);
-        const workerId = journey?.workerBefore;
-        const worker = workerId === undefined ? undefined : board.workers.get(workerId);
+        const worker = findLife(journey?.lifeBefore);
         switch (result.kind) {
             case "done":
                 if (journey !== undefined) {
                     journey.answeredAtMs = clocks.steadyMs();
-                }
-                if (worker !== undefined) {
-                    opts.onLifeEnded(worker, `its machine was ordered: ${order.kind}`);
+                    journey.askedAtMs = undefined;
                 }
                 return;
             case "noAnswer":
@@ -175,6 +222,7 @@
         impossible,
         isKnown: () => listedAtMs > 0,
         async refresh() {
+            dropSpared();
             const ageMs = clocks.steadyMs() - listedAtMs;
             if (ageMs > (journeys.size > 0 ? busyListMs : listMs)) {
                 await readList();
@@ -218,14 +266,17 @@
                 if (worker !== undefined) {
                     worker.isReserved = true;
                 }
+                const known = journeys.get(order.machine);
                 journeys.set(order.machine, {
                     toPool: order.kind === "move" ? order.pool : machine?.pool ?? "",
-                    workerBefore: journeys.get(order.machine)?.workerBefore ?? machine?.workerId,
+                    workerBefore: known?.workerBefore ?? machine?.workerId,
+                    lifeBefore: worker ?? known?.lifeBefore,
                     orderedAtMs: nowMs,
                     answeredAtMs: undefined,
                     isUnanswered: false,
                     wave: order.kind === "maintain" ? order.wave : undefined,
                     wasAway: false,
+                    askedAtMs: undefined,
                 });
             }
             // Not waited for: an interface that answers slowly must not hold up the next decisions.
@@ -233,3 +284,16 @@
         },
     };
 }
+
+/** Whether the list shows a machine on its way, or with another worker; one that is only down may still run things. */
+function hasLeft(worker: Worker, { state, workerId }: Machine): boolean {
+    switch (state) {
+        case "moving":
+        case "maintenance":
+            return true;
+        case "up":
+            return workerId !== worker.id;
+        case "down":
+            return false;
+    }
+}
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -244,6 +244,7 @@
         ordersPerSecond: opts.bounds.machineOrdersPerSecond,
         reportWave: opts.reportWave,
         stop: runs.stop,
+        lookNow: looks.lookNow,
         onLifeEnded,
         onChange: () => planner.planSoon(),
     });
--- a/src/scheduler/measureDemand.ts
+++ b/src/scheduler/measureDemand.ts
@@ -92,7 +92,7 @@
         roomCpuMillis,
         comingCpuMillis,
         reserveCpuMillis: reservedSubmissions * meter.typicalCpuMillis(pool),
-        machines: workers.filter(({ isListed }) => isListed).length,
+        machines: workers.filter(({ isListed, isReserved }) => isListed && !isReserved).length,
     };
 }
 
--- a/standins/scheduling/createSchedulingWorld.ts
+++ b/standins/scheduling/createSchedulingWorld.ts
@@ -50,6 +50,12 @@
     /** Orders that reached the platform's interface for machines. */
     readonly machineOrders: readonly string[];
     machineOrderFault: MachineOrderFault | undefined;
+    /** A machine's next worker has the id of the one before it. */
+    areIdsKept: boolean;
+    /** How long the entry of a worker that has left by order stays in the store, in milliseconds. */
+    staleEntryMs: number;
+    /** Calls with such orders, also those for which nothing was left to do. */
+    readonly machineCalls: readonly string[];
     /** The list shows machines as they were this long ago, in milliseconds. */
     setListLag(lagMs: number): void;
     setMachines(machines: readonly Machine[]): void;
@@ -133,6 +139,7 @@
     const workers = createFakeTaskWorkers();
     const entries: SchedulingEntry[] = [];
     const machineOrders: string[] = [];
+    const machineCalls: string[] = [];
     let mostDown = 0;
     let mostMaintained = 0;
     const away = new Set<string>();
@@ -147,6 +154,7 @@
     };
 
     function callOrder(text: string): Promise<MachineOrderResult> {
+        machineCalls.push(text);
         return delayOrder(world.machineOrderFault, () => order(text));
     }
 
@@ -179,6 +187,15 @@
         return { kind: "done" };
     }
 
+    function removeEntry(workerId: string): void {
+        const key = written.get(workerId) ?? "";
+        if (world.staleEntryMs === 0) {
+            store.remove(key);
+            return;
+        }
+        setTimeout(() => store.remove(key), world.staleEntryMs);
+    }
+
     /** Everything on the machine ends; after a while a new worker joins the pool. */
     function restart(machine: Machine, pool: string): void {
         const workerId = machine.workerId ?? `${machine.id}-worker`;
@@ -186,7 +203,7 @@
             setList(machineList.map((known) => known.id === machine.id ? { ...known, ...next } : known));
         if (machine.workerId !== undefined) {
             workers.get(machine.workerId).crash();
-            store.remove(written.get(machine.workerId) ?? "");
+            removeEntry(machine.workerId);
         }
         replace({ state: machine.workerId === undefined ? "up" : "maintenance", workerId: undefined });
         away.add(machine.id);
@@ -198,8 +215,9 @@
                 replace({ state: "up", pool });
                 return;
             }
-            world.addWorker(`${workerId}+`, pool);
-            replace({ state: "up", pool, workerId: `${workerId}+` });
+            const nextId = world.areIdsKept ? workerId : `${workerId}+`;
+            world.addWorker(nextId, pool);
+            replace({ state: "up", pool, workerId: nextId });
         }, restartMs);
     }
 
@@ -211,6 +229,9 @@
         workers,
         machineOrders,
         machineOrderFault: undefined,
+        areIdsKept: false,
+        staleEntryMs: 0,
+        machineCalls,
         mostDown: () => mostDown,
         mostMaintained: () => mostMaintained,
         waves: [],
