test(scheduler): what the fleet view concludes from the list of machines

Seven cases of the rule that ends an ordered worker's life or sets its machine free. As trials, one part of the rule was taken out at a time: the question to the worker, the end of the life, its start time, the condition on runs, the condition on silence, the release. Each makes at least one of the seven fail. Without the check that the order was answered all pass: a comparison with an unknown time is false anyway.

--- /dev/null
+++ b/src/scheduler/test/fleetView.steps.ts
@@ -0,0 +1,139 @@
+import { Before, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import type { Machine, MachineOrder, MachineOrderResult, MachineState } from "../../machines";
+import { type Board, createBoard, createWorker, type Run, type Worker } from "../../schedule";
+import { createFleetView, type FleetView } from "../createFleetView";
+
+interface World {
+    nowMs: number;
+    machine: Machine;
+    board: Board;
+    worker: Worker;
+    view: FleetView;
+    asked: Worker[];
+    ended: Worker[];
+    answer: (result: MachineOrderResult) => void;
+}
+
+const move: MachineOrder = { kind: "move", machine: "machine-1", pool: "offices" };
+
+/** Time between two readings of the list, in milliseconds. */
+const roundMs = 400;
+
+function createView(world: World): FleetView {
+    return createFleetView({
+        board: world.board,
+        clocks: { steadyMs: () => world.nowMs, suspendAwareMs: () => world.nowMs },
+        report() {},
+        machines: {
+            list: () => Promise.resolve({ kind: "machines", machines: [world.machine] }),
+            move: () => assert.fail("orders go through their record"),
+            maintain: () => assert.fail("orders go through their record"),
+        },
+        orders: {
+            load: () => Promise.resolve(true),
+            isBlocked: () => false,
+            begun: () => new Set(),
+            waveSeenAtMs: () => 0,
+            send(_orders, onResult) {
+                world.answer = (result) => onResult(move, result);
+                return Promise.resolve();
+            },
+        },
+        maintenanceMs: 2000,
+        standby: () => undefined,
+        lookNow: (worker) => world.asked.push(worker),
+        onLifeEnded: (worker) => world.ended.push(worker),
+    });
+}
+
+function addWorker(world: World, bornMs: number): void {
+    world.worker = createWorker("worker-1", bornMs);
+    world.worker.isListed = true;
+    world.worker.isHeld = true;
+    world.board.workers.set(world.worker.id, world.worker);
+}
+
+async function readList(world: World): Promise<void> {
+    world.nowMs += roundMs;
+    await world.view.refresh();
+}
+
+Before(async function(this: World) {
+    this.nowMs = 10_000;
+    this.asked = [];
+    this.ended = [];
+    this.board = createBoard();
+    this.machine = {
+        id: "machine-1",
+        pool: "stalls",
+        state: "up",
+        zone: "zone-a",
+        labels: [],
+        capacity: { cpuMillis: 4000, memoryMb: 16_000, accelerators: 0 },
+        workerId: "worker-1",
+    };
+    this.view = createView(this);
+    addWorker(this, 1);
+    await readList(this);
+});
+
+Given("a machine whose worker runs nothing", function(this: World) {
+    assert.equal(this.worker.runs.size, 0);
+});
+
+Given("a machine whose worker runs something", function(this: World) {
+    this.worker.runs.add({} as Run);
+});
+
+When("it is ordered", function(this: World) {
+    this.view.send([move]);
+});
+
+When("it is ordered and answered", function(this: World) {
+    this.view.send([move]);
+    this.answer({ kind: "done" });
+});
+
+When("its worker is silent", function(this: World) {
+    this.worker.isReachable = false;
+});
+
+When("its next worker has the same id", function(this: World) {
+    addWorker(this, 2);
+});
+
+When("the list shows it {word}", async function(this: World, state: MachineState) {
+    this.machine = { ...this.machine, state };
+    await readList(this);
+});
+
+When("its worker answers", async function(this: World) {
+    this.nowMs += 10;
+    this.worker.listedAtMs = this.nowMs;
+    await this.view.refresh();
+});
+
+Then("its worker is asked", function(this: World) {
+    assert.deepEqual(this.asked, [this.worker]);
+});
+
+Then("its worker has ended", function(this: World) {
+    assert.deepEqual(this.ended, [this.worker]);
+});
+
+Then("its worker has not ended", function(this: World) {
+    assert.deepEqual(this.ended, []);
+});
+
+Then("the machine is free", function(this: World) {
+    assert.equal(this.view.isFree("machine-1"), true);
+});
+
+Then("the machine is not free", function(this: World) {
+    assert.equal(this.view.isFree("machine-1"), false);
+});
+
+Then("its worker takes work", function(this: World) {
+    assert.equal(this.worker.isReserved, false);
+});
