fix(scheduler): a worker whose entry was gone for a moment stays reserved for the order to its machine

Seen by callers: tasks are started on a machine that is about to be moved or taken down by an order that is still under way. They are cut off, a serving one while others of its step may be away, and begin anew elsewhere.

Cause: an empty worker whose entry is missing or unreadable leaves the board, and comes back as one of which nothing is known, the reservation for the order included.

Change: a worker that is taken in is reserved while an order to its machine is under way. The scenario is the one of an upkeep that is carried out late; it asks for what it did before and, besides, that no task is cut off.

--- a/src/scheduler/createFleetKeeper.ts
+++ b/src/scheduler/createFleetKeeper.ts
@@ -47,6 +47,8 @@
 }
 
 export interface FleetKeeper {
+    /** Whether an order to the worker's machine is under way, which may end the worker. */
+    isOrdered(worker: Worker): boolean;
     start(): void;
     stop(): void;
 }
@@ -163,6 +165,7 @@
     }
 
     return {
+        isOrdered: view.isOrdered,
         start: () => void run(),
         stop() {
             isStopped = true;
--- a/src/scheduler/createFleetView.ts
+++ b/src/scheduler/createFleetView.ts
@@ -28,6 +28,8 @@
     /** Reads the platform's list where the last reading is old. */
     refresh(): Promise<void>;
     workerOf(machine: Machine | undefined): Worker | undefined;
+    /** Whether an order to the worker's machine is under way, which may end the worker. */
+    isOrdered(worker: Worker): boolean;
     /** Nothing is on its way with the machine, and no earlier owner's order can be. */
     isFree(id: string): boolean;
     /** Machines without work, but for those that are wanted for something else. */
@@ -229,6 +231,7 @@
             }
         },
         workerOf,
+        isOrdered: (worker) => [...journeys.values()].some(({ lifeBefore }) => findLife(lifeBefore) === worker),
         isFree,
         listIdle(wanted) {
             const standby = opts.standby();
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -263,6 +263,8 @@
             return;
         }
         const worker = applyWorkerEntry(board, entry, onLifeEnded);
+        // An entry that was gone for a moment comes back as a worker of which nothing is known.
+        worker.isReserved ||= keeper.isOrdered(worker);
         looks.follow(worker);
     }
 
--- a/test/scheduling/machine-orders.feature
+++ b/test/scheduling/machine-orders.feature
@@ -63,8 +63,8 @@
         Then 1 submission is complete
         And no task ran twice
 
-    Scenario: an upkeep is carried out late, on a worker that has been given tasks
-        Guards against tasks that wait for leases to run out, after an order that has certainly ended them.
+    Scenario: a worker shows up again while the order to its machine is held up
+        Guards against tasks that are started on a machine about to go down: they are cut off, and their leases waited for.
 
         Given 1 entry and 1 worker
         And orders to machines are "late"
@@ -78,6 +78,7 @@
         And 900 ms pass
         Then 2 tasks run
         And no task ran twice
+        And no task was cut off
 
     Scenario: a machine is parked and its worker's entry stays for a while
         Guards against a pool without a machine: one that was ordered away counts for one that is left to it.
--- a/test/scheduling/machineOrders.steps.ts
+++ b/test/scheduling/machineOrders.steps.ts
@@ -76,3 +76,7 @@
     assert.ok(await isAway());
     this.world.setListLag(0);
 });
+
+Then("no task was cut off", function(this: World) {
+    assert.deepEqual(this.world.workers.events.filter(({ kind }) => kind === "crashed"), []);
+});
