fix(scheduler): an upkeep is sent again only when the machine's next worker is empty

Seen by callers: tasks are cut off by an upkeep on a machine that nobody emptied, a serving one while others of its step may be away.

Cause: an upkeep without an answer was sent again each round, whatever had come up on the machine meanwhile. Where the first order was lost and the worker gave way to another one, the next order met that one at work.

Change: a machine whose worker has runs is emptied first, as far as its steps bear it, and the order is sent then. Where the list has shown the upkeep since it was ordered, it is sent at once: it was carried out, and the answer ends the wait.

--- a/src/scheduler/createFleetView.ts
+++ b/src/scheduler/createFleetView.ts
@@ -18,6 +18,14 @@
     onLifeEnded(worker: Worker, reason: string): void;
 }
 
+export interface OrderedUpkeep {
+    readonly machine: string;
+    /** The order got no answer; it may be carried out yet. */
+    readonly isUnanswered: boolean;
+    /** The platform's list has shown the upkeep since it was ordered first. */
+    readonly isSeen: boolean;
+}
+
 /** What an owner knows of the machines, and what is on its way with them by its orders. */
 export interface FleetView {
     readonly machines: ReadonlyMap<string, Machine>;
@@ -37,7 +45,7 @@
     /** Processors of machines on their way to a pool, in thousandths. */
     comingCpuMillis(pool: string): number;
     /** Machines whose upkeep for a wave was ordered and is not known to be over. */
-    onUpkeep(wave: number): readonly { readonly machine: string; readonly isUnanswered: boolean; }[];
+    onUpkeep(wave: number): readonly OrderedUpkeep[];
     send(orders: readonly MachineOrder[]): void;
 }
 
@@ -66,6 +74,8 @@
     readonly wave: number | undefined;
     /** The platform's list has shown it away since. */
     wasAway: boolean;
+    /** The platform's list has shown it at its upkeep since the first order. */
+    wasMaintained: boolean;
     /** When the worker was asked whether it is still there. */
     askedAtMs: number | undefined;
 }
@@ -95,6 +105,7 @@
                 continue;
             }
             journey.wasAway ||= machine?.state !== "up";
+            journey.wasMaintained ||= machine?.state === "maintenance";
             if (machine !== undefined) {
                 settleLife(journey, machine, sentAtMs);
             }
@@ -260,7 +271,11 @@
                 .reduce((sum, [id]) => sum + (machines.get(id)?.capacity.cpuMillis ?? 0), 0),
         onUpkeep: (wave) =>
             [...journeys].filter(([, journey]) => journey.wave === wave)
-                .map(([machine, { isUnanswered }]) => ({ machine, isUnanswered })),
+                .map(([machine, { isUnanswered, wasMaintained }]) => ({
+                    machine,
+                    isUnanswered,
+                    isSeen: wasMaintained,
+                })),
         send(list) {
             const nowMs = clocks.steadyMs();
             for (const order of list) {
@@ -279,6 +294,7 @@
                     isUnanswered: false,
                     wave: order.kind === "maintain" ? order.wave : undefined,
                     wasAway: false,
+                    wasMaintained: known?.wasMaintained ?? false,
                     askedAtMs: undefined,
                 });
             }
--- a/src/scheduler/createWaves.ts
+++ b/src/scheduler/createWaves.ts
@@ -66,6 +66,11 @@
         return worker?.isHeld === true && worker.strays === 0 ? worker.runs.size : undefined;
     }
 
+    function isOccupied(id: string): boolean {
+        const machine = machines.get(id);
+        return machine !== undefined && (countRuns(machine) ?? 0) > 0;
+    }
+
     /** Takes work off a machine that is to go down, as far as the availability of each step allows. */
     function empty(id: string): void {
         const worker = view.workerOf(machines.get(id));
@@ -181,9 +186,12 @@
             });
             void note(wave, choice.isComplete && view.isKnown());
             wave.machines.filter((id) => begun.has(id)).forEach((id) => emptyingSince.delete(id));
-            choice.prepare.filter(view.isFree).forEach(empty);
+            const unanswered = onUpkeep.filter(({ isUnanswered }) => isUnanswered);
+            // The order may have been lost, and the machine's next worker has taken work before it is sent again.
+            const occupied = unanswered.filter((upkeep) => !upkeep.isSeen && isOccupied(upkeep.machine));
+            [...choice.prepare.filter(view.isFree), ...occupied.map(({ machine }) => machine)].forEach(empty);
             release(wave, choice.prepare);
-            const again = onUpkeep.filter(({ isUnanswered }) => isUnanswered).map(({ machine }) => machine);
+            const again = unanswered.filter((upkeep) => !occupied.includes(upkeep)).map(({ machine }) => machine);
             return [...choice.now.filter(view.isFree), ...again].map((machine) => ({
                 kind: "maintain",
                 machine,
--- a/test/scheduling/machine-orders.feature
+++ b/test/scheduling/machine-orders.feature
@@ -80,6 +80,58 @@
         And no task ran twice
         And no task was cut off
 
+    Scenario: an upkeep is ordered again when the machine's next worker is at work
+        Guards against tasks that are cut off: the first order was lost, and the machine is not empty any more.
+
+        Given 1 entry and 2 workers
+        And orders to machines are "lost"
+        And a wave over machines 1 to 1, 1 at once
+        When an upkeep is ordered
+        And 1 submission of 8 tasks of 3000 ms comes
+        And 500 ms pass
+        And the machine's worker gives way to another one
+        And 1000 ms pass
+        Then 8 tasks run
+        When orders to machines are well
+        And 9000 ms pass
+        Then no task was cut off
+        And each machine went down once
+        And 1 submission is complete
+
+    Scenario: an upkeep is ordered again when the machine's next worker has tasks that last
+        Guards against a wave that stands still: the machine counts as down, and nobody empties it for the next order.
+
+        Given 1 entry and 3 workers
+        And orders to machines are "lost"
+        And a wave over all machines, 1 at once
+        When an upkeep is ordered
+        And 1 submission of 8 tasks of 3000 ms comes
+        And 500 ms pass
+        And a submission comes whose 2 tasks serve on a worker together, and 1 may be away
+        And the machine's worker gives way to another one
+        And 3500 ms pass
+        And orders to machines are well
+        And 20000 ms pass
+        Then no task was cut off
+        And each machine went down once
+        And 2 tasks run
+
+    Scenario: an upkeep that has shown in the list is ordered again when the machine is back at work
+        Guards against tasks that are stopped for an upkeep that is over.
+
+        Given 1 entry and 2 workers
+        And orders to machines are "answerLost"
+        And a wave over machines 1 to 1, 1 at once
+        When the first machine is down
+        And a submission comes whose 8 tasks serve on a worker together, and 1 may be away
+        And 3000 ms pass
+        Then 8 tasks run
+        When orders to machines are well
+        And 4000 ms pass
+        Then no task was stopped
+        And each machine went down once
+        And 8 tasks run
+
     Scenario: a machine is parked and its worker's entry stays for a while
         Guards against a pool without a machine: one that was ordered away counts for one that is left to it.
 
--- a/test/scheduling/machineOrders.steps.ts
+++ b/test/scheduling/machineOrders.steps.ts
@@ -80,3 +80,13 @@
 Then("no task was cut off", function(this: World) {
     assert.deepEqual(this.world.workers.events.filter(({ kind }) => kind === "crashed"), []);
 });
+
+When("the machine's worker gives way to another one", function(this: World) {
+    const [machine, ...others] = this.world.listed();
+    assert.ok(machine?.workerId !== undefined);
+    this.world.workers.get(machine.workerId).crash();
+    this.world.store.remove(`workers/${machine.workerId}`);
+    const workerId = `${machine.workerId}*`;
+    this.world.addWorker(workerId);
+    this.world.setMachines([{ ...machine, workerId }, ...others]);
+});
