--- a/src/scheduler/createFleetKeeper.ts
+++ b/src/scheduler/createFleetKeeper.ts
@@ -40,11 +40,15 @@
     readonly maxStopMs: number;
     readonly reportWave: (wave: number, isComplete: boolean) => Promise<boolean>;
     stop(run: Run, reason: string): void;
+    /** Asks a worker at once what it runs. */
+    lookNow(worker: Worker): void;
     onLifeEnded(worker: Worker, reason: string): void;
     onChange(): void;
 }
 
 export interface FleetKeeper {
+    /** Whether an order to the worker's machine is under way, which may end the worker. */
+    isOrdered(worker: Worker): boolean;
     start(): void;
     stop(): void;
 }
@@ -161,6 +165,7 @@
     }
 
     return {
+        isOrdered: view.isOrdered,
         start: () => void run(),
         stop() {
             isStopped = true;
--- a/standins/scheduling/createSchedulingWorld.ts
+++ b/standins/scheduling/createSchedulingWorld.ts
@@ -10,6 +10,7 @@
 import { createFakeNetwork, type FakeNetwork } from "../fakes";
 import { createFakeStore, type FakeStore } from "./createFakeStore";
 import { createFakeTaskWorkers, type FakeTaskWorkers } from "./createFakeTaskWorkers";
+import { delayOrder, type MachineOrderFault } from "./delayOrder";
 
 /** One entry that competes for the duty. */
 export interface SchedulingEntry {
@@ -48,6 +49,13 @@
     mostMaintained(): number;
     /** Orders that reached the platform's interface for machines. */
     readonly machineOrders: readonly string[];
+    machineOrderFault: MachineOrderFault | undefined;
+    /** A machine's next worker has the id of the one before it. */
+    areIdsKept: boolean;
+    /** How long the entry of a worker that has left by order stays in the store, in milliseconds. */
+    staleEntryMs: number;
+    /** Calls with such orders, also those for which nothing was left to do. */
+    readonly machineCalls: readonly string[];
     /** The list shows machines as they were this long ago, in milliseconds. */
     setListLag(lagMs: number): void;
     setMachines(machines: readonly Machine[]): void;
@@ -131,6 +139,7 @@
     const workers = createFakeTaskWorkers();
     const entries: SchedulingEntry[] = [];
     const machineOrders: string[] = [];
+    const machineCalls: string[] = [];
     let mostDown = 0;
     let mostMaintained = 0;
     const away = new Set<string>();
@@ -140,10 +149,15 @@
     const listHistory: { readonly atMs: number; readonly machines: readonly Machine[]; }[] = [];
     const machines: Machines = {
         list: () => Promise.resolve({ kind: "machines", machines: listAsOf(performance.now() - listLagMs) }),
-        move: (machine, pool) => order(`move ${machine} ${pool}`),
-        maintain: (machine, wave) => order(`maintain ${machine} ${wave}`),
+        move: (machine, pool) => callOrder(`move ${machine} ${pool}`),
+        maintain: (machine, wave) => callOrder(`maintain ${machine} ${wave}`),
     };
 
+    function callOrder(text: string): Promise<MachineOrderResult> {
+        machineCalls.push(text);
+        return delayOrder(world.machineOrderFault, () => order(text));
+    }
+
     function listAsOf(atMs: number): readonly Machine[] {
         return listHistory.findLast((known) => known.atMs <= atMs)?.machines ?? listHistory[0]?.machines ?? [];
     }
@@ -153,14 +167,14 @@
         listHistory.push({ atMs: performance.now(), machines: next });
     }
 
-    function order(text: string): Promise<MachineOrderResult> {
+    function order(text: string): MachineOrderResult {
         if (text.startsWith("maintain") && machineOrders.includes(text)) {
-            return Promise.resolve({ kind: "done" });
+            return { kind: "done" };
         }
         const [, id = "", target = ""] = text.split(" ");
         const machine = machineList.find((known) => known.id === id);
         if (away.has(id)) {
-            return Promise.resolve({ kind: "busy" });
+            return { kind: "busy" };
         }
         machineOrders.push(text);
         if (text.startsWith("maintain")) {
@@ -170,7 +184,16 @@
         if (machine !== undefined) {
             restart(machine, text.startsWith("move") ? target : machine.pool);
         }
-        return Promise.resolve({ kind: "done" });
+        return { kind: "done" };
+    }
+
+    function removeEntry(workerId: string): void {
+        const key = written.get(workerId) ?? "";
+        if (world.staleEntryMs === 0) {
+            store.remove(key);
+            return;
+        }
+        setTimeout(() => store.remove(key), world.staleEntryMs);
     }
 
     /** Everything on the machine ends; after a while a new worker joins the pool. */
@@ -180,7 +203,7 @@
             setList(machineList.map((known) => known.id === machine.id ? { ...known, ...next } : known));
         if (machine.workerId !== undefined) {
             workers.get(machine.workerId).crash();
-            store.remove(written.get(machine.workerId) ?? "");
+            removeEntry(machine.workerId);
         }
         replace({ state: machine.workerId === undefined ? "up" : "maintenance", workerId: undefined });
         away.add(machine.id);
@@ -192,8 +215,9 @@
                 replace({ state: "up", pool });
                 return;
             }
-            world.addWorker(`${workerId}+`, pool);
-            replace({ state: "up", pool, workerId: `${workerId}+` });
+            const nextId = world.areIdsKept ? workerId : `${workerId}+`;
+            world.addWorker(nextId, pool);
+            replace({ state: "up", pool, workerId: nextId });
         }, restartMs);
     }
 
@@ -204,6 +228,10 @@
         store,
         workers,
         machineOrders,
+        machineOrderFault: undefined,
+        areIdsKept: false,
+        staleEntryMs: 0,
+        machineCalls,
         mostDown: () => mostDown,
         mostMaintained: () => mostMaintained,
         waves: [],
