--- a/src/scheduler/createFleetView.ts
+++ b/src/scheduler/createFleetView.ts
@@ -156,7 +156,7 @@
         for (const [id, { lifeBefore, askedAtMs, answeredAtMs }] of journeys) {
             const worker = findLife(lifeBefore);
             const isSpared = askedAtMs !== undefined && answeredAtMs !== undefined
-                && (worker?.listedAtMs ?? 0) >= Math.max(askedAtMs, answeredAtMs);
+                && worker?.runList.kind === "read" && worker.runList.askedAtMs >= Math.max(askedAtMs, answeredAtMs);
             if (isSpared) {
                 journeys.delete(id);
                 release(worker);
--- a/src/scheduler/test/fleetView.steps.ts
+++ b/src/scheduler/test/fleetView.steps.ts
@@ -50,7 +50,7 @@
 function addWorker(world: World, bornMs: number): void {
     world.worker = createWorker("worker-1", bornMs);
     world.worker.isListed = true;
-    world.worker.isHeld = true;
+    world.worker.runList = { kind: "read", firstReadAtMs: 0, askedAtMs: 0 };
     world.board.workers.set(world.worker.id, world.worker);
 }
 
@@ -110,7 +110,7 @@
 
 When("its worker answers", async function(this: World) {
     this.nowMs += 10;
-    this.worker.listedAtMs = this.nowMs;
+    this.worker.runList = { kind: "read", firstReadAtMs: 0, askedAtMs: this.nowMs };
     await this.view.refresh();
 });
 
