test(standins): a worker whose address is not known can't be called

What is seen: a scenario in which an owner calls the record of a worker that no entry has told the address of passes or fails by what happens at the live worker of that id. The product's own caller never sends such a call (`platform/callJson.ts`: "the address is not known").

Cause: the stand-in finds the worker by the id of the target and doesn't look at its address.

Evidence: with an owner that has a placeholder of an earlier life, the stand-in let the stop of a run there through to the later life; the answer "another life" settled the placeholder, which can't happen over the network.

Change: a call without an address fails at once. A worker can be added with a kind of its own, and under an id that is known already, as another life.

--- a/standins/scheduling/createFakeTaskWorkers.ts
+++ b/standins/scheduling/createFakeTaskWorkers.ts
@@ -207,7 +207,10 @@
         return worker.fault === "standstill" ? 5 : Math.min(99, Math.floor(100 * share));
     }
 
-    async function call<T>({ id }: WorkerTarget, carryOut: (worker: State) => T | Promise<T>) {
+    async function call<T>({ id, address }: WorkerTarget, carryOut: (worker: State) => T | Promise<T>) {
+        if (address === "") {
+            return { kind: "noAnswer", detail: "the address is not known" } as const;
+        }
         const worker = workers.get(id);
         await pause(answerMs / 2);
         if (worker?.fault === "resetting") {
--- a/standins/scheduling/createSchedulingWorld.ts
+++ b/standins/scheduling/createSchedulingWorld.ts
@@ -58,7 +58,8 @@
     /** What the advice service answers; all workers are good at first. */
     advise(workerIds: readonly string[]): Promise<AdviceResult>;
     addEntry(name: string): SchedulingEntry;
-    addWorker(id: string, pool?: string): void;
+    /** Under an id that is known already: another life of that worker. */
+    addWorker(id: string, pool?: string, kind?: string): void;
     submit(
         id: string,
         steps: readonly Partial<Step>[],
@@ -224,7 +225,7 @@
             entries.push(entry);
             return entry;
         },
-        addWorker(id, pool = "stalls") {
+        addWorker(id, pool = "stalls", kind = "a") {
             const { bornMs } = workers.add(id);
             const { key, text } = entryOf({
                 id,
@@ -235,7 +236,7 @@
                 isDraining: false,
                 drainLeftMs: 0,
                 capacity: { cpuMillis: 4000, memoryMb: 16_000, accelerators: 0 },
-                labels: ["a", "r1"],
+                labels: [kind, "r1"],
                 rack: "r1",
             });
             written.set(id, key);
