fix(scheduler): the board has one life of each worker, the latest

What is seen: a worker crashes and starts again under its id, and the owner is killed before a task that ran in the earlier life has started again. Under the next owner that task never starts again (LOST); or a sound task of the later life is stopped and never starts again (LOST); and once its submission is cancelled it still counts against its tenant's cap.

Cause: `findWorker` put a second recorded life of an id under the key "id born". `createLooks` asks only the record under the id itself, so the runs of the other one were neither asked for nor given up. Where the entry then told of the life under the other key, `applyWorkerEntry` made a third record: the live worker listed the runs of the second as belonging to nobody, and they were stopped, while the board had them running for good.

Change: a life ends before the next one under its id begins. `takeLife` keeps the latest life of each id on the board and ends the one before; runs recorded in a life that is over are given up as `lifeEnded` when they are read. `removeWorker` takes exactly the record that is meant off the board.

--- a/src/schedule/index.ts
+++ b/src/schedule/index.ts
@@ -23,3 +23,4 @@
 export { routeOf } from "./routeOf";
 export { addRun, removeRun } from "./runs";
 export { isSuspect, noteFailure, noteSuccess, quarantine } from "./workerHealth";
+export { isOnBoard, removeWorker, takeLife } from "./workerLives";
--- a/src/scheduler/createIntake.ts
+++ b/src/scheduler/createIntake.ts
@@ -1,6 +1,7 @@
 import type { Reporter } from "../logging";
 import type { DemandMeter } from "../machines";
 import { progressKey, type TaskProgress } from "../progress";
+import { DropCause } from "../runs";
 import {
     addDueOccurrences,
     addSubmission,
@@ -8,9 +9,11 @@
     createWorker,
     type Estimates,
     isComplete,
+    isOnBoard,
     lookAhead,
     type Run,
     type SubmissionEntry,
+    takeLife,
     tasksOf,
     type Worker,
 } from "../schedule";
@@ -25,6 +28,8 @@
     readonly report: Reporter;
     readonly steadyMs: () => number;
     stop(run: Run, reason: string): void;
+    drop(run: Run, cause: DropCause, reason: string): void;
+    onLifeEnded(worker: Worker, reason: string): void;
     /** Records the submission as it is now. */
     save(entry: SubmissionEntry): void;
 }
@@ -61,16 +66,23 @@
     const finished = new Map<string, { readonly state: FinalState; readonly atMs: number; }>();
     let progress: ReadonlyMap<string, StoredProgress> = new Map();
 
+    /** The worker of a recorded run; its record is not on the board where a later life is known. */
     function findWorker(id: string, bornMs: number): Worker {
-        const known = board.workers.get(id);
-        if (known !== undefined && known.bornMs === bornMs) {
-            return known;
+        const onLifeEnded = (earlier: Worker) => opts.onLifeEnded(earlier, "runs of a later life are recorded");
+        const worker = takeLife(board, id, bornMs, onLifeEnded) ?? createWorker(id, bornMs);
+        if (worker.address === "") {
+            // No entry has told where it is.
+            worker.isReachable = false;
+        }
+        return worker;
+    }
+
+    function dropEnded(entry: SubmissionEntry): void {
+        for (const run of [...tasksOf(entry)].flatMap(({ runs }) => runs)) {
+            if (!isOnBoard(board, run.worker)) {
+                opts.drop(run, DropCause.lifeEnded, "a later life of its worker is known");
+            }
         }
-        // Not listed, or its id lives on in a new life: nothing is known of this one but what was started there.
-        const ghost = createWorker(id, bornMs);
-        ghost.isReachable = false;
-        board.workers.set(known === undefined ? id : `${id} ${bornMs}`, ghost);
-        return ghost;
     }
 
     function take(key: string, item: StoreItem | undefined): void {
@@ -98,6 +110,7 @@
         if (stored !== undefined) {
             entry.progressRevision = stored.revision;
             restoreProgress(board, entry, stored.tasks, findWorker, nowMs);
+            dropEnded(entry);
         }
         addDueOccurrences(entry, Date.now(), nowMs);
         const ageMs = Math.max(0, Date.now() - record.submission.acceptedAtMs);
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -19,6 +19,7 @@
     createBoard,
     createEstimates,
     removeRun,
+    removeWorker,
     type Run,
     type SubmissionEntry,
     type Worker,
@@ -136,9 +137,7 @@
         worker.isListed = false;
         worker.strays = 0;
         [...worker.runs].forEach((run) => drop(run, DropCause.lifeEnded, reason));
-        if (board.workers.get(worker.id) === worker) {
-            board.workers.delete(worker.id);
-        }
+        removeWorker(board, worker);
     }
 
     const writer = createProgressWriter({
@@ -205,6 +204,8 @@
         report,
         steadyMs: clocks.steadyMs,
         stop: runs.stop,
+        drop,
+        onLifeEnded,
         save: (entry) => void writer.save(entry),
     });
     const planner = createPlanner({
@@ -262,7 +263,9 @@
             return;
         }
         const worker = applyWorkerEntry(board, entry, onLifeEnded);
-        looks.follow(worker);
+        if (worker !== undefined) {
+            looks.follow(worker);
+        }
     }
 
     async function startAll(entry: SubmissionEntry, group: readonly Run[]): Promise<void> {
@@ -286,7 +289,7 @@
         for (const worker of board.workers.values()) {
             looks.follow(worker);
             if (!worker.isListed && worker.runs.size === 0) {
-                board.workers.delete(worker.id);
+                removeWorker(board, worker);
             }
         }
         watchdog.tick();
--- /dev/null
+++ b/test/scheduling/lives.steps.ts
@@ -0,0 +1,36 @@
+import { Given, When } from "@cucumber/cucumber";
+import { plainPolicy, plainStep } from "../../standins/scheduling";
+import { pass, workerName, type World } from "./world";
+
+/** From a crash until the worker is back, in milliseconds; its entry stands all the while. */
+const restartMs = 400;
+
+Given("the tenant may run {int} tasks at once", function(this: World, count: number) {
+    const cap = { cpuMillis: count * plainStep.size.cpuMillis, memoryMb: 0, accelerators: 0 };
+    this.world.policy = { ...plainPolicy, tenants: plainPolicy.tenants.map((tenant) => ({ ...tenant, cap })) };
+});
+
+When(
+    "a submission comes whose task of {int} ms needs a worker of kind {string}",
+    async function(this: World, workMs: number, workerLabel: string) {
+        const id = (this.ids.length + 1).toString(16).padStart(16, "f");
+        this.ids.push(id);
+        this.workMs.set(id, workMs);
+        this.world.submit(id, [{ estimateMs: workMs, workerLabel }]);
+        await pass(this, 20);
+    },
+);
+
+When("worker {int} starts again as kind {string}", async function(this: World, number: number, kind: string) {
+    this.world.workers.get(workerName(number)).crash();
+    await pass(this, restartMs);
+    this.world.addWorker(workerName(number), "stalls", kind);
+});
+
+When("worker {int} of kind {string} joins", function(this: World, number: number, kind: string) {
+    this.world.addWorker(workerName(number), "stalls", kind);
+});
+
+When("the latest submission is cancelled", function(this: World) {
+    this.world.cancel(this.ids.at(-1) ?? "");
+});
