test(standins): each life of a worker has a clock of its own

What is seen: a scenario in which a worker starts again has it go on with the clock of its earlier life. On the platform "its counts start anew (`seq`, the numbers of ends, its clock)": a lease or the time of an order that an owner worked out for the earlier life means another time in the later one.

Change: the clock starts with the life. A life can begin without an entry, which is written when the scenario says so; between the two a worker answers whose entry still tells of its earlier life.

--- a/standins/scheduling/createFakeTaskWorkers.ts
+++ b/standins/scheduling/createFakeTaskWorkers.ts
@@ -82,6 +82,8 @@
 const failMs = 20;
 
 interface State extends FakeTaskWorker {
+    /** Time since the start of this life, in milliseconds. */
+    clockMs(): number;
     token: number;
     leaseUntilMs: number;
     runs: Map<string, FakeRun>;
@@ -118,7 +120,7 @@
     function advance(worker: State): void {
         const nowMs = performance.now();
         for (const run of [...worker.runs.values()]) {
-            if (nowMs > worker.leaseUntilMs) {
+            if (worker.clockMs() > worker.leaseUntilMs) {
                 end(worker, run, "lapsed");
             }
             else if (run.isStopping && nowMs >= run.workMs) {
@@ -134,12 +136,12 @@
     }
 
     function extend(worker: State, leaseUntilMs: number | undefined): void {
-        const mostMs = performance.now() + maxLeaseMs;
+        const mostMs = worker.clockMs() + maxLeaseMs;
         worker.leaseUntilMs = Math.max(worker.leaseUntilMs, Math.min(leaseUntilMs ?? 0, mostMs));
     }
 
     function start(worker: State, order: StartOrder): StartResult {
-        const workerMs = performance.now();
+        const workerMs = worker.clockMs();
         if (order.token < worker.token) {
             return { kind: "fenced" };
         }
@@ -156,7 +158,7 @@
         }
         extend(worker, order.leaseUntilMs);
         worker.stopped.set(order.task, order.run - 1);
-        const run = { ...order, startedAtMs: workerMs, workMs: findWorkMs(order.task), isStopping: false };
+        const run = { ...order, startedAtMs: performance.now(), workMs: findWorkMs(order.task), isStopping: false };
         worker.runs.set(name, run);
         note(worker, "started", order);
         return { kind: "started", workerMs };
@@ -174,7 +176,7 @@
             run.workMs = performance.now() + stopMs;
             note(worker, "stopOrdered", run);
         }
-        return { kind: "taken", workerMs: performance.now() };
+        return { kind: "taken", workerMs: worker.clockMs() };
     }
 
     async function look(worker: State, order: LookOrder): Promise<LookResult> {
@@ -196,7 +198,7 @@
             percent: progress(worker, startedAtMs, findWorkMs(task)),
             measure: 0,
         }));
-        return { kind: "listed", workerMs: performance.now(), bornMs: worker.bornMs, running, ended: [...worker.ends] };
+        return { kind: "listed", workerMs: worker.clockMs(), bornMs: worker.bornMs, running, ended: [...worker.ends] };
     }
 
     function progress(worker: State, startedAtMs: number, workMs: number): number {
@@ -266,9 +268,10 @@
                 }
                 return call<LookResult>(target, (worker) => look(worker, order));
             },
-            pace: (target) => call<OrderResult>(target, () => ({ kind: "taken", workerMs: performance.now() })),
+            pace: (target) => call<OrderResult>(target, (worker) => ({ kind: "taken", workerMs: worker.clockMs() })),
         },
         add(id) {
+            const bornAtMs = performance.now();
             const worker: State = {
                 id,
                 bornMs: Date.now(),
@@ -287,6 +290,7 @@
                     worker.runs.clear();
                     worker.isDown = true;
                 },
+                clockMs: () => performance.now() - bornAtMs,
                 runningTasks: () => [...worker.runs.values()].map(({ task }) => task),
             };
             workers.set(id, worker);
--- a/standins/scheduling/createSchedulingWorld.ts
+++ b/standins/scheduling/createSchedulingWorld.ts
@@ -60,6 +60,8 @@
     addEntry(name: string): SchedulingEntry;
     /** Under an id that is known already: another life of that worker. */
     addWorker(id: string, pool?: string, kind?: string): void;
+    /** Writes a worker's entry as its life now would. */
+    writeEntry(id: string, pool?: string, kind?: string): void;
     submit(
         id: string,
         steps: readonly Partial<Step>[],
@@ -225,8 +227,12 @@
             entries.push(entry);
             return entry;
         },
-        addWorker(id, pool = "stalls", kind = "a") {
-            const { bornMs } = workers.add(id);
+        addWorker(id, pool, kind) {
+            workers.add(id);
+            world.writeEntry(id, pool, kind);
+        },
+        writeEntry(id, pool = "stalls", kind = "a") {
+            const { bornMs } = workers.get(id);
             const { key, text } = entryOf({
                 id,
                 bornMs,
