fix(scheduler): a start that a later life may have carried out isn't given up with the earlier one

What is seen: an idle worker crashes and starts again under its id and address, and a task is started there before its new entry has been read. The task runs a second time beside itself (TWICE).

Cause: an owner notices the end of an idle worker by nothing but its entry. It sends the order to the life that it knows, the later life carries it out (its clock starts anew, so the order is never late there), and the answer doesn't say which life gave it. The run was kept on the record of the earlier life, by its owner and in the store. With the next list or entry that life was ended, and all of its runs were given up as `lifeEnded`, this one too.

Change: only a list tells which life has a run. A run that no list of the earlier life has shown goes to the record of the later one, whose lists settle it; the others end with their life, as before. Runs that an earlier owner recorded in an earlier life than the one known go there too. A list that tells of another life makes its record at once. `createWorkerIntake` has what records, entries and lists tell of lives, taken out of `createScheduler`, `createIntake` and `applyWorkerEntry`.

--- a/src/runs/createLooks.ts
+++ b/src/runs/createLooks.ts
@@ -22,6 +22,8 @@
     sendStops(worker: Worker): void;
     onFenced(): void;
     onLifeEnded(worker: Worker, reason: string): void;
+    /** Another life of the worker, under the same id and address, has answered. */
+    onOtherLife(worker: Worker, bornMs: number): void;
     onListed(worker: Worker): void;
     onChange(): void;
 }
@@ -168,7 +170,7 @@
         sentAtMs: number,
     ): Promise<void> {
         if (result.bornMs !== undefined && result.bornMs !== worker.bornMs) {
-            opts.onLifeEnded(worker, "it has started again under the same id");
+            opts.onOtherLife(worker, result.bornMs);
             return;
         }
         noteClock(worker, {
--- a/src/runs/createRuns.ts
+++ b/src/runs/createRuns.ts
@@ -69,8 +69,7 @@
         run.task.notBeforeMs = clocks.steadyMs() + pauseMs;
     }
 
-    function applyStart(run: Run, result: StartResult, sentAtMs: number, leaseUntilMs: number): void {
-        const { worker } = run;
+    function applyStart(run: Run, worker: Worker, result: StartResult, sentAtMs: number, leaseUntilMs: number): void {
         switch (result.kind) {
             case "started":
                 run.answeredAtMs = clocks.steadyMs();
@@ -87,10 +86,11 @@
                 opts.onFenced();
                 return;
             case "otherLife":
+                opts.drop(run, DropCause.lifeEnded, "another life answered the start");
                 opts.onLifeEnded(worker, "another life answered a start");
                 return;
             case "noAnswer":
-                settleUnanswered(run, sentAtMs, leaseUntilMs);
+                settleUnanswered(run, worker, sentAtMs, leaseUntilMs);
         }
     }
 
@@ -107,16 +107,17 @@
     /**
      * A start without an answer may have begun, or begin until its time is over. A list that shows it settles it. The
      * answer to a stop does so as well, and sooner; but a serving task that has begun would be ended by it, while others
-     * of its step may be away. Such a run is left until a list asked for after its time shows it or does not.
+     * of its step may be away. Such a run is left until a list asked for after its time shows it or does not; that time is
+     * on the clock of the life that was called, so with a later life it is stopped all the same.
      */
-    function settleUnanswered(run: Run, sentAtMs: number, leaseUntilMs: number): void {
+    function settleUnanswered(run: Run, worker: Worker, sentAtMs: number, leaseUntilMs: number): void {
         if (run.seenAtMs !== undefined) {
             return;
         }
-        noteSilence(run.worker, sentAtMs);
-        if (run.task.step.maxUnavailable > 0) {
+        noteSilence(worker, sentAtMs);
+        if (run.task.step.maxUnavailable > 0 && run.worker === worker) {
             const nowMs = clocks.steadyMs();
-            const leftMs = leaseUntilMs - (earliestWorkerMs(run.worker, nowMs) ?? 0);
+            const leftMs = leaseUntilMs - (earliestWorkerMs(worker, nowMs) ?? 0);
             run.answeredAtMs = nowMs + longestMs(leftMs);
             return;
         }
@@ -159,8 +160,8 @@
             opts.onStartAnswered(answeredAtMs - nowMs);
         }
         orderLog(run, "start", result.kind === "refused" ? result.reason : result.kind);
-        if (worker.runs.has(run)) {
-            applyStart(run, result, nowMs, leaseUntilMs);
+        if (run.worker.runs.has(run)) {
+            applyStart(run, worker, result, nowMs, leaseUntilMs);
             opts.onChange();
         }
     }
@@ -183,13 +184,18 @@
             return;
         }
         run.isStopSent = true;
+        const { worker } = run;
         const sentAtMs = clocks.steadyMs();
-        const result = await api.stop(run.worker, run.task.name, run.number, tenure.token);
+        const result = await api.stop(worker, run.task.name, run.number, tenure.token);
         orderLog(run, "stop", `${result.kind}: ${run.stopReason ?? ""}`);
+        if (run.worker !== worker && result.kind !== "fenced") {
+            // A later life of the worker may have the run; it is sent a stop of its own.
+            return;
+        }
         switch (result.kind) {
             case "taken":
                 run.answeredAtMs = clocks.steadyMs();
-                noteClock(run.worker, {
+                noteClock(worker, {
                     workerMs: result.workerMs,
                     sentAtMs,
                     receivedAtMs: run.answeredAtMs,
@@ -204,11 +210,11 @@
                 opts.onFenced();
                 return;
             case "otherLife":
-                opts.onLifeEnded(run.worker, "another life answered a stop");
+                opts.onLifeEnded(worker, "another life answered a stop");
                 return;
             case "noAnswer":
                 run.isStopSent = false;
-                noteSilence(run.worker, sentAtMs);
+                noteSilence(worker, sentAtMs);
                 if (run.worker.isReachable && run.worker.runs.has(run)) {
                     void sendStop(run);
                 }
--- a/src/schedule/board.ts
+++ b/src/schedule/board.ts
@@ -15,7 +15,8 @@
 export interface Run {
     readonly task: Task;
     readonly number: number;
-    readonly worker: Worker;
+    /** The latest life of the worker that may have it. */
+    worker: Worker;
     phase: RunPhase;
     readonly plannedAtMs: number;
     /** When an order about this run was last answered, on the steady clock; later looks at the worker show it. */
--- a/src/schedule/index.ts
+++ b/src/schedule/index.ts
@@ -21,6 +21,6 @@
 export { planCopies } from "./planCopies";
 export { groupByPool, listAdviceCandidates, planStarts } from "./planStarts";
 export { routeOf } from "./routeOf";
-export { addRun, removeRun } from "./runs";
+export { addRun, moveRun, removeRun } from "./runs";
 export { isSuspect, noteFailure, noteSuccess, quarantine } from "./workerHealth";
-export { isOnBoard, removeWorker, takeLife } from "./workerLives";
+export { isOnBoard, type LifeEnded, removeWorker, replaceLife, takeLife } from "./workerLives";
--- a/src/schedule/runs.ts
+++ b/src/schedule/runs.ts
@@ -45,6 +45,19 @@
     count(board, run, -1);
 }
 
+/** Puts a run on the record of a later life of its worker, which has not been sent its stop. */
+export function moveRun(board: Board, run: Run, worker: Worker): void {
+    count(board, run, -1);
+    run.worker.runs.delete(run);
+    run.worker = worker;
+    worker.runs.add(run);
+    count(board, run, 1);
+    if (run.phase === "stopping") {
+        run.isStopSent = false;
+        run.answeredAtMs = Number.POSITIVE_INFINITY;
+    }
+}
+
 function count(board: Board, { task, worker }: Run, sign: 1 | -1): void {
     const { size, isFiller } = task.step;
     const cpuMillis = isFiller ? 0 : size.cpuMillis;
--- a/src/scheduler/createIntake.ts
+++ b/src/scheduler/createIntake.ts
@@ -1,19 +1,15 @@
 import type { Reporter } from "../logging";
 import type { DemandMeter } from "../machines";
 import { progressKey, type TaskProgress } from "../progress";
-import { DropCause } from "../runs";
 import {
     addDueOccurrences,
     addSubmission,
     type Board,
-    createWorker,
     type Estimates,
     isComplete,
-    isOnBoard,
     lookAhead,
     type Run,
     type SubmissionEntry,
-    takeLife,
     tasksOf,
     type Worker,
 } from "../schedule";
@@ -28,8 +24,8 @@
     readonly report: Reporter;
     readonly steadyMs: () => number;
     stop(run: Run, reason: string): void;
-    drop(run: Run, cause: DropCause, reason: string): void;
-    onLifeEnded(worker: Worker, reason: string): void;
+    /** The worker of a run that an earlier owner recorded. */
+    findWorker(id: string, bornMs: number): Worker;
     /** Records the submission as it is now. */
     save(entry: SubmissionEntry): void;
 }
@@ -66,25 +62,6 @@
     const finished = new Map<string, { readonly state: FinalState; readonly atMs: number; }>();
     let progress: ReadonlyMap<string, StoredProgress> = new Map();
 
-    /** The worker of a recorded run; its record is not on the board where a later life is known. */
-    function findWorker(id: string, bornMs: number): Worker {
-        const onLifeEnded = (earlier: Worker) => opts.onLifeEnded(earlier, "runs of a later life are recorded");
-        const worker = takeLife(board, id, bornMs, onLifeEnded) ?? createWorker(id, bornMs);
-        if (worker.address === "") {
-            // No entry has told where it is.
-            worker.isReachable = false;
-        }
-        return worker;
-    }
-
-    function dropEnded(entry: SubmissionEntry): void {
-        for (const run of [...tasksOf(entry)].flatMap(({ runs }) => runs)) {
-            if (!isOnBoard(board, run.worker)) {
-                opts.drop(run, DropCause.lifeEnded, "a later life of its worker is known");
-            }
-        }
-    }
-
     function take(key: string, item: StoreItem | undefined): void {
         const id = key.slice(submissionPrefix.length);
         const record = item === undefined ? undefined : decodeRecord(item.text);
@@ -109,8 +86,7 @@
         const stored = progress.get(progressKey(id));
         if (stored !== undefined) {
             entry.progressRevision = stored.revision;
-            restoreProgress(board, entry, stored.tasks, findWorker, nowMs);
-            dropEnded(entry);
+            restoreProgress(board, entry, stored.tasks, opts.findWorker, nowMs);
         }
         addDueOccurrences(entry, Date.now(), nowMs);
         const ageMs = Math.max(0, Date.now() - record.submission.acceptedAtMs);
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -24,14 +24,14 @@
     type SubmissionEntry,
     type Worker,
 } from "../schedule";
-import { createFollower, type Store, type StoreItem } from "../store";
+import { createFollower, type Store } from "../store";
 import { submissionPrefix, type SubmissionState } from "../submissions";
-import { applyWorkerEntry } from "./applyWorkerEntry";
 import { createFleetKeeper } from "./createFleetKeeper";
 import { createIntake } from "./createIntake";
 import { createPacer } from "./createPacer";
 import { createPlanner, stepName } from "./createPlanner";
 import { createWatchdog } from "./createWatchdog";
+import { createWorkerIntake } from "./createWorkerIntake";
 import type { WorkerDecoder } from "./workerEntries";
 
 /** Bounds of the platform that decisions depend on. */
@@ -185,6 +185,7 @@
         sendStops: runs.sendStops,
         onFenced: fence,
         onLifeEnded,
+        onOtherLife: (worker, bornMs) => workerIntake.noteOtherLife(worker, bornMs),
         onListed(worker) {
             pacer.adjust(worker);
             watchdog.check(worker);
@@ -197,6 +198,13 @@
         report,
         onChange: () => planner.planSoon(),
     });
+    const workerIntake = createWorkerIntake({
+        board,
+        decoder: opts.decoder,
+        report,
+        onLifeEnded,
+        follow: looks.follow,
+    });
     const intake = createIntake({
         board,
         estimates,
@@ -204,8 +212,7 @@
         report,
         steadyMs: clocks.steadyMs,
         stop: runs.stop,
-        drop,
-        onLifeEnded,
+        findWorker: (id, bornMs) => workerIntake.findRecorded(id, bornMs),
         save: (entry) => void writer.save(entry),
     });
     const planner = createPlanner({
@@ -249,25 +256,6 @@
         onChange: () => planner.planSoon(),
     });
 
-    function takeWorker(key: string, item: StoreItem | undefined): void {
-        const id = opts.decoder.idOf(key);
-        const entry = item === undefined ? undefined : opts.decoder.decode(key, item.text);
-        if (entry === undefined) {
-            const known = board.workers.get(id);
-            if (known !== undefined) {
-                known.isListed = false;
-            }
-            if (item !== undefined) {
-                report({ kind: "valueRefused", key, detail: "the entry names no worker" });
-            }
-            return;
-        }
-        const worker = applyWorkerEntry(board, entry, onLifeEnded);
-        if (worker !== undefined) {
-            looks.follow(worker);
-        }
-    }
-
     async function startAll(entry: SubmissionEntry, group: readonly Run[]): Promise<void> {
         if (!await writer.save(entry)) {
             return;
@@ -327,7 +315,7 @@
         waitMs: watchWaitMs,
         pauseMs: workerGatherMs,
         nowMs: clocks.suspendAwareMs,
-        onItem: takeWorker,
+        onItem: workerIntake.take,
         onBatch: () => planner.planSoon(),
     });
 
--- /dev/null
+++ b/src/scheduler/createWorkerIntake.ts
@@ -0,0 +1,75 @@
+import type { Reporter } from "../logging";
+import { type Board, isOnBoard, replaceLife, takeLife, type Worker } from "../schedule";
+import type { StoreItem } from "../store";
+import type { WorkerDecoder, WorkerEntry } from "./workerEntries";
+
+export interface WorkerIntakeOptions {
+    readonly board: Board;
+    readonly decoder: WorkerDecoder;
+    readonly report: Reporter;
+    onLifeEnded(worker: Worker, reason: string): void;
+    follow(worker: Worker): void;
+}
+
+/** The workers of a tenure: what records, entries and lists tell of their lives. */
+export interface WorkerIntake {
+    /** The worker of a run that an earlier owner recorded; nothing else may be known of it yet. */
+    findRecorded(id: string, bornMs: number): Worker;
+    /** A worker's entry in the store is new or has changed; `undefined`: it was removed. */
+    take(key: string, item: StoreItem | undefined): void;
+    /** Another life of a worker has answered where this one was asked. */
+    noteOtherLife(worker: Worker, bornMs: number): void;
+}
+
+export function createWorkerIntake(opts: WorkerIntakeOptions): WorkerIntake {
+    const { board, decoder } = opts;
+
+    const endLife = (reason: string) => (earlier: Worker) => opts.onLifeEnded(earlier, reason);
+
+    return {
+        findRecorded(id, bornMs) {
+            const worker = takeLife(board, id, bornMs, endLife("runs of a later life are recorded"));
+            if (worker.address === "") {
+                // No entry has told where it is.
+                worker.isReachable = false;
+            }
+            return worker;
+        },
+        take(key, item) {
+            const id = decoder.idOf(key);
+            const entry = item === undefined ? undefined : decoder.decode(key, item.text);
+            if (entry === undefined) {
+                const known = board.workers.get(id);
+                if (known !== undefined) {
+                    known.isListed = false;
+                }
+                if (item !== undefined) {
+                    opts.report({ kind: "valueRefused", key, detail: "the entry names no worker" });
+                }
+                return;
+            }
+            const worker = takeLife(board, id, entry.bornMs, endLife("its entry tells of a new start"));
+            if (worker.bornMs === entry.bornMs) {
+                applyEntry(worker, entry);
+            }
+            opts.follow(worker);
+        },
+        noteOtherLife(worker, bornMs) {
+            if (isOnBoard(board, worker)) {
+                opts.follow(replaceLife(board, worker, bornMs, endLife("it has started again under the same id")));
+            }
+        },
+    };
+}
+
+function applyEntry(worker: Worker, entry: WorkerEntry): void {
+    worker.address = entry.address;
+    worker.pool = entry.pool;
+    worker.zone = entry.zone;
+    worker.rack = entry.rack;
+    worker.labels = entry.labels;
+    worker.capacity = entry.capacity;
+    worker.isDraining = entry.isDraining;
+    worker.drainLeftMs = entry.drainLeftMs;
+    worker.isListed = true;
+}
--- a/test/scheduling/lives.feature
+++ b/test/scheduling/lives.feature
@@ -58,3 +58,65 @@
         And 2 submissions are complete
         And no task lapsed
         And no task ran twice
+
+    Scenario: a task is started on a worker that has just started again
+        The owner has not read the new entry: it names the earlier life in its record, and the later one carries the order
+        out. Given up with the earlier life, the task would start again beside itself.
+
+        Given 1 entry and 2 workers
+        When worker 1 starts again, and its entry still tells of its earlier life
+        And 1 submission of 1 task of 3000 ms comes
+        And 100 ms pass
+        And worker 1 writes its entry
+        And 4000 ms pass
+        Then no task ran twice
+        And no task was stopped
+        And 1 submission is complete
+
+    Scenario: the start of a serving task on a worker that has just started again is not answered
+        The later life has begun it. Started elsewhere it would run twice; stopped for certainty's sake, its users would find
+        it away.
+
+        Given 1 entry and 2 workers
+        When worker 1 starts again, and its entry still tells of its earlier life
+        And worker 1 is "muteStarts"
+        And a submission comes whose 1 task serves on a worker together, and 1 may be away
+        And 100 ms pass
+        And worker 1 writes its entry
+        And 4000 ms pass
+        Then no task ran twice
+        And no task was stopped
+        And 1 task runs
+
+    Scenario: a start on a worker that has just started again is lost
+        Nothing of it runs. Left until the order's time is over on the clock of the earlier life, the task would wait for as
+        long as that life had lasted.
+
+        Given 1 entry and 1 worker
+        And 20000 ms pass
+        When worker 1 starts again, and its entry still tells of its earlier life
+        And worker 1 loses the next start
+        And a submission comes whose 1 task serves on a worker together, and 1 may be away
+        And 100 ms pass
+        And worker 1 writes its entry
+        And 1500 ms pass
+        Then 1 task runs
+
+    Scenario: the owner is killed when a task has started on a worker that has just started again
+        The next owner reads the start as one on the earlier life. Given up with it, the task would start again after it was
+        done.
+
+        Given 2 entries and 2 workers
+        When worker 1 starts again, and its entry still tells of its earlier life
+        And 1 submission of 1 task of 900 ms comes
+        And the owner is killed as soon as a task has started
+        And worker 1 writes its entry
+        And 1000 ms pass
+        And worker 1 is "cut"
+        And 1200 ms pass
+        And worker 1 is well
+        And 1000 ms pass
+        And 2 submissions of 4 tasks of 500 ms come
+        And 3000 ms pass
+        Then 3 submissions are complete
+        And no task ran twice
--- a/test/scheduling/lives.steps.ts
+++ b/test/scheduling/lives.steps.ts
@@ -1,6 +1,6 @@
 import { Given, When } from "@cucumber/cucumber";
 import { plainPolicy, plainStep } from "../../standins/scheduling";
-import { pass, workerName, type World } from "./world";
+import { pass, stepMs, workerName, type World } from "./world";
 
 /** From a crash until the worker is back, in milliseconds; its entry stands all the while. */
 const restartMs = 400;
@@ -27,6 +27,26 @@
     this.world.addWorker(workerName(number), "stalls", kind);
 });
 
+When("worker {int} starts again, and its entry still tells of its earlier life", async function(
+    this: World,
+    number: number,
+) {
+    this.world.workers.get(workerName(number)).crash();
+    await pass(this, restartMs);
+    this.world.workers.add(workerName(number));
+});
+
+When("worker {int} writes its entry", function(this: World, number: number) {
+    this.world.writeEntry(workerName(number));
+});
+
+When("the owner is killed as soon as a task has started", async function(this: World) {
+    for (let waitedMs = 0; this.world.workers.runningTasks().length === 0 && waitedMs < 5000; waitedMs += stepMs) {
+        await pass(this, stepMs);
+    }
+    this.world.owner()?.kill();
+});
+
 When("worker {int} of kind {string} joins", function(this: World, number: number, kind: string) {
     this.world.addWorker(workerName(number), "stalls", kind);
 });
