fix(runs): a later life keeps what an order to the earlier one granted

What is seen: a worker starts again, a task is started there before its new entry has been read, and the worker is cut off. The task starts elsewhere at once while it runs on until its lease ends (TWICE).

Cause: the record of the later life has no reading of its clock, and for such a worker the lease counts as over as soon as the owner has been one for 5.6 s. Besides, the order named its time on the clock of the earlier life: on the later one, which starts anew, that is far ahead, so the worker grants the longest lease that it gives, and not the owner's 4.5 s.

Change: a record notes when runs of an earlier life came to it; until the longest lease from then on has passed, nothing there counts as over by silence.

--- a/src/runs/createLooks.ts
+++ b/src/runs/createLooks.ts
@@ -158,6 +158,11 @@
     function isLeaseOver(worker: Worker): boolean {
         const nowMs = clocks.steadyMs();
         const workerMs = earliestWorkerMs(worker, nowMs);
+        // An order that named its time on the clock of an earlier life gave the longest lease that there is.
+        const inheritedMs = nowMs - (worker.inheritedAtMs ?? Number.NEGATIVE_INFINITY);
+        if (inheritedMs <= longestMs(opts.maxLeaseMs + earlierOrdersMs)) {
+            return false;
+        }
         // A worker that this owner has never reached may hold what the owner before gave it last.
         return workerMs === undefined
             ? nowMs - startedAtMs > longestMs(leaseMs + earlierOrdersMs)
--- a/src/schedule/board.ts
+++ b/src/schedule/board.ts
@@ -139,6 +139,8 @@
     leaseUntilWorkerMs: number;
     /** When it last answered any call, on the steady clock. */
     answeredAtMs: number;
+    /** When runs ordered of an earlier life came to it last, on the steady clock; `undefined`: none has. */
+    inheritedAtMs: number | undefined;
     /** Highest number of its ends that has been recorded. */
     ackedEnd: number;
     readonly runs: Set<Run>;
--- a/src/schedule/createWorker.ts
+++ b/src/schedule/createWorker.ts
@@ -23,6 +23,7 @@
         clock: undefined,
         leaseUntilWorkerMs: 0,
         answeredAtMs: 0,
+        inheritedAtMs: undefined,
         ackedEnd: 0,
         runs: new Set(),
         used: { cpuMillis: 0, memoryMb: 0, accelerators: 0 },
--- a/src/schedule/runs.ts
+++ b/src/schedule/runs.ts
@@ -46,11 +46,12 @@
 }
 
 /** Puts a run on the record of a later life of its worker, which has not been sent its stop. */
-export function moveRun(board: Board, run: Run, worker: Worker): void {
+export function moveRun(board: Board, run: Run, worker: Worker, nowMs: number): void {
     count(board, run, -1);
     run.worker.runs.delete(run);
     run.worker = worker;
     worker.runs.add(run);
+    worker.inheritedAtMs = nowMs;
     count(board, run, 1);
     if (run.phase === "stopping") {
         run.isStopSent = false;
--- a/src/schedule/test/workerLives.steps.ts
+++ b/src/schedule/test/workerLives.steps.ts
@@ -26,7 +26,7 @@
 const nowMs = 10_000;
 
 function tell(world: World, bornMs: number): void {
-    world.told.set(bornMs, takeLife(world.board, id, bornMs, (earlier) => world.endedMs.push(earlier.bornMs)));
+    world.told.set(bornMs, takeLife(world.board, id, bornMs, nowMs, (earlier) => world.endedMs.push(earlier.bornMs)));
 }
 
 Before(function(this: World) {
--- a/src/schedule/workerLives.ts
+++ b/src/schedule/workerLives.ts
@@ -14,14 +14,20 @@
  * The record of a life, or of a later one where that is known. A life ends before the next one under its id begins, so the
  * board has one life of each id: the latest that a record, an entry or a list tells of.
  */
-export function takeLife(board: Board, id: string, bornMs: number, onLifeEnded: LifeEnded): Worker {
+export function takeLife(
+    board: Board,
+    id: string,
+    bornMs: number,
+    nowMs: number,
+    onLifeEnded: LifeEnded,
+): Worker {
     const known = board.workers.get(id);
     if (known === undefined) {
         const worker = createWorker(id, bornMs);
         board.workers.set(id, worker);
         return worker;
     }
-    return known.bornMs < bornMs ? replaceLife(board, known, bornMs, onLifeEnded) : known;
+    return known.bornMs < bornMs ? replaceLife(board, known, bornMs, nowMs, onLifeEnded) : known;
 }
 
 /**
@@ -31,13 +37,19 @@
  * the answer does not tell them apart; lists do. So a run that no list of the earlier life has shown goes to the later one,
  * whose lists settle it. Given up instead, its task would start elsewhere while it runs there.
  */
-export function replaceLife(board: Board, earlier: Worker, bornMs: number, onLifeEnded: LifeEnded): Worker {
+export function replaceLife(
+    board: Board,
+    earlier: Worker,
+    bornMs: number,
+    nowMs: number,
+    onLifeEnded: LifeEnded,
+): Worker {
     const worker = createWorker(earlier.id, bornMs);
     worker.address = earlier.address;
     board.workers.set(worker.id, worker);
     for (const run of [...earlier.runs]) {
         if (run.phase !== "recording" && run.seenAtMs === undefined) {
-            moveRun(board, run, worker);
+            moveRun(board, run, worker, nowMs);
         }
     }
     onLifeEnded(earlier);
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -202,6 +202,7 @@
         board,
         decoder: opts.decoder,
         report,
+        steadyMs: clocks.steadyMs,
         onLifeEnded,
         follow: looks.follow,
     });
--- a/src/scheduler/createWorkerIntake.ts
+++ b/src/scheduler/createWorkerIntake.ts
@@ -7,6 +7,7 @@
     readonly board: Board;
     readonly decoder: WorkerDecoder;
     readonly report: Reporter;
+    readonly steadyMs: () => number;
     onLifeEnded(worker: Worker, reason: string): void;
     follow(worker: Worker): void;
 }
@@ -22,13 +23,17 @@
 }
 
 export function createWorkerIntake(opts: WorkerIntakeOptions): WorkerIntake {
-    const { board, decoder } = opts;
+    const { board, decoder, steadyMs } = opts;
 
     const endLife = (reason: string) => (earlier: Worker) => opts.onLifeEnded(earlier, reason);
 
     return {
         findRecorded(id, bornMs) {
-            const worker = takeLife(board, id, bornMs, endLife("runs of a later life are recorded"));
+            const nowMs = steadyMs();
+            const worker = takeLife(board, id, bornMs, nowMs, endLife("runs of a later life are recorded"));
+            if (worker.bornMs !== bornMs) {
+                worker.inheritedAtMs = nowMs;
+            }
             if (worker.address === "") {
                 // No entry has told where it is.
                 worker.isReachable = false;
@@ -48,7 +53,7 @@
                 }
                 return;
             }
-            const worker = takeLife(board, id, entry.bornMs, endLife("its entry tells of a new start"));
+            const worker = takeLife(board, id, entry.bornMs, steadyMs(), endLife("its entry tells of a new start"));
             if (worker.bornMs === entry.bornMs) {
                 applyEntry(worker, entry);
             }
@@ -56,7 +61,8 @@
         },
         noteOtherLife(worker, bornMs) {
             if (isOnBoard(board, worker)) {
-                opts.follow(replaceLife(board, worker, bornMs, endLife("it has started again under the same id")));
+                const reason = "it has started again under the same id";
+                opts.follow(replaceLife(board, worker, bornMs, steadyMs(), endLife(reason)));
             }
         },
     };
--- a/test/scheduling/lives.feature
+++ b/test/scheduling/lives.feature
@@ -88,6 +88,20 @@
         And no task was stopped
         And 1 task runs
 
+    Scenario: a worker that has just started again is cut off once a task has started there
+        The time of its lease was worked out on the clock of the earlier life, so it is the longest that a worker gives. Taken
+        for over sooner, the task would start elsewhere while it runs there.
+
+        Given 1 entry and 2 workers
+        And 8000 ms pass
+        When worker 1 starts again, and its entry still tells of its earlier life
+        And 1 submission of 1 task of 20000 ms comes
+        And worker 1 is "cut" as soon as a task has started
+        And worker 1 writes its entry
+        And 9000 ms pass
+        Then no task ran twice
+        And 1 task runs
+
     Scenario: a start on a worker that has just started again is lost
         Nothing of it runs. Left until the order's time is over on the clock of the earlier life, the task would wait for as
         long as that life had lasted.
--- a/test/scheduling/lives.steps.ts
+++ b/test/scheduling/lives.steps.ts
@@ -1,10 +1,16 @@
 import { Given, When } from "@cucumber/cucumber";
-import { plainPolicy, plainStep } from "../../standins/scheduling";
+import { plainPolicy, plainStep, type WorkerFault } from "../../standins/scheduling";
 import { pass, stepMs, workerName, type World } from "./world";
 
 /** From a crash until the worker is back, in milliseconds; its entry stands all the while. */
 const restartMs = 400;
 
+async function passUntilStarted(world: World): Promise<void> {
+    for (let waitedMs = 0; world.world.workers.runningTasks().length === 0 && waitedMs < 5000; waitedMs += stepMs) {
+        await pass(world, stepMs);
+    }
+}
+
 Given("the tenant may run {int} tasks at once", function(this: World, count: number) {
     const cap = { cpuMillis: count * plainStep.size.cpuMillis, memoryMb: 0, accelerators: 0 };
     this.world.policy = { ...plainPolicy, tenants: plainPolicy.tenants.map((tenant) => ({ ...tenant, cap })) };
@@ -41,12 +47,18 @@
 });
 
 When("the owner is killed as soon as a task has started", async function(this: World) {
-    for (let waitedMs = 0; this.world.workers.runningTasks().length === 0 && waitedMs < 5000; waitedMs += stepMs) {
-        await pass(this, stepMs);
-    }
+    await passUntilStarted(this);
     this.world.owner()?.kill();
 });
 
+When(
+    "worker {int} is {string} as soon as a task has started",
+    async function(this: World, number: number, fault: WorkerFault) {
+        await passUntilStarted(this);
+        this.world.workers.get(workerName(number)).fault = fault;
+    },
+);
+
 When("worker {int} of kind {string} joins", function(this: World, number: number, kind: string) {
     this.world.addWorker(workerName(number), "stalls", kind);
 });
