fix(runs): a worker that doesn't answer is sent no numbers of ends to forget

What is seen: a worker starts again, a task is started and done there before its new entry has been read, and the calls for its lists fail at first. The task starts again after it was done (TWICE).

Cause: the owner asks the later life with the number up to which it has recorded the ends of the earlier one. Ends are numbered from 1 in each life, so the later one forgets ends that nobody has been told of; its list then shows the run as neither running nor ended.

Change: after a call without an answer a look acknowledges nothing; the next one after a list does again, and ends that are listed twice are passed over as before.

Open: the first look at a worker that was idle and was never found silent still names the number; a task that ends in the later life before that look arrives is forgotten the same way.

--- a/src/runs/createLooks.ts
+++ b/src/runs/createLooks.ts
@@ -88,7 +88,8 @@
         const leaseUntilMs = chooseLease(worker, sentAtMs);
         const result = await api.look(worker, {
             token: tenure.token,
-            ackedEnd: worker.ackedEnd,
+            // A worker that has not answered may have started again, and numbers its ends anew then.
+            ackedEnd: worker.isReachable ? worker.ackedEnd : 0,
             leaseUntilMs,
             waitMs,
         });
--- a/test/scheduling/lives.feature
+++ b/test/scheduling/lives.feature
@@ -102,6 +102,22 @@
         Then no task ran twice
         And 1 task runs
 
+    Scenario: the first calls for lists of a worker that has just started again are lost
+        Its ends are numbered anew. By the numbers that the earlier life has reached it would forget the end of a task that
+        nobody has been told of, and the task would start again after it was done.
+
+        Given 1 entry and 2 workers
+        When 4 submissions of 4 tasks of 300 ms come
+        And 3000 ms pass
+        And worker 1 starts again, and its entry still tells of its earlier life
+        And worker 1 is "lostLooks"
+        And 1 submission of 1 task of 100 ms comes
+        And 400 ms pass
+        And worker 1 is well
+        And 3000 ms pass
+        Then no task ran twice
+        And 5 submissions are complete
+
     Scenario: a start on a worker that has just started again is lost
         Nothing of it runs. Left until the order's time is over on the clock of the earlier life, the task would wait for as
         long as that life had lasted.
