fix(runs): lists are asked for and taken in for the record that is on the board

A worker that was off the board for a moment (its entry was away while it was idle) and is given a task on its new record can have that task stopped as a stray; a later life can be asked to forget ends by the numbers of the earlier one.

Cause: `lookNow` asks 5 ms later, and a look waits up to a second. Neither checked whether the record was still the one on the board when its time came; the loop of looks alone did.

Change: both check it.

--- a/src/runs/createLooks.ts
+++ b/src/runs/createLooks.ts
@@ -1,7 +1,7 @@
 import { type Clocks, pause } from "../clock";
 import type { Tenure } from "../duties";
 import type { Reporter } from "../logging";
-import { type Board, findTask, type Run, type SubmissionEntry, type Task, type Worker } from "../schedule";
+import { type Board, findTask, isOnBoard, type Run, type SubmissionEntry, type Task, type Worker } from "../schedule";
 import { DropCause } from "./dropCause";
 import type { EndRow, LookResult, RunningRow, TaskWorkers } from "./taskWorkers";
 import { earliestWorkerMs, longestMs, noteClock } from "./workerClock";
@@ -76,7 +76,7 @@
     }
 
     async function run(worker: Worker): Promise<void> {
-        while (!isStopped && tenure.isValid() && isNeeded(worker) && board.workers.get(worker.id) === worker) {
+        while (!isStopped && tenure.isValid() && isNeeded(worker) && isOnBoard(board, worker)) {
             opts.sendStops(worker);
             await look(worker, chooseWait(worker));
         }
@@ -175,6 +175,10 @@
         result: Extract<LookResult, { kind: "listed"; }>,
         sentAtMs: number,
     ): Promise<void> {
+        if (!isOnBoard(board, worker)) {
+            // Its runs are on another record by now; listed here, they would be taken for strays.
+            return;
+        }
         if (result.bornMs !== undefined && result.bornMs !== worker.bornMs) {
             opts.onOtherLife(worker, result.bornMs);
             return;
@@ -305,7 +309,7 @@
             asked.add(worker);
             setTimeout(() => {
                 asked.delete(worker);
-                if (!isStopped && tenure.isValid()) {
+                if (!isStopped && tenure.isValid() && isOnBoard(board, worker)) {
                     void look(worker, 0);
                 }
             }, askMs);
--- /dev/null
+++ b/src/runs/test/looks.feature
@@ -0,0 +1,21 @@
+Feature: Lists are asked for and taken in for the life that is on the board
+
+    Scenario: a worker's record is replaced before it is asked
+        The later life would be asked with the numbers and the clock of the earlier one: it would forget ends that nobody has
+        been told of.
+
+        Given a worker that has been asked to list what it runs
+        When it is to be asked at once
+        And another record takes its place
+        And 50 ms pass
+        Then no list has been asked for since
+
+    Scenario: a list comes after the worker's record was replaced
+        The worker was off the board for a moment and runs tasks on its new record. Taken for ones of no interest, they would
+        be stopped.
+
+        Given a worker that has been asked to list what it runs
+        When another record takes its place
+        And a task is started there
+        And the list arrives that shows the task
+        Then the task has not been stopped
--- /dev/null
+++ b/src/runs/test/looks.steps.ts
@@ -0,0 +1,126 @@
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import type { Clock } from "../../../standins/dispatch";
+import { plainStep } from "../../../standins/scheduling";
+import {
+    addDueOccurrences,
+    addRun,
+    addSubmission,
+    type Board,
+    createBoard,
+    createWorker,
+    tasksOf,
+    type Worker,
+} from "../../schedule";
+import { createLooks, type LookResult, type Looks, type TaskWorkers } from "../index";
+
+interface World {
+    /** Installed for all scenarios of this folder. */
+    clock: Clock;
+    board: Board;
+    worker: Worker;
+    looks: Looks;
+    asked: number;
+    answer: (result: LookResult) => void;
+    stopped: string[];
+    task: string;
+}
+
+const id = "worker-1";
+const bornMs = 1000;
+
+function addWorker(world: World): Worker {
+    const worker = { ...createWorker(id, bornMs), address: id, isListed: true };
+    world.board.workers.set(id, worker);
+    return worker;
+}
+
+function createTestLooks(world: World): Looks {
+    const taken = { kind: "taken", workerMs: 1 } as const;
+    const api: TaskWorkers = {
+        start: () => Promise.resolve({ kind: "started", workerMs: 1 }),
+        stop: (_worker, task) => {
+            world.stopped.push(task);
+            return Promise.resolve(taken);
+        },
+        pace: () => Promise.resolve(taken),
+        look: () => {
+            world.asked++;
+            return new Promise((resolve) => world.answer = resolve);
+        },
+    };
+    return createLooks({
+        api,
+        tenure: { token: 1, condition: { key: "", revision: 1 }, isValid: () => true },
+        clocks: { steadyMs: () => performance.now(), suspendAwareMs: () => performance.now() },
+        board: world.board,
+        report() {},
+        maxLeaseMs: 6000,
+        applyEnd: () => undefined,
+        save: () => Promise.resolve(true),
+        drop() {},
+        sendStops() {},
+        onFenced() {},
+        onLifeEnded() {},
+        onOtherLife() {},
+        onListed() {},
+        onChange() {},
+    });
+}
+
+Given("a worker that has been asked to list what it runs", async function(this: World) {
+    this.board = createBoard();
+    this.asked = 0;
+    this.stopped = [];
+    this.looks = createTestLooks(this);
+    this.worker = addWorker(this);
+    this.looks.follow(this.worker);
+    await this.clock.advance(1);
+    assert.equal(this.asked, 1);
+});
+
+When("it is to be asked at once", function(this: World) {
+    this.looks.lookNow(this.worker);
+});
+
+When("another record takes its place", function(this: World) {
+    addWorker(this);
+});
+
+When("{int} ms pass", async function(this: World, ms: number) {
+    await this.clock.advance(ms);
+});
+
+When("a task is started there", function(this: World) {
+    const submission = {
+        id: "0000000000000001",
+        payload: "",
+        steps: [plainStep],
+        schedule: { repeats: 0, startAtMs: 0, intervalMs: 0 },
+        tenant: "giza",
+        route: "stalls",
+        service: "stalls",
+        acceptedAtMs: 0,
+    };
+    const entry = addSubmission(this.board, submission, 1, false, 0);
+    addDueOccurrences(entry, Date.now(), 0);
+    const [task] = tasksOf(entry);
+    const worker = this.board.workers.get(id);
+    assert.ok(task && worker);
+    addRun(this.board, task, worker, 1, "running", 0);
+    this.task = task.name;
+});
+
+When("the list arrives that shows the task", async function(this: World) {
+    const row = { task: this.task, run: 1, checkpoint: "", percent: 5, measure: 0 };
+    this.answer({ kind: "listed", workerMs: 1, bornMs, running: [row], ended: [] });
+    await this.clock.advance(50);
+});
+
+Then("no list has been asked for since", function(this: World) {
+    assert.equal(this.asked, 1);
+});
+
+Then("the task has not been stopped", function(this: World) {
+    assert.deepEqual(this.stopped, []);
+});
--- a/src/scheduler/createWorkerIntake.ts
+++ b/src/scheduler/createWorkerIntake.ts
@@ -1,5 +1,5 @@
 import type { Reporter } from "../logging";
-import { type Board, isOnBoard, replaceLife, takeLife, type Worker } from "../schedule";
+import { type Board, replaceLife, takeLife, type Worker } from "../schedule";
 import type { StoreItem } from "../store";
 import type { WorkerDecoder, WorkerEntry } from "./workerEntries";
 
@@ -60,10 +60,8 @@
             opts.follow(worker);
         },
         noteOtherLife(worker, bornMs) {
-            if (isOnBoard(board, worker)) {
-                const reason = "it has started again under the same id";
-                opts.follow(replaceLife(board, worker, bornMs, steadyMs(), endLife(reason)));
-            }
+            const reason = "it has started again under the same id";
+            opts.follow(replaceLife(board, worker, bornMs, steadyMs(), endLife(reason)));
         },
     };
 }
