test(scheduling): an order that is held up may reach the next life of its worker

What is seen: the scenarios had an order that a worker carries out late end with the life that it was sent to. Calls name a worker by its id alone, and "may also be executed seconds later": a start can reach the next life, for which its time, on the clock of the earlier one, lies far ahead.

Change: the stand-in has the life that is there by then carry it out, and a scenario starts a worker again meanwhile.

As it is now the run goes to the later life, which is sent its stop and refuses the start.

--- a/standins/scheduling/createFakeTaskWorkers.ts
+++ b/standins/scheduling/createFakeTaskWorkers.ts
@@ -17,7 +17,7 @@
     | "cut"
     /** No call arrives, and the caller is told so at once. */
     | "resetting"
-    /** Orders are not answered and carried out seconds later. */
+    /** Orders are not answered and carried out seconds later, by a later life where there is one. */
     | "late"
     /** Whatever starts fails at once. */
     | "failing"
@@ -223,7 +223,12 @@
             return { kind: "noAnswer", detail: "no answer in time" } as const;
         }
         if (worker.fault === "late" || worker.fault === "mute") {
-            setTimeout(() => void carryOut(worker), worker.fault === "late" ? lateMs : 0);
+            setTimeout(() => {
+                const life = workers.get(id);
+                if (life?.isDown === false) {
+                    void carryOut(life);
+                }
+            }, worker.fault === "late" ? lateMs : 0);
             await pause(clientTimeoutMs);
             return { kind: "noAnswer", detail: "no answer in time" } as const;
         }
--- a/test/scheduling/lives.feature
+++ b/test/scheduling/lives.feature
@@ -118,6 +118,20 @@
         Then no task ran twice
         And 5 submissions are complete
 
+    Scenario: a start is held up until its worker has started again
+        The order names a time on the clock of the earlier life, which the later one takes for one far ahead. Carried out
+        when the task runs elsewhere, it would run twice.
+
+        Given 1 entry and 2 workers
+        And 3000 ms pass
+        When worker 1 is "late"
+        And 1 submission of 1 task of 6000 ms comes
+        And 100 ms pass
+        And worker 1 starts again as kind "a"
+        And 4000 ms pass
+        Then no task ran twice
+        And 1 task runs
+
     Scenario: a start on a worker that has just started again is lost
         Nothing of it runs. Left until the order's time is over on the clock of the earlier life, the task would wait for as
         long as that life had lasted.
