--- a/test/scheduling/lives.feature
+++ b/test/scheduling/lives.feature
@@ -102,6 +102,20 @@
         Then no task ran twice
         And 1 task runs
 
+    Scenario: a worker that has just started again is gone before anything tells of its new life
+        It was up for half a minute before. Going by its lease on the clock of the earlier life, the task would wait for as
+        long as that.
+
+        Given 1 entry and 2 workers
+        And 30000 ms pass
+        When worker 1 starts again, and its entry still tells of its earlier life
+        And 1 submission of 1 task of 2000 ms comes
+        And worker 1 is "cut" as soon as a task has started
+        And worker 1 crashes
+        And 12000 ms pass
+        Then 1 submission is complete
+        And no task ran twice
+
     Scenario: the first calls for lists of a worker that has just started again are lost
         Its ends are numbered anew. By the numbers that the earlier life has reached it would forget the end of a task that
         nobody has been told of, and the task would start again after it was done.
