--- a/src/runs/createLooks.ts
+++ b/src/runs/createLooks.ts
@@ -1,7 +1,7 @@
 import { type Clocks, pause } from "../clock";
 import type { Tenure } from "../duties";
 import type { Reporter } from "../logging";
-import { type Board, findTask, type Run, type SubmissionEntry, type Task, type Worker } from "../schedule";
+import { type Board, findTask, isOnBoard, type Run, type SubmissionEntry, type Task, type Worker } from "../schedule";
 import { DropCause } from "./dropCause";
 import type { EndRow, LookResult, RunningRow, TaskWorkers } from "./taskWorkers";
 import { earliestWorkerMs, noteClock } from "./workerClock";
@@ -23,6 +23,8 @@
     sendStops(worker: Worker): void;
     onFenced(): void;
     onLifeEnded(worker: Worker, reason: string): void;
+    /** Another life of the worker, under the same id and address, has answered. */
+    onOtherLife(worker: Worker, bornMs: number): void;
     onListed(worker: Worker): void;
     onChange(): void;
 }
@@ -66,6 +68,7 @@
     const followed = new Set<Worker>();
     const bounds: LeaseBounds = {
         leaseMs: Math.min(runLeaseMs, opts.maxLeaseMs),
+        maxLeaseMs: opts.maxLeaseMs,
         tenureStartedAtMs: clocks.steadyMs(),
     };
     /** Workers that are about to be asked beside their waiting look. */
@@ -82,7 +85,7 @@
     }
 
     async function run(worker: Worker): Promise<void> {
-        while (!isStopped && tenure.isValid() && isNeeded(worker) && board.workers.get(worker.id) === worker) {
+        while (!isStopped && tenure.isValid() && isNeeded(worker) && isOnBoard(board, worker)) {
             opts.sendStops(worker);
             await look(worker, chooseWait(worker));
         }
@@ -94,7 +97,8 @@
         const leaseUntilMs = chooseLease(worker, sentAtMs);
         const result = await api.look(worker, {
             token: tenure.token,
-            ackedEnd: worker.ackedEnd,
+            // A worker that has not answered may have started again, and numbers its ends anew then.
+            ackedEnd: worker.isReachable ? worker.ackedEnd : 0,
             leaseUntilMs,
             waitMs,
         });
@@ -165,8 +169,12 @@
         result: Extract<LookResult, { kind: "listed"; }>,
         sentAtMs: number,
     ): Promise<void> {
+        if (!isOnBoard(board, worker)) {
+            // Its runs are on another record by now; listed here, they would be taken for strays.
+            return;
+        }
         if (result.bornMs !== undefined && result.bornMs !== worker.bornMs) {
-            opts.onLifeEnded(worker, "it has started again under the same id");
+            opts.onOtherLife(worker, result.bornMs);
             return;
         }
         noteClock(worker, {
@@ -301,7 +309,7 @@
             asked.add(worker);
             setTimeout(() => {
                 asked.delete(worker);
-                if (!isStopped && tenure.isValid()) {
+                if (!isStopped && tenure.isValid() && isOnBoard(board, worker)) {
                     void look(worker, 0);
                 }
             }, askMs);
--- a/src/runs/test/workerLease.steps.ts
+++ b/src/runs/test/workerLease.steps.ts
@@ -13,6 +13,9 @@
 const tenureStartedAtMs = 10_000;
 const clockAheadMs = 70_000;
 
+/** Longest lease that a worker gives, in milliseconds. */
+const maxLeaseMs = 10_000;
+
 function answer(worker: World["leaseWorker"], ageMs: number, from: "stop" | "list"): number {
     const atMs = tenureStartedAtMs + ageMs;
     const workerMs = atMs + clockAheadMs;
@@ -21,7 +24,7 @@
 }
 
 Given("a tenure that grants leases of {int} ms", function(this: World, leaseMs: number) {
-    this.bounds = { leaseMs, tenureStartedAtMs };
+    this.bounds = { leaseMs, maxLeaseMs, tenureStartedAtMs };
     this.leaseWorker = createWorker("worker-1", 1);
 });
 
--- a/src/runs/workerLease.ts
+++ b/src/runs/workerLease.ts
@@ -5,6 +5,8 @@
 export interface LeaseBounds {
     /** Longest lease that an owner grants, in milliseconds. */
     readonly leaseMs: number;
+    /** Longest lease that a worker gives, in milliseconds. */
+    readonly maxLeaseMs: number;
     /** When the tenure began, on the steady clock. */
     readonly tenureStartedAtMs: number;
 }
@@ -30,7 +32,8 @@
  */
 export function isLeaseOver(worker: Worker, bounds: LeaseBounds, nowMs: number): boolean {
     const workerMs = earliestWorkerMs(worker, nowMs);
-    const areKnownOver = workerMs === undefined || workerMs > worker.leaseUntilWorkerMs;
+    const areKnownOver = (workerMs === undefined || workerMs > worker.leaseUntilWorkerMs)
+        && areInheritedOver(worker, bounds, nowMs);
     switch (worker.runList.kind) {
         case "unread": {
             const earlierLeftMs = longestMs(bounds.leaseMs + earlierOrdersMs) - (nowMs - bounds.tenureStartedAtMs);
@@ -40,3 +43,8 @@
             return areKnownOver;
     }
 }
+
+/** An order whose time was on the clock of an earlier life gave the longest lease that there is. */
+function areInheritedOver({ inheritedAtMs }: Worker, { maxLeaseMs }: LeaseBounds, nowMs: number): boolean {
+    return inheritedAtMs === undefined || nowMs - inheritedAtMs > longestMs(maxLeaseMs + earlierOrdersMs);
+}
--- a/src/schedule/board.ts
+++ b/src/schedule/board.ts
@@ -15,7 +15,8 @@
 export interface Run {
     readonly task: Task;
     readonly number: number;
-    readonly worker: Worker;
+    /** The latest life of the worker that may have it. */
+    worker: Worker;
     phase: RunPhase;
     readonly plannedAtMs: number;
     /** When an order about this run was last answered, on the steady clock; later looks at the worker show it. */
@@ -149,6 +150,8 @@
     leaseUntilWorkerMs: number;
     /** When it last answered any call, on the steady clock. */
     answeredAtMs: number;
+    /** When runs ordered of an earlier life came to it last, on the steady clock; `undefined`: none has. */
+    inheritedAtMs: number | undefined;
     /** Highest number of its ends that has been recorded. */
     ackedEnd: number;
     readonly runs: Set<Run>;
--- a/src/scheduler/createIntake.ts
+++ b/src/scheduler/createIntake.ts
@@ -5,7 +5,6 @@
     addDueOccurrences,
     addSubmission,
     type Board,
-    createWorker,
     type Estimates,
     isComplete,
     lookAhead,
@@ -25,6 +24,8 @@
     readonly report: Reporter;
     readonly steadyMs: () => number;
     stop(run: Run, reason: string): void;
+    /** The worker of a run that an earlier owner recorded. */
+    findWorker(id: string, bornMs: number): Worker;
     /** Records the submission as it is now. */
     save(entry: SubmissionEntry): void;
 }
@@ -61,18 +62,6 @@
     const finished = new Map<string, { readonly state: FinalState; readonly atMs: number; }>();
     let progress: ReadonlyMap<string, StoredProgress> = new Map();
 
-    function findWorker(id: string, bornMs: number): Worker {
-        const known = board.workers.get(id);
-        if (known !== undefined && known.bornMs === bornMs) {
-            return known;
-        }
-        // Not listed, or its id lives on in a new life: nothing is known of this one but what was started there.
-        const ghost = createWorker(id, bornMs);
-        ghost.isReachable = false;
-        board.workers.set(known === undefined ? id : `${id} ${bornMs}`, ghost);
-        return ghost;
-    }
-
     function take(key: string, item: StoreItem | undefined): void {
         const id = key.slice(submissionPrefix.length);
         const record = item === undefined ? undefined : decodeRecord(item.text);
@@ -97,7 +86,7 @@
         const stored = progress.get(progressKey(id));
         if (stored !== undefined) {
             entry.progressRevision = stored.revision;
-            restoreProgress(board, entry, stored.tasks, findWorker, nowMs);
+            restoreProgress(board, entry, stored.tasks, opts.findWorker, nowMs);
         }
         addDueOccurrences(entry, Date.now(), nowMs);
         const ageMs = Math.max(0, Date.now() - record.submission.acceptedAtMs);
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -19,18 +19,19 @@
     createBoard,
     createEstimates,
     removeRun,
+    removeWorker,
     type Run,
     type SubmissionEntry,
     type Worker,
 } from "../schedule";
-import { createFollower, type Store, type StoreItem } from "../store";
+import { createFollower, type Store } from "../store";
 import { submissionPrefix, type SubmissionState } from "../submissions";
-import { applyWorkerEntry } from "./applyWorkerEntry";
 import { createFleetKeeper } from "./createFleetKeeper";
 import { createIntake } from "./createIntake";
 import { createPacer } from "./createPacer";
 import { createPlanner, stepName } from "./createPlanner";
 import { createWatchdog } from "./createWatchdog";
+import { createWorkerIntake } from "./createWorkerIntake";
 import type { WorkerDecoder } from "./workerEntries";
 
 /** Bounds of the platform that decisions depend on. */
@@ -136,9 +137,7 @@
         worker.isListed = false;
         worker.strays = 0;
         [...worker.runs].forEach((run) => drop(run, DropCause.lifeEnded, reason));
-        if (board.workers.get(worker.id) === worker) {
-            board.workers.delete(worker.id);
-        }
+        removeWorker(board, worker);
     }
 
     const writer = createProgressWriter({
@@ -186,6 +185,7 @@
         sendStops: runs.sendStops,
         onFenced: fence,
         onLifeEnded,
+        onOtherLife: (worker, bornMs) => workerIntake.noteOtherLife(worker, bornMs),
         onListed(worker) {
             pacer.adjust(worker);
             watchdog.check(worker);
@@ -198,6 +198,15 @@
         report,
         onChange: () => planner.planSoon(),
     });
+    const workerIntake = createWorkerIntake({
+        board,
+        decoder: opts.decoder,
+        report,
+        steadyMs: clocks.steadyMs,
+        onLifeEnded,
+        isOrdered: (worker) => keeper.isOrdered(worker),
+        follow: looks.follow,
+    });
     const intake = createIntake({
         board,
         estimates,
@@ -205,6 +214,7 @@
         report,
         steadyMs: clocks.steadyMs,
         stop: runs.stop,
+        findWorker: (id, bornMs) => workerIntake.findRecorded(id, bornMs),
         save: (entry) => void writer.save(entry),
     });
     const planner = createPlanner({
@@ -249,25 +259,6 @@
         onChange: () => planner.planSoon(),
     });
 
-    function takeWorker(key: string, item: StoreItem | undefined): void {
-        const id = opts.decoder.idOf(key);
-        const entry = item === undefined ? undefined : opts.decoder.decode(key, item.text);
-        if (entry === undefined) {
-            const known = board.workers.get(id);
-            if (known !== undefined) {
-                known.isListed = false;
-            }
-            if (item !== undefined) {
-                report({ kind: "valueRefused", key, detail: "the entry names no worker" });
-            }
-            return;
-        }
-        const worker = applyWorkerEntry(board, entry, onLifeEnded);
-        // An entry that was gone for a moment comes back as a worker of which nothing is known.
-        worker.isReserved ||= keeper.isOrdered(worker);
-        looks.follow(worker);
-    }
-
     async function startAll(entry: SubmissionEntry, group: readonly Run[]): Promise<void> {
         if (!await writer.save(entry)) {
             return;
@@ -289,7 +280,7 @@
         for (const worker of board.workers.values()) {
             looks.follow(worker);
             if (!worker.isListed && worker.runs.size === 0) {
-                board.workers.delete(worker.id);
+                removeWorker(board, worker);
             }
         }
         watchdog.tick();
@@ -327,7 +318,7 @@
         waitMs: watchWaitMs,
         pauseMs: workerGatherMs,
         nowMs: clocks.suspendAwareMs,
-        onItem: takeWorker,
+        onItem: workerIntake.take,
         onBatch: () => planner.planSoon(),
     });
 
--- a/standins/scheduling/createSchedulingWorld.ts
+++ b/standins/scheduling/createSchedulingWorld.ts
@@ -66,7 +66,10 @@
     /** What the advice service answers; all workers are good at first. */
     advise(workerIds: readonly string[]): Promise<AdviceResult>;
     addEntry(name: string): SchedulingEntry;
-    addWorker(id: string, pool?: string): void;
+    /** Under an id that is known already: another life of that worker. */
+    addWorker(id: string, pool?: string, kind?: string): void;
+    /** Writes a worker's entry as its life now would. */
+    writeEntry(id: string, pool?: string, kind?: string): void;
     submit(
         id: string,
         steps: readonly Partial<Step>[],
@@ -252,8 +255,12 @@
             entries.push(entry);
             return entry;
         },
-        addWorker(id, pool = "stalls") {
-            const { bornMs } = workers.add(id);
+        addWorker(id, pool, kind) {
+            workers.add(id);
+            world.writeEntry(id, pool, kind);
+        },
+        writeEntry(id, pool = "stalls", kind = "a") {
+            const { bornMs } = workers.get(id);
             const { key, text } = entryOf({
                 id,
                 bornMs,
@@ -263,7 +270,7 @@
                 isDraining: false,
                 drainLeftMs: 0,
                 capacity: { cpuMillis: 4000, memoryMb: 16_000, accelerators: 0 },
-                labels: ["a", "r1"],
+                labels: [kind, "r1"],
                 rack: "r1",
             });
             written.set(id, key);
