fix(runs): a list that shows a part of a worker's ends gives no run up

What callers would see: a task that has been done starts again, where more than 500 ends of one worker wait to be acknowledged, as after a change of owners or a slow store with many small tasks.

Cause: a worker lists 500 ends at a time. A run whose end is on a later list is in neither list of the first one, and was given up as one that the worker does not have.

Change: an answer says whether its ends are all there are; while they are not, nothing is given up as absent.

--- a/src/runs/createLooks.ts
+++ b/src/runs/createLooks.ts
@@ -283,9 +283,12 @@
     /** What was ordered before the look and shows in neither list never ran and never will. */
     function dropAbsent(
         worker: Worker,
-        { running, ended }: Extract<LookResult, { kind: "listed"; }>,
+        { running, ended, areEndsComplete }: Extract<LookResult, { kind: "listed"; }>,
         sentAtMs: number,
     ): void {
+        if (!areEndsComplete) {
+            return;
+        }
         const listed = new Set([...running, ...ended].map(({ task, run }) => `${task} ${run}`));
         for (const run of [...worker.runs]) {
             const isSettled = run.phase === "unconfirmed" || run.answeredAtMs <= sentAtMs;
--- a/src/runs/taskWorkers.ts
+++ b/src/runs/taskWorkers.ts
@@ -84,6 +84,8 @@
         readonly bornMs: number | undefined;
         readonly running: readonly RunningRow[];
         readonly ended: readonly EndRow[];
+        /** Whether these are all ends that have not been acknowledged; a worker lists only so many at a time. */
+        readonly areEndsComplete: boolean;
     }
     | Fenced
     | OtherLife
--- a/src/runs/test/looks.feature
+++ b/src/runs/test/looks.feature
@@ -19,3 +19,13 @@
         And a task is started there
         And the list arrives that shows the task
         Then the task has not been stopped
+
+    Scenario: a list that shows a part of the ends
+        Guards against a task that starts again after its end, which is still to be listed.
+
+        Given a worker that has been asked to list what it runs
+        When a task of an earlier owner is read
+        And a list arrives that shows no run and not all of the ends
+        Then the task has not been given up
+        When a list arrives that shows no run and all of the ends
+        Then the task has been given up
--- a/src/runs/test/looks.steps.ts
+++ b/src/runs/test/looks.steps.ts
@@ -9,6 +9,7 @@
     type Board,
     createBoard,
     createWorker,
+    type RunPhase,
     tasksOf,
     type Worker,
 } from "../../schedule";
@@ -23,6 +24,7 @@
     asked: number;
     answer: (result: LookResult) => void;
     stopped: string[];
+    dropped: string[];
     task: string;
 }
 
@@ -58,7 +60,7 @@
         maxLeaseMs: 6000,
         applyEnd: () => undefined,
         save: () => Promise.resolve(true),
-        drop() {},
+        drop: ({ task }) => world.dropped.push(task.name),
         sendStops() {},
         onFenced() {},
         onLifeEnded() {},
@@ -72,6 +74,7 @@
     this.board = createBoard();
     this.asked = 0;
     this.stopped = [];
+    this.dropped = [];
     this.looks = createTestLooks(this);
     this.worker = addWorker(this);
     this.looks.follow(this.worker);
@@ -91,7 +94,7 @@
     await this.clock.advance(ms);
 });
 
-When("a task is started there", function(this: World) {
+function addTask(world: World, phase: RunPhase): void {
     const submission = {
         id: "0000000000000001",
         payload: "",
@@ -102,21 +105,42 @@
         service: "stalls",
         acceptedAtMs: 0,
     };
-    const entry = addSubmission(this.board, submission, 1, false, 0);
+    const entry = addSubmission(world.board, submission, 1, false, 0);
     addDueOccurrences(entry, Date.now(), 0);
     const [task] = tasksOf(entry);
-    const worker = this.board.workers.get(id);
+    const worker = world.board.workers.get(id);
     assert.ok(task && worker);
-    addRun(this.board, task, worker, 1, "running", 0);
-    this.task = task.name;
+    addRun(world.board, task, worker, 1, phase, 0);
+    world.task = task.name;
+}
+
+When("a task is started there", function(this: World) {
+    addTask(this, "running");
+});
+
+When("a task of an earlier owner is read", function(this: World) {
+    addTask(this, "unconfirmed");
 });
 
 When("the list arrives that shows the task", async function(this: World) {
     const row = { task: this.task, run: 1, checkpoint: "", percent: 5, measure: 0 };
-    this.answer({ kind: "listed", workerMs: 1, bornMs, running: [row], ended: [] });
+    this.answer({ kind: "listed", workerMs: 1, bornMs, running: [row], ended: [], areEndsComplete: true });
     await this.clock.advance(50);
 });
 
+When(
+    /^a list arrives that shows no run and (all|not all) of the ends$/,
+    async function(this: World, ends: string) {
+        const areEndsComplete = ends === "all";
+        this.answer({ kind: "listed", workerMs: 1, bornMs, running: [], ended: [], areEndsComplete });
+        await this.clock.advance(50);
+    },
+);
+
+Then(/^the task (has been|has not been) given up$/, function(this: World, state: string) {
+    assert.deepEqual(this.dropped, state === "has been" ? [this.task] : []);
+});
+
 Then("no list has been asked for since", function(this: World) {
     assert.equal(this.asked, 1);
 });
--- a/src/runs/test/relayedWorkers.steps.ts
+++ b/src/runs/test/relayedWorkers.steps.ts
@@ -54,7 +54,14 @@
         },
         look(worker) {
             note(worker);
-            return Promise.resolve({ kind: "listed", workerMs: 1, bornMs: undefined, running: [], ended: [] });
+            return Promise.resolve({
+                kind: "listed",
+                workerMs: 1,
+                bornMs: undefined,
+                running: [],
+                ended: [],
+                areEndsComplete: true,
+            });
         },
         stop(worker) {
             note(worker);
--- a/standins/scheduling/createFakeTaskWorkers.ts
+++ b/standins/scheduling/createFakeTaskWorkers.ts
@@ -198,7 +198,14 @@
             percent: progress(worker, startedAtMs, findWorkMs(task)),
             measure: 0,
         }));
-        return { kind: "listed", workerMs: worker.clockMs(), bornMs: worker.bornMs, running, ended: [...worker.ends] };
+        return {
+            kind: "listed",
+            workerMs: worker.clockMs(),
+            bornMs: worker.bornMs,
+            running,
+            ended: [...worker.ends],
+            areEndsComplete: true,
+        };
     }
 
     function progress(worker: State, startedAtMs: number, workMs: number): number {
