fix(runs): a start grants no more than a lease, however old the reading of the clock

What callers would see: a task runs twice beside itself, after a worker was idle for minutes, its start was held up for seconds and its owner was lost.

Cause: a start was valid until the latest that the worker's clock can show, and 1.8 s. An idle worker isn't asked, so that the reading ages; with clocks that may be 2% slow the order was valid for 1.8 s and 20 ms for each idle second. The next owner allows for a lease and a second.

Change: valid until the earliest that the clock can show and a lease, if that comes first.

--- a/src/runs/createLooks.ts
+++ b/src/runs/createLooks.ts
@@ -5,7 +5,7 @@
 import { DropCause } from "./dropCause";
 import type { EndRow, LookResult, RunningRow, TaskWorkers } from "./taskWorkers";
 import { earliestWorkerMs, noteClock } from "./workerClock";
-import { isLeaseOver, type LeaseBounds, noteEarlierLeases, noteLease } from "./workerLease";
+import { isLeaseOver, type LeaseBounds, noteEarlierLeases, noteLease, runLeaseMs } from "./workerLease";
 
 export interface LooksOptions {
     readonly api: TaskWorkers;
@@ -37,13 +37,6 @@
     stop(): void;
 }
 
-/**
- * Lease of what runs on a worker, in milliseconds. Shorter: work of a worker that fell silent starts again elsewhere
- * sooner. Longer: it lives through longer outages of the store and changes of owners (2 s until the duty is free, and
- * a quarter of a second to take over, plus the age of the last extension).
- */
-const runLeaseMs = 4500;
-
 /** How long a look waits for an end, in milliseconds; also bounds the age of the lease's last extension. */
 const lookWaitMs = 1000;
 
--- a/src/runs/createRuns.ts
+++ b/src/runs/createRuns.ts
@@ -4,8 +4,8 @@
 import type { Run, Worker } from "../schedule";
 import { DropCause } from "./dropCause";
 import type { StartResult, TaskWorkers } from "./taskWorkers";
-import { earliestWorkerMs, latestWorkerMs, longestMs, noteClock } from "./workerClock";
-import { noteLease } from "./workerLease";
+import { earliestWorkerMs, longestMs, noteClock } from "./workerClock";
+import { noteLease, startValidUntilMs } from "./workerLease";
 
 export interface RunsOptions {
     readonly api: TaskWorkers;
@@ -37,12 +37,6 @@
     sendStops(worker: Worker): void;
 }
 
-/**
- * How long a start may be carried out after it was sent, in milliseconds. An order that is held up would otherwise
- * begin seconds later, when the task already runs elsewhere. The next look extends the lease of those that began.
- */
-const startValidMs = 1800;
-
 /** Pause of a task after a start that a worker refused, in milliseconds. */
 const refusedPauseMs = 150;
 
@@ -128,8 +122,8 @@
     async function start(run: Run): Promise<void> {
         const { worker, task } = run;
         const nowMs = clocks.steadyMs();
-        const workerMs = latestWorkerMs(worker, nowMs);
-        const isStale = run.phase !== "recording" || !tenure.isValid() || workerMs === undefined;
+        const leaseUntilMs = startValidUntilMs(worker, nowMs);
+        const isStale = run.phase !== "recording" || !tenure.isValid() || leaseUntilMs === undefined;
         if (isStale || worker.isDraining || task.owner.isCancelled) {
             opts.drop(
                 run,
@@ -139,7 +133,6 @@
             return;
         }
         run.phase = "starting";
-        const leaseUntilMs = workerMs + startValidMs;
         noteLease(worker, leaseUntilMs);
         const result = await api.start(worker, {
             task: task.name,
--- a/src/runs/index.ts
+++ b/src/runs/index.ts
@@ -8,4 +8,4 @@
 export { dropEvidence } from "./dropEvidence";
 export * from "./taskWorkers";
 export { earliestWorkerMs, latestWorkerMs, longestMs, noteClock } from "./workerClock";
-export { isLeaseOver, type LeaseBounds, noteEarlierLeases, noteLease } from "./workerLease";
+export { isLeaseOver, type LeaseBounds, noteEarlierLeases, noteLease, startValidUntilMs } from "./workerLease";
--- a/src/runs/test/workerLease.steps.ts
+++ b/src/runs/test/workerLease.steps.ts
@@ -1,12 +1,21 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { createWorker, type Worker } from "../../schedule";
-import { isLeaseOver, type LeaseBounds, noteClock, noteEarlierLeases, noteLease } from "../index";
+import {
+    earliestWorkerMs,
+    isLeaseOver,
+    type LeaseBounds,
+    noteClock,
+    noteEarlierLeases,
+    noteLease,
+    startValidUntilMs,
+} from "../index";
 
 interface World {
     bounds: LeaseBounds;
     leaseWorker: Worker;
     nowMs: number;
+    validUntilMs: number | undefined;
 }
 
 /** When the tenure began, and what the worker's clock is ahead of ours, in milliseconds. */
@@ -53,6 +62,19 @@
     this.nowMs = tenureStartedAtMs + ageMs;
 });
 
+When("a start is sent at {int} ms of the tenure", function(this: World, ageMs: number) {
+    this.nowMs = tenureStartedAtMs + ageMs;
+    this.validUntilMs = startValidUntilMs(this.leaseWorker, this.nowMs);
+});
+
+Then(
+    "it is valid for at most {int} ms by the slowest clock that the worker may have",
+    function(this: World, validMs: number) {
+        const earliestMs = earliestWorkerMs(this.leaseWorker, this.nowMs) ?? 0;
+        assert.ok((this.validUntilMs ?? 0) - earliestMs <= validMs, String((this.validUntilMs ?? 0) - earliestMs));
+    },
+);
+
 Then(/^its leases are (over|not over)$/, function(this: World, state: string) {
     assert.equal(isLeaseOver(this.leaseWorker, this.bounds, this.nowMs), state === "over");
 });
