fix(runs, logging): what a run was given up for is logged as it was decided; idle silent workers cost no planning

The log said isWorkerListed for 'has shown its runs', while isListed on the board means 'its entry is in the store': the confusion that an incident came from. A lease that was left was told by a bound that is not known before the list was read, and the age of the tenure, which decides then, was not told. runDropped now carries runList, tenureAgeMs, and leaseLeftMs only once it is known. A look at an idle silent worker no longer starts a round of planning. Tests: a worker shows its runs for the first time (guards the call that bounds earlier owners' leases; no test failed without it).

--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -122,14 +122,16 @@
         readonly worker: string;
         readonly cause: string;
         readonly reason: string;
-        /** The worker has shown what it runs to this owner. */
-        readonly isWorkerListed: boolean;
+        /** Whether the worker has shown what it runs to this owner. */
+        readonly runList: "unread" | "read";
+        /** Age of the tenure, which bounds earlier owners' leases until the list has been read. */
+        readonly tenureAgeMs: number;
         /** Time since the worker last answered any call of this owner; `undefined`: it never did. */
         readonly silentMs: number | undefined;
         /** Call whose answer gave the latest reading of the worker's clock, and the age of that reading. */
         readonly clockFrom: string | undefined;
         readonly clockAgeMs: number | undefined;
-        /** What was left of the longest lease known, by the earliest that the worker's clock could show. */
+        /** What was left of the longest lease, by the earliest that the worker's clock could show; not known while unread. */
         readonly leaseLeftMs: number | undefined;
     }
     /** A worker lists a run, or its end, that this owner had given up: it ran on after its task could start again. */
--- a/src/runs/createLooks.ts
+++ b/src/runs/createLooks.ts
@@ -69,12 +69,12 @@
     let isStopped = false;
 
     function isNeeded(worker: Worker): boolean {
-        const isUnknown = worker.runList.kind === "unread" || !worker.isReachable;
-        return worker.runs.size > 0 || worker.strays > 0 || (worker.isListed && isUnknown);
+        const isToBeAsked = worker.runList.kind === "unread" || !worker.isReachable;
+        return !isIdle(worker) || (worker.isListed && isToBeAsked);
     }
 
     function isIdle(worker: Worker): boolean {
-        return worker.runList.kind === "read" && worker.runs.size === 0 && worker.strays === 0;
+        return worker.runs.size === 0 && worker.strays === 0;
     }
 
     async function run(worker: Worker): Promise<void> {
@@ -136,7 +136,7 @@
                 return;
             case "noAnswer":
                 noteSilence(worker, result.detail);
-                await pause(isIdle(worker) ? idleRetryMs : retryMs);
+                await pause(isIdle(worker) && worker.runList.kind === "read" ? idleRetryMs : retryMs);
                 return;
             case "listed":
                 await takeIn(worker, result, sentAtMs);
@@ -148,7 +148,7 @@
             worker.isReachable = false;
             opts.report({ kind: "dependency", name: `worker ${worker.id}`, state: "lost", detail });
         }
-        if (isLeaseOver(worker, bounds, clocks.steadyMs())) {
+        if (!isIdle(worker) && isLeaseOver(worker, bounds, clocks.steadyMs())) {
             [...worker.runs].forEach((run) =>
                 opts.drop(run, DropCause.leaseOver, "its lease has run out on a silent worker")
             );
--- a/src/runs/dropEvidence.ts
+++ b/src/runs/dropEvidence.ts
@@ -1,20 +1,22 @@
 import type { Worker } from "../schedule";
 import { earliestWorkerMs } from "./workerClock";
 
-/** What an owner knows of a worker when it gives a run there up, as it is logged. */
+/** What an owner goes by when it gives a run up, as it is logged. */
 export interface DropEvidence {
-    readonly isWorkerListed: boolean;
+    readonly runList: "unread" | "read";
+    readonly tenureAgeMs: number;
     readonly silentMs: number | undefined;
     readonly clockFrom: string | undefined;
     readonly clockAgeMs: number | undefined;
     readonly leaseLeftMs: number | undefined;
 }
 
-export function dropEvidence(worker: Worker, nowMs: number): DropEvidence {
-    const { clock, answeredAtMs, leaseUntilWorkerMs } = worker;
-    const workerMs = earliestWorkerMs(worker, nowMs);
+export function dropEvidence(worker: Worker, tenureStartedAtMs: number, nowMs: number): DropEvidence {
+    const { runList, clock, answeredAtMs, leaseUntilWorkerMs } = worker;
+    const workerMs = runList.kind === "read" ? earliestWorkerMs(worker, nowMs) : undefined;
     return {
-        isWorkerListed: worker.runList.kind === "read",
+        runList: runList.kind,
+        tenureAgeMs: Math.round(nowMs - tenureStartedAtMs),
         silentMs: answeredAtMs === 0 ? undefined : Math.round(nowMs - answeredAtMs),
         clockFrom: clock?.from,
         clockAgeMs: clock === undefined ? undefined : Math.round(nowMs - clock.receivedAtMs),
--- a/src/runs/test/looks.feature
+++ b/src/runs/test/looks.feature
@@ -29,3 +29,11 @@
         Then the task has not been given up
         When a list arrives that shows no run and all of the ends
         Then the task has been given up
+
+    Scenario: a worker shows its runs for the first time
+        Guards against a task that starts again while an earlier owner's last lease keeps it running.
+
+        Given a worker that has been asked to list what it runs
+        When a task of an earlier owner is read
+        And the list arrives that shows the task
+        Then leases of 5500 ms count from then on
--- a/src/runs/test/looks.steps.ts
+++ b/src/runs/test/looks.steps.ts
@@ -31,6 +31,9 @@
 const id = "worker-1";
 const bornMs = 1000;
 
+/** What the worker's clock shows in its lists, in milliseconds. */
+const listedClockMs = 1;
+
 function addWorker(world: World): Worker {
     const worker = { ...createWorker(id, bornMs), address: id, isListed: true };
     world.board.workers.set(id, worker);
@@ -124,7 +127,7 @@
 
 When("the list arrives that shows the task", async function(this: World) {
     const row = { task: this.task, run: 1, checkpoint: "", percent: 5, measure: 0 };
-    this.answer({ kind: "listed", workerMs: 1, bornMs, running: [row], ended: [], areEndsComplete: true });
+    this.answer({ kind: "listed", workerMs: listedClockMs, bornMs, running: [row], ended: [], areEndsComplete: true });
     await this.clock.advance(50);
 });
 
@@ -132,7 +135,7 @@
     /^a list arrives that shows no run and (all|not all) of the ends$/,
     async function(this: World, ends: string) {
         const areEndsComplete = ends === "all";
-        this.answer({ kind: "listed", workerMs: 1, bornMs, running: [], ended: [], areEndsComplete });
+        this.answer({ kind: "listed", workerMs: listedClockMs, bornMs, running: [], ended: [], areEndsComplete });
         await this.clock.advance(50);
     },
 );
@@ -141,6 +144,10 @@
     assert.deepEqual(this.dropped, state === "has been" ? [this.task] : []);
 });
 
+Then("leases of {int} ms count from then on", function(this: World, leaseMs: number) {
+    assert.equal(this.worker.leaseUntilWorkerMs, listedClockMs + leaseMs);
+});
+
 Then("no list has been asked for since", function(this: World) {
     assert.equal(this.asked, 1);
 });
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -109,6 +109,7 @@
     const estimates = createEstimates();
     const joinMs = opts.bounds.moveMs + joinOverheadMs;
     const meter = createDemandMeter(joinMs);
+    const startedAtMs = clocks.steadyMs();
     let isStopped = false;
     let isLoaded = false;
     let timer: NodeJS.Timeout | undefined;
@@ -122,7 +123,7 @@
     function drop(run: Run, cause: DropCause, reason: string): void {
         const { task, worker, number } = run;
         const nowMs = clocks.steadyMs();
-        const evidence = dropEvidence(worker, nowMs);
+        const evidence = dropEvidence(worker, startedAtMs, nowMs);
         report({ kind: "runDropped", task: task.name, run: number, worker: worker.id, cause, reason, ...evidence });
         if (cause !== DropCause.notOrdered) {
             task.droppedRuns.add(number);
--- a/test/scheduling/scheduling.steps.ts
+++ b/test/scheduling/scheduling.steps.ts
@@ -279,7 +279,7 @@
     function(this: World, count: number, cause: string) {
         const dropped = this.world.owner()?.log.flatMap((event) => event.kind === "runDropped" ? [event] : []) ?? [];
         const told = dropped.filter((event) =>
-            event.cause === cause && event.isWorkerListed && event.clockFrom === "list" && (event.leaseLeftMs ?? 0) < 0
+            event.cause === cause && event.runList === "read" && event.clockFrom === "list" && (event.leaseLeftMs ?? 0) < 0
         );
         assert.equal(told.length, count);
     },
