fix(scheduler): a progress record that was written late goes with its submission

Seen in the store, not by callers: the first progress record of a submission, whose call got no answer, is carried out after the submission has ended and its record was deleted; its condition (the key does not exist) holds again. Nothing removed it, and each new owner read it. Found by review, shown by a trial with a store that is late for 30 ms.

Change: what is forgotten of a finished submission includes its progress.

Test: 'a progress record is written after its submission has ended' failed before (the key was there after 125 s), passes now.

--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -4,7 +4,7 @@
 import type { Reporter } from "../logging";
 import { createDemandMeter, createMachineOrders, type Machines } from "../machines";
 import type { Policy, Wave } from "../policy";
-import { createProgressWriter, decodeProgress, progressPrefix } from "../progress";
+import { createProgressWriter, decodeProgress, progressKey, progressPrefix } from "../progress";
 import {
     applyEnd,
     createLooks,
@@ -24,8 +24,8 @@
     type SubmissionEntry,
     type Worker,
 } from "../schedule";
-import { createFollower, type Store } from "../store";
-import { submissionPrefix, type SubmissionState } from "../submissions";
+import { createFollower, maxCommitEntries, type Store } from "../store";
+import { submissionKey, submissionPrefix, type SubmissionState } from "../submissions";
 import { createFleetKeeper } from "./createFleetKeeper";
 import { createIntake } from "./createIntake";
 import { createPacer } from "./createPacer";
@@ -295,7 +295,8 @@
             void store.commit({
                 conditions: [tenure.condition],
                 puts: [],
-                deletes: old.map((id) => submissionPrefix + id),
+                // A first record that was written late, after its submission had ended, is still there.
+                deletes: old.flatMap((id) => [submissionKey(id), progressKey(id)]),
             });
         }
     }
@@ -377,5 +378,5 @@
     };
 }
 
-/** Finished submissions removed from the store in one call. */
-const maxForgotten = 25;
+/** Finished submissions removed from the store in one call, each with its progress; one entry is the condition. */
+const maxForgotten = Math.floor((maxCommitEntries - 1) / 2);
--- a/test/scheduling/scheduling.feature
+++ b/test/scheduling/scheduling.feature
@@ -181,6 +181,16 @@
         Then 4 submissions are complete
         And no task ran twice
 
+    Scenario: a progress record is written after its submission has ended
+        Guards against records that nobody removes and each new owner reads.
+
+        Given 1 entry and 1 worker
+        When 1 submission of 1 task of 300 ms comes
+        And 2000 ms pass
+        And a progress record of the submission is written late
+        And 125000 ms pass
+        Then the store holds nothing of the submission
+
     Scenario: answers of the store are lost
         Writes are done, and their answers are lost. Taken for failed, a start would be recorded and ordered twice.
 
--- a/test/scheduling/scheduling.steps.ts
+++ b/test/scheduling/scheduling.steps.ts
@@ -1,5 +1,6 @@
 import { After, Before, Given, setDefaultTimeout, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { progressKey } from "../../src/progress";
 import { decodeRecord, submissionKey } from "../../src/submissions";
 import { installClock } from "../../standins/dispatch";
 import {
@@ -240,6 +241,18 @@
     this.world.policy = { ...this.world.policy, version: 2, routes: [] };
 });
 
+When("a progress record of the submission is written late", function(this: World) {
+    this.world.store.put(progressKey(this.ids[0] ?? ""), JSON.stringify({ tasks: [] }));
+});
+
+Then("the store holds nothing of the submission", function(this: World) {
+    const [id = ""] = this.ids;
+    assert.deepEqual([submissionKey(id), progressKey(id)].map((key) => this.world.store.get(key)), [
+        undefined,
+        undefined,
+    ]);
+});
+
 When("the submission is cancelled", function(this: World) {
     this.world.cancel(this.ids[0] ?? "");
 });
@@ -279,7 +292,8 @@
     function(this: World, count: number, cause: string) {
         const dropped = this.world.owner()?.log.flatMap((event) => event.kind === "runDropped" ? [event] : []) ?? [];
         const told = dropped.filter((event) =>
-            event.cause === cause && event.runList === "read" && event.clockFrom === "list" && (event.leaseLeftMs ?? 0) < 0
+            event.cause === cause && event.runList === "read" && event.clockFrom === "list"
+            && (event.leaseLeftMs ?? 0) < 0
         );
         assert.equal(told.length, count);
     },
