test(scheduling): stand-ins with clocks of their own, ends that can't be acknowledged after a lapse, a process that is gone

A worker's clock counts from the start of its life and may run 2% slow. A killed entry makes no more calls; one can be frozen, and the calls of all entries to the workers can be replaced, for planted defects.

--- a/standins/scheduling/createFakeTaskWorkers.ts
+++ b/standins/scheduling/createFakeTaskWorkers.ts
@@ -45,8 +45,9 @@
     readonly kind: "started" | "stopOrdered" | EndKind | "crashed";
     readonly task: string;
     readonly run: number;
-    /** An owner was told of this end and has let it be forgotten. */
+    /** An owner was told of this end and has let it be forgotten, and the worker's lease held until then. */
     isAcked: boolean;
+    ackedAtMs?: number;
 }
 
 export interface FakeTaskWorker {
@@ -55,6 +56,8 @@
     fault: WorkerFault | undefined;
     /** Starts that are lost before they arrive, from now on. */
     lostStarts: number;
+    /** How fast its clock runs; the platform allows 2% slower than ours. */
+    clockRate: number;
     crash(): void;
     runningTasks(): readonly string[];
 }
@@ -82,12 +85,15 @@
 const failMs = 20;
 
 interface State extends FakeTaskWorker {
+    readonly startedAtMs: number;
     token: number;
     leaseUntilMs: number;
     runs: Map<string, FakeRun>;
     stopped: Map<string, number>;
     ends: EndRow[];
     ended: WorkerEvent[];
+    /** Ends up to this number were not acknowledged before the lease lapsed. */
+    lapsedEnd: number;
     nextEnd: number;
     isDown: boolean;
 }
@@ -111,14 +117,21 @@
 
     function end(worker: State, run: FakeRun, how: EndKind): void {
         worker.runs.delete(`${run.task} ${run.run}`);
+        noteOldRun(worker, run);
         worker.ends.push({ number: worker.nextEnd++, task: run.task, run: run.run, how, checkpoint: "" });
         worker.ended.push(note(worker, how, run));
     }
 
+    /** Starts of this run and of earlier ones are refused from now on. */
+    function noteOldRun(worker: State, { task, run }: { task: string; run: number; }): void {
+        worker.stopped.set(task, Math.max(run, worker.stopped.get(task) ?? 0));
+    }
+
     function advance(worker: State): void {
         const nowMs = performance.now();
+        const isLeaseOver = clockMs(worker) > worker.leaseUntilMs;
         for (const run of [...worker.runs.values()]) {
-            if (nowMs > worker.leaseUntilMs) {
+            if (isLeaseOver) {
                 end(worker, run, "lapsed");
             }
             else if (run.isStopping && nowMs >= run.workMs) {
@@ -131,15 +144,28 @@
                 end(worker, run, "done");
             }
         }
+        if (isLeaseOver) {
+            worker.lapsedEnd = worker.nextEnd - 1;
+        }
+    }
+
+    function acknowledge(worker: State, ackedEnd: number): void {
+        worker.ends = worker.ends.filter(({ number }) => number > ackedEnd);
+        for (const event of worker.ended.slice(worker.lapsedEnd, ackedEnd)) {
+            event.isAcked = true;
+            event.ackedAtMs ??= performance.now();
+        }
     }
 
     function extend(worker: State, leaseUntilMs: number | undefined): void {
-        const mostMs = performance.now() + maxLeaseMs;
+        const mostMs = clockMs(worker) + maxLeaseMs;
         worker.leaseUntilMs = Math.max(worker.leaseUntilMs, Math.min(leaseUntilMs ?? 0, mostMs));
     }
 
     function start(worker: State, order: StartOrder): StartResult {
-        const workerMs = performance.now();
+        // What has ended by now, here or elsewhere, is noted before this start.
+        workers.forEach(advance);
+        const workerMs = clockMs(worker);
         if (order.token < worker.token) {
             return { kind: "fenced" };
         }
@@ -155,8 +181,8 @@
             return { kind: "refused", reason: "late", workerMs };
         }
         extend(worker, order.leaseUntilMs);
-        worker.stopped.set(order.task, order.run - 1);
-        const run = { ...order, startedAtMs: workerMs, workMs: findWorkMs(order.task), isStopping: false };
+        noteOldRun(worker, { task: order.task, run: order.run - 1 });
+        const run = { ...order, startedAtMs: performance.now(), workMs: findWorkMs(order.task), isStopping: false };
         worker.runs.set(name, run);
         note(worker, "started", order);
         return { kind: "started", workerMs };
@@ -167,14 +193,14 @@
             return { kind: "fenced" };
         }
         worker.token = token;
-        worker.stopped.set(task, Math.max(number, worker.stopped.get(task) ?? 0));
+        noteOldRun(worker, { task, run: number });
         const run = worker.runs.get(`${task} ${number}`);
         if (run !== undefined && !run.isStopping) {
             run.isStopping = true;
             run.workMs = performance.now() + stopMs;
             note(worker, "stopOrdered", run);
         }
-        return { kind: "taken", workerMs: performance.now() };
+        return { kind: "taken", workerMs: clockMs(worker) };
     }
 
     async function look(worker: State, order: LookOrder): Promise<LookResult> {
@@ -183,9 +209,9 @@
             return { kind: "fenced" };
         }
         worker.token = order.token;
+        advance(worker);
+        acknowledge(worker, order.ackedEnd);
         extend(worker, order.leaseUntilMs);
-        worker.ends = worker.ends.filter(({ number }) => number > order.ackedEnd);
-        worker.ended.slice(0, order.ackedEnd).forEach((event) => event.isAcked = true);
         while (worker.ends.length === 0 && performance.now() < endsAtMs && worker.fault !== "resetting") {
             await pause(5);
         }
@@ -196,7 +222,7 @@
             percent: progress(worker, startedAtMs, findWorkMs(task)),
             measure: 0,
         }));
-        return { kind: "listed", workerMs: performance.now(), bornMs: worker.bornMs, running, ended: [...worker.ends] };
+        return { kind: "listed", workerMs: clockMs(worker), bornMs: worker.bornMs, running, ended: [...worker.ends] };
     }
 
     function progress(worker: State, startedAtMs: number, workMs: number): number {
@@ -218,7 +244,7 @@
             return { kind: "noAnswer", detail: "no answer in time" } as const;
         }
         if (worker.fault === "late" || worker.fault === "mute") {
-            setTimeout(() => void carryOut(worker), worker.fault === "late" ? lateMs : 0);
+            setTimeout(() => void (worker.isDown || carryOut(worker)), worker.fault === "late" ? lateMs : 0);
             await pause(clientTimeoutMs);
             return { kind: "noAnswer", detail: "no answer in time" } as const;
         }
@@ -263,12 +289,14 @@
                 }
                 return call<LookResult>(target, (worker) => look(worker, order));
             },
-            pace: (target) => call<OrderResult>(target, () => ({ kind: "taken", workerMs: performance.now() })),
+            pace: (target) => call<OrderResult>(target, (worker) => ({ kind: "taken", workerMs: clockMs(worker) })),
         },
         add(id) {
             const worker: State = {
                 id,
+                startedAtMs: performance.now(),
                 bornMs: Date.now(),
+                clockRate: 1,
                 fault: undefined,
                 lostStarts: 0,
                 token: 0,
@@ -277,6 +305,7 @@
                 stopped: new Map(),
                 ends: [],
                 ended: [],
+                lapsedEnd: 0,
                 nextEnd: 1,
                 isDown: false,
                 crash() {
@@ -301,6 +330,11 @@
     };
 }
 
+/** Time on the worker's own clock, which counts from the start of its life. */
+function clockMs({ startedAtMs, clockRate }: State): number {
+    return (performance.now() - startedAtMs) * clockRate;
+}
+
 function isResetting({ fault }: FakeTaskWorker): boolean {
     return fault === "resetting";
 }
--- a/standins/scheduling/createSchedulingWorld.ts
+++ b/standins/scheduling/createSchedulingWorld.ts
@@ -3,11 +3,12 @@
 import type { LogEvent } from "../../src/logging";
 import type { Machine, MachineOrderResult, Machines } from "../../src/machines";
 import type { Policy, Wave } from "../../src/policy";
-import { createRelayedWorkers } from "../../src/runs";
+import { createRelayedWorkers, type TaskWorkers } from "../../src/runs";
 import { createScheduler, type Scheduler, type WorkerDecoder, type WorkerEntry } from "../../src/scheduler";
 import { createFollower, type Store } from "../../src/store";
 import { encodeRecord, type Step, submissionKey } from "../../src/submissions";
 import { createFakeNetwork, type FakeNetwork } from "../fakes";
+import { createCallGate } from "./createCallGate";
 import { createFakeStore, type FakeStore } from "./createFakeStore";
 import { createFakeTaskWorkers, type FakeTaskWorkers } from "./createFakeTaskWorkers";
 
@@ -18,6 +19,9 @@
     scheduler(): Scheduler | undefined;
     /** The process is gone; nothing is handed over. */
     kill(): void;
+    /** Its calls and their answers are held until it wakes. */
+    freeze(): void;
+    wake(): void;
     /** Whether it can do the work well; one that cannot gives the duty up. */
     setFit(isFit: boolean): void;
     /** The process is told to end and gives the duty up. */
@@ -31,6 +35,8 @@
     readonly entryOf?: (entry: WorkerEntry) => { readonly key: string; readonly text: string; };
     /** Where calls to a worker go; its id where left out. */
     readonly addressOf?: (id: string) => string;
+    /** What entries call in place of the workers. */
+    readonly workerApiOf?: (api: TaskWorkers) => TaskWorkers;
 }
 
 export interface SchedulingWorld {
@@ -129,6 +135,7 @@
     const written = new Map<string, string>();
     const store = createFakeStore();
     const workers = createFakeTaskWorkers();
+    const workerApi = opts.workerApiOf?.(workers.api) ?? workers.api;
     const entries: SchedulingEntry[] = [];
     const machineOrders: string[] = [];
     let mostDown = 0;
@@ -220,7 +227,7 @@
         setMachines: setList,
         listed: () => machineList,
         addEntry(name) {
-            const entry = createEntry(name, world, machines);
+            const entry = createEntry(name, world, machines, workerApi);
             entries.push(entry);
             return entry;
         },
@@ -268,8 +275,14 @@
     return world;
 }
 
-function createEntry(name: string, world: SchedulingWorld, machines: Machines): SchedulingEntry {
-    const store = world.store.connect(name);
+function createEntry(
+    name: string,
+    world: SchedulingWorld,
+    machines: Machines,
+    directApi: TaskWorkers,
+): SchedulingEntry {
+    const gate = createCallGate();
+    const store = gate.wrap(world.store.connect(name));
     const log: LogEvent[] = [];
     const clocks = { steadyMs: () => performance.now(), suspendAwareMs: () => performance.now() };
     let scheduler: Scheduler | undefined;
@@ -277,7 +290,7 @@
     let isFit = true;
     const peer = { boot: name, instance: name, region: "north", zone: "zone-a", peerUrl: `ws://${name}` };
     const workerApi = createRelayedWorkers({
-        direct: world.workers.api,
+        direct: gate.wrap(directApi),
         peers: world.network.connect(peer),
         isBusy: () => world.areBusy,
         nowMs: clocks.steadyMs,
@@ -337,6 +350,14 @@
         store,
         log,
         scheduler: () => isKilled ? undefined : scheduler,
+        freeze() {
+            gate.freeze();
+            world.network.frozen.add(name);
+        },
+        wake() {
+            gate.wake();
+            world.network.wake(name);
+        },
         setFit(next) {
             isFit = next;
         },
@@ -346,6 +367,7 @@
         },
         kill() {
             isKilled = true;
+            gate.close();
             world.network.remove(name);
             duty.stop();
             follower.stop();
