--- /dev/null
+++ b/standins/schedules/plantDefect.ts
@@ -0,0 +1,39 @@
+import type { TaskWorkers } from "../../src/runs";
+
+/** A defect that the search has to find, planted between the scheduler and the workers. */
+export type Defect =
+    /** A look without an answer counts as the end of the worker's life. */
+    | "silenceEndsLife"
+    /** Ends may be forgotten as soon as they are listed. */
+    | "endsAckedAtOnce"
+    /** Stops are taken and not carried out. */
+    | "stopsDropped";
+
+export function plantDefect(api: TaskWorkers, defect: Defect): TaskWorkers {
+    switch (defect) {
+        case "silenceEndsLife":
+            return {
+                ...api,
+                async look(worker, order) {
+                    const result = await api.look(worker, order);
+                    return result.kind === "noAnswer" ? { kind: "otherLife" } : result;
+                },
+            };
+        case "endsAckedAtOnce":
+            return { ...api, look: (worker, order) => lookAndAcknowledge(api, worker, order) };
+        case "stopsDropped":
+            return { ...api, stop: () => Promise.resolve({ kind: "noAnswer", detail: "a planted defect" }) };
+    }
+}
+
+async function lookAndAcknowledge(
+    api: TaskWorkers,
+    ...[worker, order]: Parameters<TaskWorkers["look"]>
+): ReturnType<TaskWorkers["look"]> {
+    const result = await api.look(worker, order);
+    if (result.kind === "listed" && result.ended.length > 0) {
+        const ackedEnd = Math.max(...result.ended.map(({ number }) => number));
+        await api.look(worker, { ...order, ackedEnd, waitMs: 0 });
+    }
+    return result;
+}
