fix(duties): a right that has run out does not come back with a late renewal

Cause: an owner froze for 1.74 s. Its right had run out by its own clock (1.85 s) while its lease stood in the store (2 s), and the renewal that had been under way was answered 4 ms after it woke. In between the progress writer had given a write up, as it does when the tenure has ended; with the right back nobody wrote it again. A submission that was cancelled meanwhile stayed open in the store for as long as the owner held the duty.

Ruled out: the watch, which had delivered both the submission and its cancelling. Change: an answer to a renewal that comes when the right has run out ends the tenure; the owner applies again at once, as after a lapse that the renewal's timer notices.

--- a/src/duties/createDuty.ts
+++ b/src/duties/createDuty.ts
@@ -259,6 +259,11 @@
         if (current !== held) {
             return;
         }
+        if (!held.tenure.isValid()) {
+            // What was to be written meanwhile was given up for good; the right must not come back under it.
+            lapse("the lease was renewed too late");
+            return;
+        }
         switch (result.kind) {
             case "leased":
                 held.validUntilMs = Math.max(held.validUntilMs, sentAtMs + result.ttlMs - validityMarginMs);
--- a/test/scheduling/scheduling.feature
+++ b/test/scheduling/scheduling.feature
@@ -53,6 +53,22 @@
         And 6 submissions are complete
         And no task ran twice
 
+    Scenario Outline: the owner freezes until its right has just run out
+        A renewal of its lease is under way meanwhile and is answered when it wakes. What it decided in between was not
+        recorded, since its right was over; with the right back by that answer, nobody would ever record it.
+
+        Given 2 entries and 2 workers
+        When <beforeMs> ms pass
+        And the owner freezes for 1740 ms, and a submission comes and is cancelled meanwhile
+        And 6000 ms pass
+        Then the store has the submission as "cancelled"
+
+        Examples:
+            | beforeMs |
+            | 3960     |
+            | 3980     |
+            | 4000     |
+
     Scenario: a worker is cut off and runs on
         No call reaches the worker, and its tasks work on until their leases end. Started elsewhere before that, a
         payment would be made twice.
--- a/test/scheduling/scheduling.steps.ts
+++ b/test/scheduling/scheduling.steps.ts
@@ -139,6 +139,21 @@
     owner.kill();
 });
 
+When(
+    "the owner freezes for {int} ms, and a submission comes and is cancelled meanwhile",
+    async function(this: World, ms: number) {
+        const owner = this.world.owner();
+        assert.ok(owner);
+        owner.freeze();
+        await pass(this, ms / 2);
+        this.ids.push("f".repeat(16));
+        this.world.submit("f".repeat(16), [{}]);
+        this.world.cancel("f".repeat(16));
+        await pass(this, ms / 2);
+        owner.wake();
+    },
+);
+
 When("the owner turns slow", function(this: World) {
     const owner = this.world.owner();
     assert.ok(owner);
@@ -264,6 +279,11 @@
     assert.equal(states.filter((state) => state === "complete").length, count, states.join(" "));
 });
 
+Then("the store has the submission as {string}", function(this: World, state: string) {
+    const record = decodeRecord(this.world.store.get(submissionKey(this.ids[0] ?? ""))?.text ?? "");
+    assert.equal(record?.kind === "final" ? record.state : record?.kind, state);
+});
+
 Then("the submission is shown as {string}", function(this: World, state: string) {
     assert.equal(this.world.owner()?.scheduler()?.findState(this.ids[0] ?? ""), state);
 });
