fix(schedule): a task that has failed waits two seconds for a proven worker, and not for good

Cause: a worker that has failed something and shown no success for 5 s takes no task that has failed itself (with two failed submissions: never).

Change: a worker that has not failed anything for 2 s may take such a task, a suspect one still one at a time. A worker that goes on failing fresh tasks gets none.

test/scheduling: both new scenarios failed before, 49 of 49 pass; src/schedule 15 of 15.

--- a/src/schedule/workerHealth.ts
+++ b/src/schedule/workerHealth.ts
@@ -9,6 +9,12 @@
 /** A success this recent proves a worker sound for a task's last attempt, in milliseconds. */
 const provenMs = 5000;
 
+/**
+ * A task that has failed waits this long for a worker that is surely sound, in milliseconds. Then one that has not failed
+ * anything meanwhile will do: where every worker has failed something and no fresh task comes, none is ever proven.
+ */
+const doubtMs = 2000;
+
 export function createOutcomes(): WorkerOutcomes {
     return { failedSubmissions: new Set(), lastSuccessAtMs: 0, lastFailureAtMs: 0, quarantinedUntilMs: 0 };
 }
@@ -44,11 +50,13 @@
     if (nowMs < outcomes.quarantinedUntilMs) {
         return false;
     }
+    const sinceFailureMs = nowMs - outcomes.lastFailureAtMs;
+    const mayTakeFailed = sinceFailureMs > doubtMs;
     if (isSuspect(worker)) {
-        const isProbeDue = worker.runs.size === 0 && nowMs - outcomes.lastFailureAtMs > probePauseMs;
-        return isProbeDue && task.failedRuns.size === 0;
+        const isProbeDue = worker.runs.size === 0 && sinceFailureMs > probePauseMs;
+        return isProbeDue && (task.failedRuns.size === 0 || mayTakeFailed);
     }
     // A task that has failed goes where others have just succeeded, if it failed elsewhere.
     const isDoubtful = outcomes.failedSubmissions.size > 0 && nowMs - outcomes.lastSuccessAtMs > provenMs;
-    return task.failedRuns.size === 0 || !isDoubtful;
+    return task.failedRuns.size === 0 || mayTakeFailed || !isDoubtful;
 }
--- a/test/scheduling/scheduling.feature
+++ b/test/scheduling/scheduling.feature
@@ -156,6 +156,30 @@
         And 12000 ms pass
         Then 8 submissions are complete
 
+    Scenario: every worker has failed the task
+        All workers fail for a moment, as with a service that they need. The task has an attempt left and no other work
+        comes that could show a worker to be sound again; held back for such a one, it would wait for good.
+
+        Given 1 entry and 2 workers
+        When 6000 ms pass
+        And 1 submission of 1 task of 2000 ms comes
+        And 500 ms pass
+        And every worker is "failing"
+        And 300 ms pass
+        And every worker is well
+        And 6000 ms pass
+        Then 1 submission is complete
+
+    Scenario: every worker has failed two submissions
+        Given 1 entry and 2 workers
+        When 2 submissions of 1 task of 2000 ms come
+        And 500 ms pass
+        And every worker is "failing"
+        And 300 ms pass
+        And every worker is well
+        And 8000 ms pass
+        Then 2 submissions are complete
+
     Scenario: tasks on a worker stand still
         Given 1 entry and 3 workers
         When worker 1 is "standstill"
