--- a/standins/scheduling/createFakeTaskWorkers.ts
+++ b/standins/scheduling/createFakeTaskWorkers.ts
@@ -45,8 +45,9 @@
     readonly kind: "started" | "stopOrdered" | EndKind | "crashed";
     readonly task: string;
     readonly run: number;
-    /** An owner was told of this end and has let it be forgotten. */
+    /** An owner was told of this end and has let it be forgotten, and the worker's lease held until then. */
     isAcked: boolean;
+    ackedAtMs?: number;
 }
 
 export interface FakeTaskWorker {
@@ -55,6 +56,8 @@
     fault: WorkerFault | undefined;
     /** Starts that are lost before they arrive, from now on. */
     lostStarts: number;
+    /** How fast its clock runs; the platform allows 2% slower than ours. */
+    clockRate: number;
     crash(): void;
     runningTasks(): readonly string[];
 }
@@ -82,7 +85,7 @@
 const failMs = 20;
 
 interface State extends FakeTaskWorker {
-    /** Time since the start of this life, in milliseconds. */
+    /** Time on its own clock, which counts from the start of this life, in milliseconds. */
     clockMs(): number;
     token: number;
     leaseUntilMs: number;
@@ -90,6 +93,8 @@
     stopped: Map<string, number>;
     ends: EndRow[];
     ended: WorkerEvent[];
+    /** Ends up to this number were not acknowledged before the lease lapsed. */
+    lapsedEnd: number;
     nextEnd: number;
     isDown: boolean;
 }
@@ -113,14 +118,21 @@
 
     function end(worker: State, run: FakeRun, how: EndKind): void {
         worker.runs.delete(`${run.task} ${run.run}`);
+        noteOldRun(worker, run);
         worker.ends.push({ number: worker.nextEnd++, task: run.task, run: run.run, how, checkpoint: "" });
         worker.ended.push(note(worker, how, run));
     }
 
+    /** Starts of this run and of earlier ones are refused from now on. */
+    function noteOldRun(worker: State, { task, run }: { task: string; run: number; }): void {
+        worker.stopped.set(task, Math.max(run, worker.stopped.get(task) ?? 0));
+    }
+
     function advance(worker: State): void {
         const nowMs = performance.now();
+        const isLeaseOver = worker.clockMs() > worker.leaseUntilMs;
         for (const run of [...worker.runs.values()]) {
-            if (worker.clockMs() > worker.leaseUntilMs) {
+            if (isLeaseOver) {
                 end(worker, run, "lapsed");
             }
             else if (run.isStopping && nowMs >= run.workMs) {
@@ -133,6 +145,17 @@
                 end(worker, run, "done");
             }
         }
+        if (isLeaseOver) {
+            worker.lapsedEnd = worker.nextEnd - 1;
+        }
+    }
+
+    function acknowledge(worker: State, ackedEnd: number): void {
+        worker.ends = worker.ends.filter(({ number }) => number > ackedEnd);
+        for (const event of worker.ended.slice(worker.lapsedEnd, ackedEnd)) {
+            event.isAcked = true;
+            event.ackedAtMs ??= performance.now();
+        }
     }
 
     function extend(worker: State, leaseUntilMs: number | undefined): void {
@@ -141,6 +164,8 @@
     }
 
     function start(worker: State, order: StartOrder): StartResult {
+        // What has ended by now, here or elsewhere, is noted before this start.
+        workers.forEach(advance);
         const workerMs = worker.clockMs();
         if (order.token < worker.token) {
             return { kind: "fenced" };
@@ -157,7 +182,7 @@
             return { kind: "refused", reason: "late", workerMs };
         }
         extend(worker, order.leaseUntilMs);
-        worker.stopped.set(order.task, order.run - 1);
+        noteOldRun(worker, { task: order.task, run: order.run - 1 });
         const run = { ...order, startedAtMs: performance.now(), workMs: findWorkMs(order.task), isStopping: false };
         worker.runs.set(name, run);
         note(worker, "started", order);
@@ -169,7 +194,7 @@
             return { kind: "fenced" };
         }
         worker.token = token;
-        worker.stopped.set(task, Math.max(number, worker.stopped.get(task) ?? 0));
+        noteOldRun(worker, { task, run: number });
         const run = worker.runs.get(`${task} ${number}`);
         if (run !== undefined && !run.isStopping) {
             run.isStopping = true;
@@ -185,9 +210,9 @@
             return { kind: "fenced" };
         }
         worker.token = order.token;
+        advance(worker);
+        acknowledge(worker, order.ackedEnd);
         extend(worker, order.leaseUntilMs);
-        worker.ends = worker.ends.filter(({ number }) => number > order.ackedEnd);
-        worker.ended.slice(0, order.ackedEnd).forEach((event) => event.isAcked = true);
         while (worker.ends.length === 0 && performance.now() < endsAtMs && worker.fault !== "resetting") {
             await pause(5);
         }
@@ -287,6 +312,7 @@
             const worker: State = {
                 id,
                 bornMs: Date.now(),
+                clockRate: 1,
                 fault: undefined,
                 lostStarts: 0,
                 token: 0,
@@ -295,6 +321,7 @@
                 stopped: new Map(),
                 ends: [],
                 ended: [],
+                lapsedEnd: 0,
                 nextEnd: 1,
                 isDown: false,
                 crash() {
@@ -302,7 +329,7 @@
                     worker.runs.clear();
                     worker.isDown = true;
                 },
-                clockMs: () => performance.now() - bornAtMs,
+                clockMs: () => (performance.now() - bornAtMs) * worker.clockRate,
                 runningTasks: () => [...worker.runs.values()].map(({ task }) => task),
             };
             workers.set(id, worker);
--- a/standins/scheduling/createSchedulingWorld.ts
+++ b/standins/scheduling/createSchedulingWorld.ts
@@ -3,14 +3,16 @@
 import type { LogEvent } from "../../src/logging";
 import type { Machine, MachineOrderResult, Machines } from "../../src/machines";
 import type { Policy, Wave } from "../../src/policy";
-import { createRelayedWorkers } from "../../src/runs";
+import { createRelayedWorkers, type TaskWorkers } from "../../src/runs";
 import { createScheduler, type Scheduler, type WorkerDecoder, type WorkerEntry } from "../../src/scheduler";
 import { createFollower, type Store } from "../../src/store";
 import { encodeRecord, type Step, submissionKey } from "../../src/submissions";
 import { createFakeNetwork, type FakeNetwork } from "../fakes";
+import { createCallGate } from "./createCallGate";
 import { createFakeStore, type FakeStore } from "./createFakeStore";
 import { createFakeTaskWorkers, type FakeTaskWorkers } from "./createFakeTaskWorkers";
 import { delayOrder, type MachineOrderFault } from "./delayOrder";
+import { plainPolicy, plainStep } from "./plainPolicy";
 
 /** One entry that competes for the duty. */
 export interface SchedulingEntry {
@@ -19,6 +21,9 @@
     scheduler(): Scheduler | undefined;
     /** The process is gone; nothing is handed over. */
     kill(): void;
+    /** Its calls and their answers are held until it wakes. */
+    freeze(): void;
+    wake(): void;
     /** Whether it can do the work well; one that cannot gives the duty up. */
     setFit(isFit: boolean): void;
     /** The process is told to end and gives the duty up. */
@@ -32,6 +37,8 @@
     readonly entryOf?: (entry: WorkerEntry) => { readonly key: string; readonly text: string; };
     /** Where calls to a worker go; its id where left out. */
     readonly addressOf?: (id: string) => string;
+    /** What entries call in place of the workers. */
+    readonly workerApiOf?: (api: TaskWorkers) => TaskWorkers;
 }
 
 export interface SchedulingWorld {
@@ -93,53 +100,13 @@
     decode: (_key, text) => JSON.parse(text) as WorkerEntry,
 };
 
-export const plainStep: Step = {
-    count: 1,
-    size: { cpuMillis: 1000, memoryMb: 100, accelerators: 0 },
-    estimateMs: 500,
-    after: [],
-    hasCheckpoints: false,
-    isGang: false,
-    isSingleRack: false,
-    workerLabel: undefined,
-    dataRack: undefined,
-    maxPerWorker: 0,
-    isSpeculative: false,
-    isLongRunning: false,
-    image: undefined,
-    targetLatencyMs: 0,
-    isFiller: false,
-    maxUnavailable: 0,
-};
-
-export const plainRoute = {
-    name: "stalls",
-    host: "stalls.example",
-    pathPrefix: "/stalls/",
-    service: "stalls",
-    isPublic: false,
-    priority: 0,
-    maxAttempts: 3,
-    stretch: 1.6,
-    targetLatencyMs: 600,
-    timeoutMs: 3000,
-    advice: undefined,
-};
-
-export const plainPolicy: Policy = {
-    version: 1,
-    routes: [plainRoute],
-    services: new Map([["stalls", { name: "stalls", rejectsOverload: false, isStandby: false, maxConnections: 64 }]]),
-    tenants: [{ name: "giza", keys: ["key-1"], weight: 1, cap: { cpuMillis: 0, memoryMb: 0, accelerators: 0 } }],
-    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 262_144, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
-};
-
 /** Entries that schedule over a store, workers and machines in memory. */
 export function createSchedulingWorld(opts: SchedulingWorldOptions = {}): SchedulingWorld {
     const entryOf = opts.entryOf ?? ((entry) => ({ key: workerPrefix + entry.id, text: JSON.stringify(entry) }));
     const written = new Map<string, string>();
     const store = createFakeStore();
     const workers = createFakeTaskWorkers();
+    const workerApi = opts.workerApiOf?.(workers.api) ?? workers.api;
     const entries: SchedulingEntry[] = [];
     const machineOrders: string[] = [];
     const machineCalls: string[] = [];
@@ -251,7 +218,7 @@
         setMachines: setList,
         listed: () => machineList,
         addEntry(name) {
-            const entry = createEntry(name, world, machines);
+            const entry = createEntry(name, world, machines, workerApi);
             entries.push(entry);
             return entry;
         },
@@ -303,8 +270,14 @@
     return world;
 }
 
-function createEntry(name: string, world: SchedulingWorld, machines: Machines): SchedulingEntry {
-    const store = world.store.connect(name);
+function createEntry(
+    name: string,
+    world: SchedulingWorld,
+    machines: Machines,
+    directApi: TaskWorkers,
+): SchedulingEntry {
+    const gate = createCallGate();
+    const store = gate.wrap(world.store.connect(name));
     const log: LogEvent[] = [];
     const clocks = { steadyMs: () => performance.now(), suspendAwareMs: () => performance.now() };
     let scheduler: Scheduler | undefined;
@@ -312,7 +285,7 @@
     let isFit = true;
     const peer = { boot: name, instance: name, region: "north", zone: "zone-a", peerUrl: `ws://${name}` };
     const workerApi = createRelayedWorkers({
-        direct: world.workers.api,
+        direct: gate.wrap(directApi),
         peers: world.network.connect(peer),
         isBusy: () => world.areBusy,
         nowMs: clocks.steadyMs,
@@ -372,6 +345,14 @@
         store,
         log,
         scheduler: () => isKilled ? undefined : scheduler,
+        freeze() {
+            gate.freeze();
+            world.network.frozen.add(name);
+        },
+        wake() {
+            gate.wake();
+            world.network.wake(name);
+        },
         setFit(next) {
             isFit = next;
         },
@@ -381,6 +362,7 @@
         },
         kill() {
             isKilled = true;
+            gate.close();
             world.network.remove(name);
             duty.stop();
             follower.stop();
--- a/standins/scheduling/index.ts
+++ b/standins/scheduling/index.ts
@@ -9,12 +9,10 @@
 } from "./createFakeTaskWorkers";
 export {
     createSchedulingWorld,
-    plainPolicy,
-    plainRoute,
-    plainStep,
     type SchedulingEntry,
     type SchedulingWorld,
     type SchedulingWorldOptions,
 } from "./createSchedulingWorld";
 export type { MachineOrderFault } from "./delayOrder";
 export { countOrderedAway, findDoubleRun } from "./judgeEvents";
+export { plainPolicy, plainRoute, plainStep } from "./plainPolicy";
