--- a/test/scheduling-schedules/scheduling-schedules.feature
+++ b/test/scheduling-schedules/scheduling-schedules.feature
@@ -11,11 +11,16 @@
         Then no promise is broken with seeds <seed> to <seed>
 
         Examples:
-            | seed | cause                                                                     |
-            | 240  | a stop is answered before the new owner has read any list of the worker   |
-            | 2071 | the same, and the task has been done                                      |
-            | 244  | a task has failed, and every worker has failed one since its last success |
-            | 2228 | the same with two submissions                                             |
+            | seed | cause                                                                    |
+            | 240  | a stop is answered before the new owner has read any list of the worker  |
+            | 2071 | the same, and the task has been done                                     |
+            | 4617 | the same after the owner was frozen, on a worker that resets connections |
+            | 4867 | the same on a new life of the other worker                               |
+            | 217  | every worker has failed something, and a task that has failed is left    |
+            | 2228 | the same with two submissions                                            |
+            | 2764 | every worker is cut off for longer than its leases                       |
+            | 3480 | every worker carries calls out late for longer than its leases           |
+            | 244  | every worker fails, and all are cut off then                             |
 
     Scenario: random schedules catch a worker whose silence counts as its end
         When schedules are searched from seed 1, where a lost look ends a worker's life
--- a/test/scheduling/scheduling.feature
+++ b/test/scheduling/scheduling.feature
@@ -114,6 +114,20 @@
         And no task ran twice
         And no task lapsed
 
+    Scenario: every worker is cut off for longer than its leases
+        All that runs there is given up. With nothing left to ask about, the owner would not ask these workers again; it
+        would hold them for silent, and all work would wait until the duty changes hands.
+
+        Given 1 entry and 2 workers
+        When 1 submission of 6 tasks of 3000 ms comes
+        And 500 ms pass
+        And every worker is "cut"
+        And 6000 ms pass
+        And every worker is well
+        And 9000 ms pass
+        Then 1 submission is complete
+        And no task ran twice
+
     Scenario: orders are carried out late
         A worker leaves orders unanswered and carries them out two seconds later. A start that comes late would run beside
         the one that took its place.
