--- a/src/logging/index.ts
+++ b/src/logging/index.ts
@@ -6,4 +6,4 @@
     type Reporter,
     type ReporterOptions,
 } from "./createReporter";
-export type { LogEvent } from "./logEvent";
+export type { DropEvidence, LogEvent } from "./logEvent";
--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -1,3 +1,18 @@
+/** What an owner goes by when it gives a run up. */
+export interface DropEvidence {
+    /** Whether the worker has shown what it runs to this owner. */
+    readonly runList: "unread" | "read";
+    /** Age of the tenure, which bounds earlier owners' leases until the list has been read. */
+    readonly tenureAgeMs: number;
+    /** Time since the worker last answered any call of this owner; `undefined`: it never did. */
+    readonly silentMs: number | undefined;
+    /** Call whose answer gave the latest reading of the worker's clock, and the age of that reading. */
+    readonly clockFrom: string | undefined;
+    readonly clockAgeMs: number | undefined;
+    /** What was left of the longest lease, by the earliest that the worker's clock could show; not known while unread. */
+    readonly leaseLeftMs: number | undefined;
+}
+
 /** Everything that parts of the daemon may log; a key or a payload is never among the fields. */
 export type LogEvent =
     | { readonly kind: "started"; readonly boot: string; readonly zone: string; readonly region: string; }
@@ -114,26 +129,15 @@
         readonly worker: string;
         readonly how: string;
     }
-    /** A run was given up as one of which nothing can run any more; the fields are what this was concluded from. */
-    | {
+    /** A run was given up as one of which nothing can run any more. */
+    | (DropEvidence & {
         readonly kind: "runDropped";
         readonly task: string;
         readonly run: number;
         readonly worker: string;
         readonly cause: string;
         readonly reason: string;
-        /** Whether the worker has shown what it runs to this owner. */
-        readonly runList: "unread" | "read";
-        /** Age of the tenure, which bounds earlier owners' leases until the list has been read. */
-        readonly tenureAgeMs: number;
-        /** Time since the worker last answered any call of this owner; `undefined`: it never did. */
-        readonly silentMs: number | undefined;
-        /** Call whose answer gave the latest reading of the worker's clock, and the age of that reading. */
-        readonly clockFrom: string | undefined;
-        readonly clockAgeMs: number | undefined;
-        /** What was left of the longest lease, by the earliest that the worker's clock could show; not known while unread. */
-        readonly leaseLeftMs: number | undefined;
-    }
+    })
     /** A worker lists a run, or its end, that this owner had given up: it ran on after its task could start again. */
     | {
         readonly kind: "runReappeared";
--- a/src/runs/dropEvidence.ts
+++ b/src/runs/dropEvidence.ts
@@ -1,16 +1,7 @@
+import type { DropEvidence } from "../logging";
 import type { Worker } from "../schedule";
 import { earliestWorkerMs } from "./workerClock";
 
-/** What an owner goes by when it gives a run up, as it is logged. */
-export interface DropEvidence {
-    readonly runList: "unread" | "read";
-    readonly tenureAgeMs: number;
-    readonly silentMs: number | undefined;
-    readonly clockFrom: string | undefined;
-    readonly clockAgeMs: number | undefined;
-    readonly leaseLeftMs: number | undefined;
-}
-
 export function dropEvidence(worker: Worker, tenureStartedAtMs: number, nowMs: number): DropEvidence {
     const { runList, clock, answeredAtMs, leaseUntilWorkerMs } = worker;
     const workerMs = runList.kind === "read" ? earliestWorkerMs(worker, nowMs) : undefined;
--- a/src/runs/test/looks.feature
+++ b/src/runs/test/looks.feature
@@ -1,8 +1,7 @@
 Feature: Lists are asked for and taken in for the life that is on the board
 
     Scenario: a worker's record is replaced before it is asked
-        The later life would be asked with the numbers and the clock of the earlier one: it would forget ends that nobody has
-        been told of.
+        Guards against a later life that forgets ends by the numbers of the earlier one.
 
         Given a worker that has been asked to list what it runs
         When it is to be asked at once
@@ -11,8 +10,7 @@
         Then no list has been asked for since
 
     Scenario: a list comes after the worker's record was replaced
-        The worker was off the board for a moment and runs tasks on its new record. Taken for ones of no interest, they would
-        be stopped.
+        Guards against tasks that are stopped as ones of no interest.
 
         Given a worker that has been asked to list what it runs
         When another record takes its place
--- a/src/runs/test/looks.steps.ts
+++ b/src/runs/test/looks.steps.ts
@@ -1,7 +1,7 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import type { Clock } from "../../../standins/dispatch";
-import { plainStep } from "../../../standins/scheduling";
+import { plainSubmission } from "../../../standins/scheduling";
 import {
     addDueOccurrences,
     addRun,
@@ -98,16 +98,7 @@
 });
 
 function addTask(world: World, phase: RunPhase): void {
-    const submission = {
-        id: "0000000000000001",
-        payload: "",
-        steps: [plainStep],
-        schedule: { repeats: 0, startAtMs: 0, intervalMs: 0 },
-        tenant: "giza",
-        route: "stalls",
-        service: "stalls",
-        acceptedAtMs: 0,
-    };
+    const submission = plainSubmission("0000000000000001");
     const entry = addSubmission(world.board, submission, 1, false, 0);
     addDueOccurrences(entry, Date.now(), 0);
     const [task] = tasksOf(entry);
--- a/src/schedule/test/workerLives.feature
+++ b/src/schedule/test/workerLives.feature
@@ -1,7 +1,7 @@
 Feature: One life of each worker is on the board
 
     Scenario: a later life takes the place of an earlier one
-        With both on the board, runs of either would sit on a record that nobody asks.
+        Guards against runs on a record that nobody asks.
 
         Given the life of 1000 is on the board
         When the life of 2000 is told of
@@ -9,7 +9,7 @@
         And the life of 1000 has ended
 
     Scenario: an earlier life is told of late
-        Taken in, it would end the life that runs.
+        Guards against an old entry that ends the life that runs.
 
         Given the life of 2000 is on the board
         When the life of 1000 is told of
@@ -17,7 +17,7 @@
         And no life has ended
 
     Scenario: an order to the earlier life may have been carried out by the later one
-        Only lists tell which life it was. Given up, the task would start elsewhere while it runs there.
+        Guards against a task that starts elsewhere while the later life runs it.
 
         Given the life of 1000 is on the board
         And a run there that is "running"
@@ -25,7 +25,7 @@
         Then the run is on the life of 2000
 
     Scenario: a list of the earlier life has shown the run
-        It ended with that life. Left on the later one, the task would wait for its list.
+        Guards against a task that waits for the list of a life that never had it.
 
         Given the life of 1000 is on the board
         And a run there that is "running"
@@ -34,7 +34,7 @@
         Then the run is on the life of 1000
 
     Scenario: the order has not left when a later life is told of
-        Sent to the later life, it might reach a worker of another kind.
+        Guards against an order that reaches a worker of another kind.
 
         Given the life of 1000 is on the board
         And a run there that is "recording"
@@ -42,7 +42,7 @@
         Then the run is on the life of 1000
 
     Scenario: a stop that the earlier life has answered
-        The later one may have the run, and does not know of the stop.
+        Guards against a run of the later life that is never told to stop.
 
         Given the life of 1000 is on the board
         And a run there that is "stopping"
@@ -52,7 +52,7 @@
         And its stop has to be sent
 
     Scenario: a record is removed whose place another one has taken
-        By its id alone it would take the live worker off the board.
+        Guards against a live worker that is taken off the board by its id.
 
         Given the life of 1000 is on the board
         And the life of 2000 is told of
--- a/src/schedule/test/workerLives.steps.ts
+++ b/src/schedule/test/workerLives.steps.ts
@@ -1,6 +1,6 @@
 import { Before, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { plainStep } from "../../../standins/scheduling";
+import { plainStep, plainSubmission } from "../../../standins/scheduling";
 import {
     addDueOccurrences,
     addRun,
@@ -44,16 +44,7 @@
 });
 
 Given("a run there that is {string}", function(this: World, phase: RunPhase) {
-    const submission = {
-        id: "0000000000000001",
-        payload: "",
-        steps: [plainStep],
-        schedule: { repeats: 0, startAtMs: 0, intervalMs: 0 },
-        tenant: "giza",
-        route: "stalls",
-        service: "stalls",
-        acceptedAtMs: nowMs,
-    };
+    const submission = plainSubmission("0000000000000001");
     const entry = addSubmission(this.board, submission, 1, false, nowMs);
     addDueOccurrences(entry, nowMs, nowMs);
     const [task] = tasksOf(entry);
--- a/standins/scheduling/createSchedulingWorld.ts
+++ b/standins/scheduling/createSchedulingWorld.ts
@@ -12,7 +12,7 @@
 import { createFakeStore, type FakeStore } from "./createFakeStore";
 import { createFakeTaskWorkers, type FakeTaskWorkers } from "./createFakeTaskWorkers";
 import { delayOrder, type MachineOrderFault } from "./delayOrder";
-import { plainPolicy, plainStep } from "./plainPolicy";
+import { plainPolicy, plainSubmission } from "./plainPolicy";
 
 /** One entry that competes for the duty. */
 export interface SchedulingEntry {
@@ -244,16 +244,7 @@
             store.put(key, text);
         },
         submit(id, steps, { route = "stalls", tenant = "giza" } = {}) {
-            const submission = {
-                id,
-                payload: "payload",
-                steps: steps.map((step) => ({ ...plainStep, ...step })),
-                schedule: { repeats: 0, startAtMs: 0, intervalMs: 0 },
-                tenant,
-                route,
-                service: "stalls",
-                acceptedAtMs: Date.now(),
-            };
+            const submission = { ...plainSubmission(id, steps), tenant, route };
             store.put(submissionKey(id), encodeRecord({ kind: "open", submission, isCancelled: false }));
         },
         cancel(id) {
--- a/standins/scheduling/index.ts
+++ b/standins/scheduling/index.ts
@@ -15,4 +15,4 @@
 } from "./createSchedulingWorld";
 export type { MachineOrderFault } from "./delayOrder";
 export { countOrderedAway, findDoubleRun } from "./judgeEvents";
-export { plainPolicy, plainRoute, plainStep } from "./plainPolicy";
+export { plainPolicy, plainRoute, plainStep, plainSubmission } from "./plainPolicy";
--- a/standins/scheduling/plainPolicy.ts
+++ b/standins/scheduling/plainPolicy.ts
@@ -1,5 +1,5 @@
 import type { Policy } from "../../src/policy";
-import type { Step } from "../../src/submissions";
+import type { Step, Submission } from "../../src/submissions";
 
 /** A step without anything special; scenarios change what they are about. */
 export const plainStep: Step = {
@@ -42,3 +42,17 @@
     tenants: [{ name: "giza", keys: ["key-1"], weight: 1, cap: { cpuMillis: 0, memoryMb: 0, accelerators: 0 } }],
     limits: { maxHeaderBytes: 16_384, maxBodyBytes: 262_144, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
 };
+
+/** A submission that runs its steps once. */
+export function plainSubmission(id: string, steps: readonly Partial<Step>[] = [{}]): Submission {
+    return {
+        id,
+        payload: "payload",
+        steps: steps.map((step) => ({ ...plainStep, ...step })),
+        schedule: { repeats: 0, startAtMs: 0, intervalMs: 0 },
+        tenant: "giza",
+        route: "stalls",
+        service: "stalls",
+        acceptedAtMs: Date.now(),
+    };
+}
--- a/test/scheduling-schedules/scheduling-schedules.feature
+++ b/test/scheduling-schedules/scheduling-schedules.feature
@@ -1,9 +1,7 @@
 Feature: Scheduling under random schedules of faults
 
     Scenario: no schedule breaks a promise
-        Entries are killed, stopped, frozen and slow, workers are cut off, crash, fail and lose calls, the store turns
-        entries away, and submissions come and are cancelled meanwhile. A judge that watches what workers truly do looks
-        for tasks that run twice, start before their time or after their cancellation, and are never done.
+        Guards against faults that break a promise only together, or only at a certain moment.
 
         Then no promise is broken with seeds 1 to 120
 
--- a/test/scheduling/lives.feature
+++ b/test/scheduling/lives.feature
@@ -1,8 +1,7 @@
 Feature: A worker starts again under the id that it had
 
     Scenario: an owner reads runs of two lives, the later one first
-        The task of the earlier life waits for a worker of its kind when the owner is killed. Held by a life that nobody
-        asks and nobody gives up, it would never start again.
+        Guards against a task of an earlier life that nobody asks for and nobody gives up.
 
         Given 2 entries and 1 worker
         When 1 submission of 1 task of 9000 ms comes
@@ -19,8 +18,7 @@
         And no task ran twice
 
     Scenario: an owner reads runs of two lives, the earlier one first
-        The worker's entry tells of the later life. Held by a record of that life other than the one that is followed, its
-        task would be stopped as one of no interest and never start again.
+        Guards against a task of the later life that is stopped as one of no interest.
 
         Given 2 entries and 1 worker
         When a submission comes whose task of 1000 ms needs a worker of kind "a"
@@ -37,8 +35,7 @@
         And no task ran twice
 
     Scenario: a submission with a run of an earlier life is cancelled
-        With its run left on the board, the tenant would have less than its cap from then on; with the worker of that id taken
-        off the board in its place, the leases of what runs there would lapse.
+        Guards against a run that counts against its tenant's cap for good.
 
         Given 2 entries and 1 worker
         And the tenant may run 2 tasks at once
@@ -60,8 +57,7 @@
         And no task ran twice
 
     Scenario: a task is started on a worker that has just started again
-        The owner has not read the new entry: it names the earlier life in its record, and the later one carries the order
-        out. Given up with the earlier life, the task would start again beside itself.
+        Guards against a task that starts again beside itself, given up with the life that it was ordered of.
 
         Given 1 entry and 2 workers
         When worker 1 starts again, and its entry still tells of its earlier life
@@ -74,8 +70,7 @@
         And 1 submission is complete
 
     Scenario: the start of a serving task on a worker that has just started again is not answered
-        The later life has begun it. Started elsewhere it would run twice; stopped for certainty's sake, its users would find
-        it away.
+        Guards against a serving task that runs twice, or is stopped to be certain.
 
         Given 1 entry and 2 workers
         When worker 1 starts again, and its entry still tells of its earlier life
@@ -89,8 +84,7 @@
         And 1 task runs
 
     Scenario: a worker that has just started again is cut off once a task has started there
-        The time of its lease was worked out on the clock of the earlier life, so it is the longest that a worker gives. Taken
-        for over sooner, the task would start elsewhere while it runs there.
+        Guards against a lease taken for over that was granted by another life's clock.
 
         Given 1 entry and 2 workers
         And 8000 ms pass
@@ -103,8 +97,7 @@
         And 1 task runs
 
     Scenario: a worker that has just started again is gone before anything tells of its new life
-        It was up for half a minute before. Going by its lease on the clock of the earlier life, the task would wait for as
-        long as that.
+        Guards against a task that waits for a lease on the clock of a life that is over.
 
         Given 1 entry and 2 workers
         And 30000 ms pass
@@ -117,8 +110,7 @@
         And no task ran twice
 
     Scenario: the first calls for lists of a worker that has just started again are lost
-        Its ends are numbered anew. By the numbers that the earlier life has reached it would forget the end of a task that
-        nobody has been told of, and the task would start again after it was done.
+        Guards against ends that a worker forgets by the numbers of its earlier life.
 
         Given 1 entry and 2 workers
         When 4 submissions of 4 tasks of 300 ms come
@@ -133,8 +125,7 @@
         And 5 submissions are complete
 
     Scenario: a start is held up until its worker has started again
-        The order names a time on the clock of the earlier life, which the later one takes for one far ahead. Carried out
-        when the task runs elsewhere, it would run twice.
+        Guards against a late start that a later life carries out while the task runs elsewhere.
 
         Given 1 entry and 2 workers
         And 3000 ms pass
@@ -147,8 +138,7 @@
         And 1 task runs
 
     Scenario: a start on a worker that has just started again is lost
-        Nothing of it runs. Left until the order's time is over on the clock of the earlier life, the task would wait for as
-        long as that life had lasted.
+        Guards against a task that waits for a time on the clock of an earlier life.
 
         Given 1 entry and 1 worker
         And 20000 ms pass
@@ -161,8 +151,7 @@
         Then 1 task runs
 
     Scenario: the owner is killed when a task has started on a worker that has just started again
-        The next owner reads the start as one on the earlier life. Given up with it, the task would start again after it was
-        done.
+        Guards against a task that starts again after it was done, since its record names the earlier life.
 
         Given 2 entries and 2 workers
         When worker 1 starts again, and its entry still tells of its earlier life
--- a/test/scheduling/scheduling.feature
+++ b/test/scheduling/scheduling.feature
@@ -54,8 +54,7 @@
         And no task ran twice
 
     Scenario Outline: the owner freezes until its right has just run out
-        A renewal of its lease is under way meanwhile and is answered when it wakes. What it decided in between was not
-        recorded, since its right was over; with the right back by that answer, nobody would ever record it.
+        Guards against work that is decided and never recorded, since the right came back with a late answer.
 
         Given 2 entries and 2 workers
         When <beforeMs> ms pass
@@ -148,8 +147,7 @@
         And no task lapsed
 
     Scenario: every worker is cut off for longer than its leases
-        All that runs there is given up. With nothing left to ask about, the owner would not ask these workers again; it
-        would hold them for silent, and all work would wait until the duty changes hands.
+        Guards against workers that nobody asks again once all that ran there is given up.
 
         Given 1 entry and 2 workers
         When 1 submission of 6 tasks of 3000 ms comes
@@ -204,8 +202,7 @@
         Then 8 submissions are complete
 
     Scenario: every worker has failed the task
-        All workers fail for a moment, as with a service that they need. The task has an attempt left and no other work
-        comes that could show a worker to be sound again; held back for such a one, it would wait for good.
+        Guards against a task that is held back for good for a worker that nothing can prove to be sound.
 
         Given 1 entry and 2 workers
         When 6000 ms pass
@@ -218,6 +215,8 @@
         Then 1 submission is complete
 
     Scenario: every worker has failed two submissions
+        Guards against the same where every worker is suspect.
+
         Given 1 entry and 2 workers
         When 2 submissions of 1 task of 2000 ms come
         And 500 ms pass
