--- a/src/schedule/workerHealth.ts
+++ b/src/schedule/workerHealth.ts
@@ -53,10 +53,15 @@
     const sinceFailureMs = nowMs - outcomes.lastFailureAtMs;
     const mayTakeFailed = sinceFailureMs > doubtMs;
     if (isSuspect(worker)) {
-        const isProbeDue = worker.runs.size === 0 && sinceFailureMs > probePauseMs;
+        const isProbeDue = sinceFailureMs > probePauseMs && !hasProbe(worker, nowMs);
         return isProbeDue && (task.failedRuns.size === 0 || mayTakeFailed);
     }
     // A task that has failed goes where others have just succeeded, if it failed elsewhere.
     const isDoubtful = outcomes.failedSubmissions.size > 0 && nowMs - outcomes.lastSuccessAtMs > provenMs;
     return task.failedRuns.size === 0 || mayTakeFailed || !isDoubtful;
 }
+
+/** Whether a run may still show a worker to be sound. One that lasts never ends as done, so it shows so by running on. */
+function hasProbe({ runs }: Worker, nowMs: number): boolean {
+    return [...runs].some(({ task, plannedAtMs }) => !task.step.isLongRunning || nowMs - plannedAtMs <= doubtMs);
+}
--- a/test/scheduling-schedules/scheduling-schedules.feature
+++ b/test/scheduling-schedules/scheduling-schedules.feature
@@ -18,6 +18,7 @@
             | 4867 | the same on a new life of the other worker                               |
             | 217  | every worker has failed something, and a task that has failed is left    |
             | 2228 | the same with two submissions                                            |
+            | 3863 | suspected workers have taken up tasks that last                          |
             | 2764 | every worker is cut off for longer than its leases                       |
             | 3480 | every worker carries calls out late for longer than its leases           |
             | 244  | every worker fails, and all are cut off then                             |
--- a/test/scheduling/scheduling.feature
+++ b/test/scheduling/scheduling.feature
@@ -194,6 +194,20 @@
         And 8000 ms pass
         Then 2 submissions are complete
 
+    Scenario: suspected workers have taken up tasks that last
+        Each worker has failed two submissions and been given one task to show itself sound. It lasts and so never ends as
+        done; the workers would stay suspected, and nothing else would start in their pool.
+
+        Given 1 entry and 2 workers
+        When a submission comes whose 2 tasks serve on, and 1 may be away
+        And 1 submission of 2 tasks of 2000 ms comes
+        And 500 ms pass
+        And every worker is "failing"
+        And 300 ms pass
+        And every worker is well
+        And 9000 ms pass
+        Then 1 submission is complete
+
     Scenario: tasks on a worker stand still
         Given 1 entry and 3 workers
         When worker 1 is "standstill"
