--- a/test/scheduling/scheduling.feature
+++ b/test/scheduling/scheduling.feature
@@ -227,8 +227,7 @@
         Then 2 submissions are complete
 
     Scenario: suspected workers have taken up tasks that last
-        Each worker has failed two submissions and been given one task to show itself sound. It lasts and so never ends as
-        done; the workers would stay suspected, and nothing else would start in their pool.
+        Guards against a pool whose workers stay suspected, since what was to prove them sound never ends.
 
         Given 1 entry and 2 workers
         When a submission comes whose 2 tasks serve on, and 1 may be away
