--- a/test/scheduling/scheduling.feature
+++ b/test/scheduling/scheduling.feature
@@ -133,6 +133,7 @@
         And worker 1 is well
         And 6000 ms pass
         Then 1 submission is complete
+        And the log tells that 4 runs that were given up showed again as "done"
 
     Scenario: a worker is cut off for a moment
         Given 1 entry and 2 workers
--- a/test/scheduling/scheduling.steps.ts
+++ b/test/scheduling/scheduling.steps.ts
@@ -319,6 +319,15 @@
     },
 );
 
+Then(
+    "the log tells that {int} run(s) that was/were given up showed again as {string}",
+    function(this: World, count: number, state: string) {
+        const log = this.world.owner()?.log ?? [];
+        const reappeared = log.filter((event) => event.kind === "runReappeared" && event.state === state);
+        assert.equal(reappeared.length, count);
+    },
+);
+
 Then("no task lapsed", function(this: World) {
     assert.deepEqual(this.world.workers.events.filter(({ kind }) => kind === "lapsed"), []);
 });
