--- a/soak/createFaults.ts
+++ b/soak/createFaults.ts
@@ -1,6 +1,6 @@
 import { pause } from "../src/clock";
 import type { Random } from "../standins/random";
-import type { StoreFault, WorkerFault } from "../standins/scheduling";
+import { type StoreFault, type WorkerFault, workerFaults } from "../standins/scheduling";
 import type { PathState, Proxy } from "./createProxy";
 import { revokedKey, type World } from "./createWorld";
 import type { Entry } from "./startEntry";
@@ -29,17 +29,6 @@
 const [shortestDownMs, longestDownMs] = [300, 1500];
 
 const storeFaults: readonly StoreFault[] = ["refused", "silent", "answerLost", "late"];
-const workerFaults: readonly WorkerFault[] = [
-    "cut",
-    "resetting",
-    "late",
-    "failing",
-    "standstill",
-    "mute",
-    "muteStarts",
-    "lostLooks",
-];
-
 /** Faults that leave a new owner without a worker's list, or with one that is out of date. */
 const takeoverFaults: readonly WorkerFault[] = ["late", "mute", "lostLooks"];
 
--- a/standins/schedules/createSchedule.ts
+++ b/standins/schedules/createSchedule.ts
@@ -1,5 +1,5 @@
 import { createRandom, type Random } from "../random";
-import type { StoreFault, WorkerFault } from "../scheduling";
+import { type StoreFault, workerFaults } from "../scheduling";
 import type { Act, Schedule, StepPlan, SubmissionPlan } from "./schedule";
 
 /** Submissions and faults begin within this time, in milliseconds. */
@@ -14,17 +14,6 @@
 /** Longest time that a fault lasts, in milliseconds; a worker's longest lease and a takeover fit in. */
 const maxFaultMs = 7000;
 
-const workerFaults: readonly WorkerFault[] = [
-    "cut",
-    "resetting",
-    "late",
-    "failing",
-    "standstill",
-    "mute",
-    "muteStarts",
-    "lostLooks",
-];
-
 const storeFaults: readonly StoreFault[] = ["refused", "silent", "answerLost", "late"];
 
 interface Parts {
--- a/standins/scheduling/createFakeTaskWorkers.ts
+++ b/standins/scheduling/createFakeTaskWorkers.ts
@@ -11,24 +11,27 @@
     WorkerTarget,
 } from "../../src/runs";
 
-/** How a worker treats orders. */
-export type WorkerFault =
+/** How a worker may treat orders. */
+export const workerFaults = [
     /** No call arrives. */
-    | "cut"
+    "cut",
     /** No call arrives, and the caller is told so at once. */
-    | "resetting"
+    "resetting",
     /** Orders are not answered and carried out seconds later, by a later life where there is one. */
-    | "late"
+    "late",
     /** Whatever starts fails at once. */
-    | "failing"
+    "failing",
     /** What runs does not move on. */
-    | "standstill"
+    "standstill",
     /** Calls arrive, and their answers are lost. */
-    | "mute"
+    "mute",
     /** Starts arrive, and their answers are lost; all other calls are answered. */
-    | "muteStarts"
+    "muteStarts",
     /** Calls for lists are lost; all other calls are answered. */
-    | "lostLooks";
+    "lostLooks",
+] as const;
+
+export type WorkerFault = typeof workerFaults[number];
 
 interface FakeRun {
     readonly task: string;
--- a/standins/scheduling/index.ts
+++ b/standins/scheduling/index.ts
@@ -6,6 +6,7 @@
     type FakeTaskWorkers,
     type WorkerEvent,
     type WorkerFault,
+    workerFaults,
 } from "./createFakeTaskWorkers";
 export {
     createSchedulingWorld,
