feat(policy, schedule, machines): an availability zone under evacuation gets no new work

What callers and operators saw: an operator's instruction to evacuate an availability zone was read nowhere.

Cause: the feed of the operators' instructions knew the configuration and waves alone.

Change: the feed follows evacuations by their keys; a worker of an evacuated zone is not open for new work, which planning, copies, consolidation and demand go by; a start that was recorded before is not ordered any more. Instructions older than the bound on evacuations less a second allow no start. What runs there goes on. Machines of the zone are sent to no pool but the standby pool, count as no room, and go down first in waves.

--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -18,7 +18,7 @@
 import type { Reporter } from "../logging";
 import { createEventMetrics } from "../metrics";
 import { chooseLinks, createPeers, type Peer } from "../peers";
-import { createPolicyFeed } from "../policy";
+import { createPolicyFeed, isFreshForStarts } from "../policy";
 import { createRelayedWorkers } from "../runs";
 import { createScheduler, type Scheduler } from "../scheduler";
 import { createRelayedStore } from "../store";
@@ -68,6 +68,7 @@
 export function createDaemon({ settings, report: log, droppedLines }: DaemonOptions): Daemon {
     const metrics = createEventMetrics({
         policyAgeMs: () => policyFeed.ageMs(),
+        evacuatedZones: () => policyFeed.evacuatedZones().size,
         dutyToken: () => duty.tenure()?.token,
         droppedLines,
         openRequests: () => openRequests,
@@ -167,6 +168,8 @@
             },
             policy: policyFeed.policy,
             waves: policyFeed.waves,
+            evacuatedZones: policyFeed.evacuatedZones,
+            isPolicyFresh: () => isFreshForStarts(policyFeed.ageMs(), settings.evacuateMs),
             async reportWave(wave, isComplete) {
                 const put = encodeWaveStatus(wave, isComplete);
                 const result = await store.commit({ conditions: [tenure.condition], puts: [put], deletes: [] });
--- a/src/logging/createReporter.ts
+++ b/src/logging/createReporter.ts
@@ -31,6 +31,7 @@
     "workerEnded",
     "runReappeared",
     "configurationApplied",
+    "evacuation",
     "started",
 ]);
 
--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -19,6 +19,8 @@
     | { readonly kind: "stopping"; readonly runningTasks: number; }
     | { readonly kind: "stopped"; }
     | { readonly kind: "configurationApplied"; readonly revision: number; }
+    /** Operators ask that the workers of an availability zone are sent nothing new, or take it back. */
+    | { readonly kind: "evacuation"; readonly zone: string; readonly change: "begun" | "ended"; }
     /** The platform holds an older value than this entry has seen, as after a restored backup. */
     | { readonly kind: "platformWentBack"; readonly key: string; }
     /** A value or message that is malformed, of another version, or contradicts what is known; it was not applied. */
--- a/src/machines/chooseMoves.ts
+++ b/src/machines/chooseMoves.ts
@@ -5,6 +5,8 @@
     readonly cpuMillis: number;
     /** How long it has had nothing to do, in milliseconds. */
     readonly idleMs: number;
+    /** Its availability zone is under evacuation: it can be parked, and is of no use to any pool. */
+    readonly isEvacuated: boolean;
 }
 
 /** What a pool needs and has; processors in thousandths, without those of long-running tasks that have their place. */
@@ -77,7 +79,8 @@
  * Demand turns from queue to queue: in its turn each asks several times what its pool holds. Idle machines go, one by
  * one, to the pool that is shortest of processors, whether for what waits or for what arrives; those that are off go
  * first, then those that have stood idle longest. Machines that no pool needs are parked, also before a pool has had any
- * work: from the standby pool they join any pool as fast as from another one, and cost nothing meanwhile.
+ * work: from the standby pool they join any pool as fast as from another one, and cost nothing meanwhile. Machines of an
+ * availability zone under evacuation are sent nowhere but there.
  */
 export function chooseMoves(opts: MoveOptions): readonly MoveChoice[] {
     const pools = new Map(opts.pools.map((pool) => [pool.pool, pool]));
@@ -91,8 +94,8 @@
     while (choices.length < opts.maxMoves) {
         const [to, short] = [...shortage].reduce((most, pool) => pool[1] > most[1] ? pool : most, ["", 0]);
         const isStuck = (pools.get(to)?.unplaceableCpuMillis ?? 0) > 0;
-        const index = idle.findIndex(({ id, pool, cpuMillis }) =>
-            pool !== to && !opts.impossible.has(`${id} ${to}`)
+        const index = idle.findIndex(({ id, pool, cpuMillis, isEvacuated }) =>
+            pool !== to && !isEvacuated && !opts.impossible.has(`${id} ${to}`)
             && (isStuck ? short > 0 : short >= leastMissingShare * cpuMillis)
             && (pool === standby || (shortage.get(pool) ?? 0) + cpuMillis <= 0)
         );
@@ -121,10 +124,11 @@
         return choices;
     }
     const machines = new Map([...pools.values()].map(({ pool, machines: count }) => [pool, count]));
-    for (const { id, pool, cpuMillis, idleMs } of idle) {
-        const without = (shortage.get(pool) ?? 0) + cpuMillis;
-        const left = (machines.get(pool) ?? 0) - 1;
-        const isSpare = without + (pools.get(pool)?.reserveCpuMillis ?? 0) <= 0 && left >= keptMachines;
+    for (const { id, pool, cpuMillis, idleMs, isEvacuated } of idle) {
+        // Its pool's room and count do not include a machine under evacuation.
+        const without = (shortage.get(pool) ?? 0) + (isEvacuated ? 0 : cpuMillis);
+        const left = (machines.get(pool) ?? 0) - (isEvacuated ? 0 : 1);
+        const isSpare = without + (pools.get(pool)?.reserveCpuMillis ?? 0) <= 0 && left >= keptMachines || isEvacuated;
         if (choices.length < most && pool !== standby && idleMs >= parkAfterMs && isSpare) {
             shortage.set(pool, without);
             machines.set(pool, left);
--- a/src/machines/chooseUpkeep.ts
+++ b/src/machines/chooseUpkeep.ts
@@ -18,6 +18,8 @@
     readonly mayWait: boolean;
     /** Machines that are being emptied for the wave. */
     readonly isEmptying: (id: string) => boolean;
+    /** Machines that can't be used anyway, as their availability zone is under evacuation. */
+    readonly isUnused: (machine: Machine) => boolean;
 }
 
 export interface UpkeepChoice {
@@ -51,7 +53,10 @@
         .map((id) => machines.get(id))
         .filter((machine): machine is Machine => machine?.state === "up")
         .filter((machine) => !opts.mayWait || opts.isEmptying(machine.id) || !opts.isNeeded(machine))
-        .sort((a, b) => countRuns(a) - countRuns(b) || Number(opts.isEmptying(b.id)) - Number(opts.isEmptying(a.id)));
+        .sort((a, b) =>
+            countRuns(a) - countRuns(b) || Number(opts.isEmptying(b.id)) - Number(opts.isEmptying(a.id))
+            || Number(opts.isUnused(b)) - Number(opts.isUnused(a))
+        );
     const now = sorted.filter((machine) => opts.runsOn(machine) === 0).slice(0, room).map(({ id }) => id);
     return {
         now,
--- a/src/machines/test/machines.feature
+++ b/src/machines/test/machines.feature
@@ -54,6 +54,19 @@
         When moves are chosen
         Then 2 machines go to "spare"
 
+    Scenario: machines under evacuation go to no pool that needs them
+        Guards against moves that bring no room, since nothing may be started on the machine.
+
+        Given pool "stalls" that needs 60 cores and has 10
+        And a pool "vets" that needs nothing
+        And 2 idle machines of 32 cores in standby
+        And 2 idle machines of 32 cores in "vets"
+        And the machines of "spare" are under evacuation
+        And the machines of "vets" are under evacuation
+        When moves are chosen
+        Then 0 machines go to "stalls"
+        And 2 machines go to "spare"
+
     Scenario: room for the first submissions of a turn stays
         Short submissions come several at a time when their turn begins. Those that wait for a machine to join are late.
 
@@ -124,6 +137,13 @@
         When its next machines are chosen
         Then the wave is complete
 
+    Scenario: a wave takes machines under evacuation first
+        Guards against a pool that loses room to a wave while machines that nobody may use are due as well.
+
+        Given a wave over "a", "b", "c" and "d", 2 at once, with "c, d" under evacuation
+        When its next machines are chosen
+        Then "c, d" go down now
+
     Scenario: a wave leaves machines that are needed to their pool while it has time
         It comes in the middle of a queue's turn. Machines taken down then are missed by those who wait; a few seconds
         later they stand idle.
--- a/src/machines/test/machines.steps.ts
+++ b/src/machines/test/machines.steps.ts
@@ -57,7 +57,13 @@
 
 function addIdle(world: World, count: number, cores: number, pool: string): void {
     for (let at = 0; at < count; at++) {
-        world.idle.push({ id: `machine-${world.idle.length}`, pool, cpuMillis: cores * 1000, idleMs: 5000 });
+        world.idle.push({
+            id: `machine-${world.idle.length}`,
+            pool,
+            cpuMillis: cores * 1000,
+            idleMs: 5000,
+            isEvacuated: false,
+        });
     }
     world.pools = world.pools.map((known) =>
         known.pool === pool && !known.isStandby
@@ -113,6 +119,13 @@
     },
 );
 
+Given("the machines of {string} are under evacuation", function(this: World, pool: string) {
+    this.idle = this.idle.map((machine) => machine.pool === pool ? { ...machine, isEvacuated: true } : machine);
+    this.pools = this.pools.map((known) =>
+        known.pool === pool && !known.isStandby ? { ...known, roomCpuMillis: 0, machines: 0 } : known
+    );
+});
+
 When("moves are chosen", function(this: World) {
     this.moves = chooseMoves({ pools: this.pools, idle: this.idle, impossible: new Set(), maxMoves: 20 });
 });
@@ -206,6 +219,7 @@
     needed: readonly string[] = [],
     mayWait = false,
     emptying: readonly string[] = [],
+    unused: readonly string[] = [],
 ): UpkeepChoice {
     return chooseUpkeep({
         wave: { wave: 1, machines: names, completeByS: 20, maxDown },
@@ -217,6 +231,7 @@
         isNeeded: ({ id }) => needed.includes(id),
         mayWait,
         isEmptying: (id) => emptying.includes(id),
+        isUnused: ({ id }) => unused.includes(id),
     });
 }
 
@@ -255,6 +270,13 @@
     },
 );
 
+Given(
+    "a wave over \"a\", \"b\", \"c\" and \"d\", {int} at once, with {string} under evacuation",
+    function(this: World, maxDown: number, unused: string) {
+        this.choose = () => choose(maxDown, () => 0, [], [], [], true, [], unused.split(", "));
+    },
+);
+
 Given("a wave over 4 machines, 2 at once, complete by {int} s", function(this: World, completeByS: number) {
     this.wave = { wave: 1, machines: names, completeByS, maxDown: 2 };
 });
--- a/src/metrics/createEventMetrics.ts
+++ b/src/metrics/createEventMetrics.ts
@@ -5,6 +5,8 @@
 export interface MetricReadings {
     /** Age of the configuration in force, in milliseconds. */
     policyAgeMs(): number | undefined;
+    /** Number of availability zones under evacuation. */
+    evacuatedZones(): number;
     /** Token of the duty while this entry holds it. */
     dutyToken(): number | undefined;
     droppedLines(): number;
@@ -74,6 +76,7 @@
         "Age of the configuration; -1 before the first",
         () => (readings.policyAgeMs() ?? -1000) / 1000,
     );
+    gauge("evacuated_zones", "Availability zones whose workers are sent nothing new", readings.evacuatedZones);
     gauge("duty_token", "Token of the duty held; 0 for none", () => readings.dutyToken() ?? 0);
     gauge("log_lines_dropped", "Log lines left out since the start", readings.droppedLines);
     gauge("open_requests", "Clients' requests under way", readings.openRequests);
--- a/src/policy/createPolicyFeed.ts
+++ b/src/policy/createPolicyFeed.ts
@@ -8,6 +8,8 @@
     readonly prefix: string;
     decodePolicy(key: string, text: string): Policy | undefined;
     decodeWave(key: string, text: string): Wave | undefined;
+    /** The availability zone that a key asks to evacuate; the key alone tells, whatever its value. */
+    decodeEvacuation(key: string): string | undefined;
 }
 
 export interface PolicyFeedOptions {
@@ -22,6 +24,8 @@
     /** The newest version seen; never an older one than before. */
     policy(): Policy | undefined;
     waves(): readonly Wave[];
+    /** Availability zones whose workers are to be sent nothing new. */
+    evacuatedZones(): ReadonlySet<string>;
     /** Every version accepted longer ago than this is in force here; `undefined` before the first answer. */
     ageMs(): number | undefined;
     /** The store has stopped answering, also through other entries. */
@@ -37,13 +41,40 @@
  */
 const watchWaitMs = 1500;
 
-/** Follows the operators' configuration and maintenance waves. */
+/** Follows the operators' configuration, maintenance waves and evacuations. */
 export function createPolicyFeed(opts: PolicyFeedOptions): PolicyFeed {
     let policy: Policy | undefined;
     const waves = new Map<string, Wave>();
+    const evacuatedZones = new Set<string>();
     let isStoreLost = false;
 
+    function beginEvacuation(zone: string): void {
+        if (!evacuatedZones.has(zone)) {
+            evacuatedZones.add(zone);
+            opts.report({ kind: "evacuation", zone, change: "begun" });
+        }
+    }
+
+    function endEvacuation(zone: string): void {
+        if (evacuatedZones.delete(zone)) {
+            opts.report({ kind: "evacuation", zone, change: "ended" });
+        }
+    }
+
+    function remove(key: string): void {
+        waves.delete(key);
+        const zone = opts.decoder.decodeEvacuation(key);
+        if (zone !== undefined) {
+            endEvacuation(zone);
+        }
+    }
+
     function take(key: string, text: string): void {
+        const zone = opts.decoder.decodeEvacuation(key);
+        if (zone !== undefined) {
+            beginEvacuation(zone);
+            return;
+        }
         const wave = opts.decoder.decodeWave(key, text);
         if (wave !== undefined) {
             waves.set(key, wave);
@@ -51,7 +82,7 @@
         }
         const next = opts.decoder.decodePolicy(key, text);
         if (next === undefined) {
-            opts.report({ kind: "valueRefused", key, detail: "it is neither a configuration nor a wave" });
+            opts.report({ kind: "valueRefused", key, detail: "it is no configuration, wave or evacuation" });
         }
         // A relayed answer can be older than one that came directly.
         else if (policy === undefined || next.version > policy.version) {
@@ -68,7 +99,7 @@
         nowMs: opts.clocks.suspendAwareMs,
         onItem(key, item) {
             if (item === undefined) {
-                waves.delete(key);
+                remove(key);
             }
             else {
                 take(key, item.text);
@@ -88,6 +119,7 @@
     return {
         policy: () => policy,
         waves: () => [...waves.values()].sort((a, b) => a.wave - b.wave),
+        evacuatedZones: () => evacuatedZones,
         ageMs() {
             const freshAtMs = follower.freshAtMs();
             return freshAtMs === undefined ? undefined : opts.clocks.suspendAwareMs() - freshAtMs;
--- /dev/null
+++ b/src/policy/test/policy.steps.ts
@@ -0,0 +1,110 @@
+import { After, Before, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { type Clock, installClock } from "../../../standins/dispatch";
+import { createFakeStore, type FakeStore } from "../../../standins/scheduling";
+import type { LogEvent } from "../../logging";
+import { createPolicyFeed, isFreshForStarts, type PolicyDecoder, type PolicyFeed } from "../index";
+
+interface World {
+    clock: Clock;
+    store: FakeStore;
+    feed: PolicyFeed | undefined;
+    log: LogEvent[];
+}
+
+const prefix = "operators/";
+const evacuationPrefix = `${prefix}evacuations/`;
+const entryName = "entry-1";
+
+const decoder: PolicyDecoder = {
+    prefix,
+    decodePolicy: () => undefined,
+    decodeWave: () => undefined,
+    decodeEvacuation: (key) => key.startsWith(evacuationPrefix) ? key.slice(evacuationPrefix.length) : undefined,
+};
+
+Before(function(this: World) {
+    this.clock = installClock();
+    this.store = createFakeStore();
+    this.log = [];
+});
+
+After(function(this: World) {
+    this.feed?.stop();
+    this.clock.uninstall();
+});
+
+/** Longer than a watch waits, so that every change has been heard. */
+const heardMs = 2000;
+
+async function pass({ clock }: World, ms: number): Promise<void> {
+    await clock.advance(ms);
+}
+
+Given("an entry that follows the operators' instructions", async function(this: World) {
+    this.feed = createPolicyFeed({
+        store: this.store.connect(entryName),
+        decoder,
+        clocks: { steadyMs: () => performance.now(), suspendAwareMs: () => performance.now() },
+        report: (event) => this.log.push(event),
+    });
+    this.feed.start();
+    await pass(this, heardMs);
+});
+
+Given("{string} was asked to be evacuated before", function(this: World, zone: string) {
+    this.store.put(evacuationPrefix + zone, "{}");
+});
+
+When("{string} and {string} are asked to be evacuated", async function(this: World, first: string, second: string) {
+    this.store.put(evacuationPrefix + first, "{}");
+    this.store.put(evacuationPrefix + second, "{}");
+    await pass(this, heardMs);
+});
+
+When("{string} is asked to be evacuated", async function(this: World, zone: string) {
+    this.store.put(evacuationPrefix + zone, "{}");
+    await pass(this, heardMs);
+});
+
+When("{string} is asked to be evacuated by a value that can't be read", async function(this: World, zone: string) {
+    this.store.put(evacuationPrefix + zone, "\u0000{");
+    await pass(this, heardMs);
+});
+
+When("{string} is taken back", async function(this: World, zone: string) {
+    this.store.remove(evacuationPrefix + zone);
+    await pass(this, heardMs);
+});
+
+When(
+    "the store doesn't answer the entry for {int} ms, meanwhile {string} is taken back, {string} is evacuated and the history is lost",
+    async function(this: World, ms: number, back: string, begun: string) {
+        this.store.setFault(entryName, "silent");
+        await pass(this, ms / 2);
+        this.store.remove(evacuationPrefix + back);
+        this.store.put(evacuationPrefix + begun, "{}");
+        this.store.forgetHistory();
+        await pass(this, ms / 2);
+        this.store.setFault(entryName, undefined);
+        await pass(this, heardMs);
+    },
+);
+
+Then("{string} is/are under evacuation", function(this: World, expected: string) {
+    assert.equal([...this.feed?.evacuatedZones() ?? []].sort().join(", "), expected);
+});
+
+Then("the log tells of {int} evacuations begun and {int} ended", function(this: World, begun: number, ended: number) {
+    const changes = this.log.flatMap((event) => event.kind === "evacuation" ? [event.change] : []);
+    const counts = ["begun", "ended"].map((kind) => changes.filter((change) => change === kind).length);
+    assert.deepEqual(counts, [begun, ended]);
+});
+
+Then(
+    "with instructions {word} ms old and evacuations to be followed within {word} ms starts are {word}",
+    function(ageText: string, boundText: string, word: string) {
+        const toMs = (text: string) => text === "never" ? undefined : Number(text);
+        assert.equal(isFreshForStarts(toMs(ageText), toMs(boundText)), word === "allowed");
+    },
+);
--- a/src/runs/createRuns.ts
+++ b/src/runs/createRuns.ts
@@ -124,7 +124,7 @@
         const nowMs = clocks.steadyMs();
         const leaseUntilMs = startValidUntilMs(worker, nowMs);
         const isStale = run.phase !== "recording" || !tenure.isValid() || leaseUntilMs === undefined;
-        if (isStale || worker.isDraining || task.owner.isCancelled) {
+        if (isStale || worker.isDraining || worker.isEvacuated || task.owner.isCancelled) {
             opts.drop(
                 run,
                 DropCause.notOrdered,
--- a/src/schedule/board.ts
+++ b/src/schedule/board.ts
@@ -143,6 +143,8 @@
     runList: RunList;
     /** The last call was answered. */
     isReachable: boolean;
+    /** Its availability zone is under evacuation: what runs may end, nothing new is started. */
+    isEvacuated: boolean;
     /** Kept free of new work, to be moved or maintained. */
     isReserved: boolean;
     clock: ClockReading | undefined;
--- a/src/schedule/createWorker.ts
+++ b/src/schedule/createWorker.ts
@@ -17,6 +17,7 @@
         isListed: false,
         runList: { kind: "unread" },
         isReachable: true,
+        isEvacuated: false,
         isReserved: false,
         clock: undefined,
         leaseUntilWorkerMs: 0,
--- a/src/schedule/index.ts
+++ b/src/schedule/index.ts
@@ -17,7 +17,7 @@
 export { lookAhead, targetAgeMs } from "./lookAhead";
 export { listUnits, orderWork, type RankedEntry, type Unit } from "./orderWork";
 export { paceOfWorkCpuMillis } from "./paceOfWork";
-export { fitsEmpty, hasRoom, isEligible, isOpen, placeTask } from "./placeTask";
+export { fitsEmpty, hasRoom, isEligible, isInService, isOpen, placeTask } from "./placeTask";
 export { planCopies } from "./planCopies";
 export { groupByPool, listAdviceCandidates, planStarts } from "./planStarts";
 export { routeOf } from "./routeOf";
--- a/src/schedule/placeTask.ts
+++ b/src/schedule/placeTask.ts
@@ -29,6 +29,11 @@
 
 /** Whether new work may be given to a worker at all. */
 export function isOpen(worker: Worker): boolean {
+    return isInService(worker) && !worker.isEvacuated;
+}
+
+/** Whether a worker could take work as far as it and its machine are concerned, evacuations aside. */
+export function isInService(worker: Worker): boolean {
     return worker.isListed && worker.runList.kind === "read" && worker.isReachable && !worker.isDraining
         && !worker.isReserved
         && worker.strays === 0;
--- a/src/scheduler/createFleetKeeper.ts
+++ b/src/scheduler/createFleetKeeper.ts
@@ -32,6 +32,7 @@
     readonly joinMs: number;
     readonly policy: () => Policy | undefined;
     readonly waves: () => readonly Wave[];
+    readonly evacuatedZones: () => ReadonlySet<string>;
     /** How long an upkeep takes, in milliseconds. */
     readonly maintenanceMs: number;
     /** Orders to machines that the platform takes a second, over all entries. */
--- a/src/scheduler/createFleetView.ts
+++ b/src/scheduler/createFleetView.ts
@@ -1,7 +1,7 @@
 import type { Clocks } from "../clock";
 import type { Reporter } from "../logging";
 import type { IdleMachine, Machine, MachineOrder, MachineOrderResult, MachineOrders, Machines } from "../machines";
-import { type Board, isOpen, type Worker } from "../schedule";
+import { type Board, isInService, type Worker } from "../schedule";
 
 export interface FleetViewOptions {
     readonly board: Board;
@@ -13,6 +13,7 @@
     readonly maintenanceMs: number;
     /** Pool whose machines are off; `undefined` where there is none. */
     readonly standby: () => string | undefined;
+    readonly evacuatedZones: () => ReadonlySet<string>;
     /** Asks a worker at once what it runs. */
     lookNow(worker: Worker): void;
     onLifeEnded(worker: Worker, reason: string): void;
@@ -192,6 +193,10 @@
         return machine?.workerId === undefined ? undefined : board.workers.get(machine.workerId);
     }
 
+    function isEvacuated(machine: Machine | undefined): boolean {
+        return machine !== undefined && opts.evacuatedZones().has(machine.zone);
+    }
+
     function isFree(id: string): boolean {
         const isObstructed = (obstacles.get(id) ?? 0) > clocks.steadyMs();
         return !journeys.has(id) && !isObstructed && !orders.isBlocked(id);
@@ -254,20 +259,21 @@
                 }
                 const worker = workerOf(machine);
                 const isIdle = machine.pool === standby
-                    || (worker !== undefined && isOpen(worker) && worker.runs.size === 0);
+                    || (worker !== undefined && isInService(worker) && worker.runs.size === 0);
                 if (isIdle) {
                     idle.push({
                         id: machine.id,
                         pool: machine.pool,
                         cpuMillis: machine.capacity.cpuMillis,
                         idleMs: nowMs - (worker?.idleSinceMs ?? 0),
+                        isEvacuated: isEvacuated(machine),
                     });
                 }
             }
             return idle;
         },
         comingCpuMillis: (pool) =>
-            [...journeys].filter(([, journey]) => journey.toPool === pool)
+            [...journeys].filter(([id, journey]) => journey.toPool === pool && !isEvacuated(machines.get(id)))
                 .reduce((sum, [id]) => sum + (machines.get(id)?.capacity.cpuMillis ?? 0), 0),
         onUpkeep: (wave) =>
             [...journeys].filter(([, journey]) => journey.wave === wave)
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -64,6 +64,9 @@
     readonly bounds: SchedulerBounds;
     readonly policy: () => Policy | undefined;
     readonly waves: () => readonly Wave[];
+    readonly evacuatedZones: () => ReadonlySet<string>;
+    /** Whether what operators ask for is known well enough to start anything; an evacuation may have been asked for since. */
+    readonly isPolicyFresh: () => boolean;
     /** Writes the state of a wave for the operators; gives false where it is not in the store. */
     readonly reportWave: (wave: number, isComplete: boolean) => Promise<boolean>;
     /** An order was refused for a lower token, or the duty's key is no longer ours. */
@@ -206,6 +209,7 @@
         steadyMs: clocks.steadyMs,
         onLifeEnded,
         isOrdered: (worker) => keeper.isOrdered(worker),
+        evacuatedZones: opts.evacuatedZones,
         follow: looks.follow,
     });
     const intake = createIntake({
@@ -223,7 +227,7 @@
         estimates,
         tenure,
         steadyMs: clocks.steadyMs,
-        policy: opts.policy,
+        policy: () => opts.isPolicyFresh() ? opts.policy() : undefined,
         advisor,
         window,
         startAll: (entry, group) => void startAll(entry, group),
@@ -250,6 +254,7 @@
         joinMs,
         policy: opts.policy,
         waves: opts.waves,
+        evacuatedZones: opts.evacuatedZones,
         maintenanceMs: opts.bounds.maintenanceMs,
         maxStopMs: opts.bounds.maxStopMs,
         ordersPerSecond: opts.bounds.machineOrdersPerSecond,
@@ -273,6 +278,13 @@
         }
     }
 
+    function markEvacuated(): void {
+        const zones = opts.evacuatedZones();
+        for (const worker of board.workers.values()) {
+            worker.isEvacuated = zones.has(worker.zone);
+        }
+    }
+
     function tick(): void {
         const nowMs = clocks.steadyMs();
         for (const entry of board.submissions.values()) {
@@ -374,7 +386,10 @@
         // Asked before all submissions are read, a queue with a backlog would be shown as empty.
         findState: (id) => isLoaded ? intake.findState(id) : undefined,
         countPending: (route) => isLoaded ? intake.countPending(route) : undefined,
-        policyChanged: () => planner.planSoon(),
+        policyChanged() {
+            markEvacuated();
+            planner.planSoon();
+        },
     };
 }
 
--- a/src/scheduler/createWaves.ts
+++ b/src/scheduler/createWaves.ts
@@ -13,6 +13,7 @@
     readonly orders: MachineOrders;
     readonly waves: () => readonly Wave[];
     readonly standby: () => string | undefined;
+    readonly evacuatedZones: () => ReadonlySet<string>;
     /** How long an upkeep takes, in milliseconds. */
     readonly maintenanceMs: number;
     /** Longest time that a stop takes on a worker, in milliseconds. */
@@ -66,6 +67,10 @@
         return worker?.runList.kind === "read" && worker.strays === 0 ? worker.runs.size : undefined;
     }
 
+    function isEvacuated({ zone }: Machine): boolean {
+        return opts.evacuatedZones().has(zone);
+    }
+
     function isOccupied(id: string): boolean {
         const machine = machines.get(id);
         return machine !== undefined && (countRuns(machine) ?? 0) > 0;
@@ -180,9 +185,10 @@
                 removed: findRemoved(wave),
                 down,
                 runsOn: countRuns,
-                isNeeded: (machine) => isNeeded(machine) && !slow.has(machine.id),
+                isNeeded: (machine) => isNeeded(machine) && !slow.has(machine.id) && !isEvacuated(machine),
                 mayWait: open.mayWait,
                 isEmptying: (id) => emptyingSince.has(id),
+                isUnused: isEvacuated,
             });
             void note(wave, choice.isComplete && view.isKnown());
             wave.machines.filter((id) => begun.has(id)).forEach((id) => emptyingSince.delete(id));
--- a/src/scheduler/createWorkerIntake.ts
+++ b/src/scheduler/createWorkerIntake.ts
@@ -11,6 +11,7 @@
     onLifeEnded(worker: Worker, reason: string): void;
     /** Whether an order to the worker's machine is under way. */
     isOrdered(worker: Worker): boolean;
+    readonly evacuatedZones: () => ReadonlySet<string>;
     follow(worker: Worker): void;
 }
 
@@ -59,6 +60,7 @@
             if (worker.bornMs === entry.bornMs) {
                 applyEntry(worker, entry);
             }
+            worker.isEvacuated = opts.evacuatedZones().has(worker.zone);
             // An entry that was gone for a moment comes back as a worker of which nothing is known.
             worker.isReserved ||= opts.isOrdered(worker);
             opts.follow(worker);
--- a/src/scheduler/measureDemand.ts
+++ b/src/scheduler/measureDemand.ts
@@ -92,7 +92,8 @@
         roomCpuMillis,
         comingCpuMillis,
         reserveCpuMillis: reservedSubmissions * meter.typicalCpuMillis(pool),
-        machines: workers.filter(({ isListed, isReserved }) => isListed && !isReserved).length,
+        machines: workers.filter(({ isListed, isReserved, isEvacuated }) => isListed && !isReserved && !isEvacuated)
+            .length,
     };
 }
 
--- a/src/scheduler/test/fleetView.steps.ts
+++ b/src/scheduler/test/fleetView.steps.ts
@@ -42,6 +42,7 @@
         },
         maintenanceMs: 2000,
         standby: () => undefined,
+        evacuatedZones: () => new Set(),
         lookNow: (worker) => world.asked.push(worker),
         onLifeEnded: (worker) => world.ended.push(worker),
     });
--- a/standins/scheduling/createSchedulingWorld.ts
+++ b/standins/scheduling/createSchedulingWorld.ts
@@ -70,6 +70,14 @@
     listed(): readonly Machine[];
     waves: Wave[];
     policy: Policy;
+    /** Availability zones whose workers are to be sent nothing new. */
+    readonly evacuatedZones: Set<string>;
+    /** Begins or ends an evacuation and tells the owner. */
+    evacuate(zone: string, isOn: boolean): void;
+    /** Whether entries hear what operators ask for. */
+    isPolicyFresh: boolean;
+    /** Availability zones of workers, by id; `zone-a` where none is given. */
+    readonly zones: Map<string, string>;
     /** What the advice service answers; all workers are good at first. */
     advise(workerIds: readonly string[]): Promise<AdviceResult>;
     addEntry(name: string): SchedulingEntry;
@@ -186,6 +194,7 @@
                 return;
             }
             const nextId = world.areIdsKept ? workerId : `${workerId}+`;
+            world.zones.set(nextId, machine.zone);
             world.addWorker(nextId, pool);
             replace({ state: "up", pool, workerId: nextId });
         }, restartMs);
@@ -206,6 +215,18 @@
         mostMaintained: () => mostMaintained,
         waves: [],
         policy: plainPolicy,
+        evacuatedZones: new Set(),
+        evacuate(zone, isOn) {
+            if (isOn) {
+                world.evacuatedZones.add(zone);
+            }
+            else {
+                world.evacuatedZones.delete(zone);
+            }
+            entries.forEach((entry) => entry.scheduler()?.policyChanged());
+        },
+        isPolicyFresh: true,
+        zones: new Map(),
         advise: (workerIds) =>
             Promise.resolve({
                 kind: "permits",
@@ -233,7 +254,7 @@
                 bornMs,
                 pool,
                 address: opts.addressOf?.(id) ?? id,
-                zone: "zone-a",
+                zone: world.zones.get(id) ?? "zone-a",
                 isDraining: false,
                 drainLeftMs: 0,
                 capacity: { cpuMillis: 4000, memoryMb: 16_000, accelerators: 0 },
@@ -310,6 +331,8 @@
                 },
                 policy: () => world.policy,
                 waves: () => world.waves,
+                evacuatedZones: () => world.evacuatedZones,
+                isPolicyFresh: () => world.isPolicyFresh,
                 reportWave: () => Promise.resolve(true),
                 onFenced: () => duty.noteRefused(),
             });
--- a/test/scheduling/machines.steps.ts
+++ b/test/scheduling/machines.steps.ts
@@ -16,19 +16,20 @@
     }));
 }
 
-function addStandby(world: World): void {
+export function addStandby(world: World): void {
     const services = new Map(plainPolicy.services);
     services.set("spare", { name: "spare", rejectsOverload: false, isStandby: true, maxConnections: 64 });
     world.world.policy = { ...plainPolicy, services };
 }
 
-function listMachines(world: World): readonly string[] {
+/** The machines of all workers, each in its worker's zone. */
+export function listMachines(world: World): readonly string[] {
     const ids = Array.from({ length: world.workers }, (_, at) => `machine-${at + 1}`);
     world.world.setMachines(ids.map((id, at) => ({
         id,
         pool: "stalls",
         state: "up",
-        zone: "zone-a",
+        zone: world.world.zones.get(workerName(at + 1)) ?? "zone-a",
         labels: [],
         capacity: { cpuMillis: 4000, memoryMb: 16_000, accelerators: 0 },
         workerId: workerName(at + 1),
