fix(logging): lines are written in blocks that a pipe takes at once

Cause: the lines of 100 ms were one write of up to 58 KB, of which the reader kept the first and the last 4 KB (8,474 to 8,476 bytes of each such write arrived). Ruled out: the budget of each kind (the lines that were missing are far below it) and a round that holds up the timer (the writes come each 100 ms).

Change: whole lines in blocks of 4,096 bytes at most.

--- a/src/logging/createLineSink.ts
+++ b/src/logging/createLineSink.ts
@@ -32,6 +32,7 @@
  * A day at full load makes hundreds of lines a second, and a reader of the pipe may stop. Written one by one they cost
  * more than the decisions they tell of; written without a bound they fill the memory until the process is killed, or
  * block it. So lines are written in groups, each kind has a budget a second, and what is left out is counted in a line.
+ * Each write holds whole lines and is small enough that a pipe takes it at once.
  */
 export function createLineSink(opts: LineSinkOptions): LineSink {
     let gathered: string[] = [];
@@ -49,7 +50,9 @@
             reportedCount = droppedCount;
         }
         if (gathered.length > 0 && !isBlocked) {
-            isBlocked = !opts.output.write(gathered.join(""));
+            for (const block of toBlocks(gathered)) {
+                isBlocked = !opts.output.write(block);
+            }
             gathered = [];
             gatheredBytes = 0;
         }
@@ -90,3 +93,20 @@
         },
     };
 }
+
+/** Bytes that a pipe takes at once: a write of at most this many is not mixed with others and not cut. */
+const maxBlockBytes = 4096;
+
+/** Joins whole lines to blocks that a pipe takes at once. */
+function toBlocks(lines: readonly string[]): readonly string[] {
+    const blocks: string[] = [];
+    let block = "";
+    for (const line of lines) {
+        if (block !== "" && block.length + line.length > maxBlockBytes) {
+            blocks.push(block);
+            block = "";
+        }
+        block += line;
+    }
+    return block === "" ? blocks : [...blocks, block];
+}
--- a/src/logging/test/logging.feature
+++ b/src/logging/test/logging.feature
@@ -11,6 +11,13 @@
         When 100 lines of "duty" and 1 line of "request" come
         Then 101 lines are written
 
+    Scenario: lines are written whole, in blocks that a pipe takes at once
+        Guards against lines that are cut in the middle where a reader takes a part of a long write.
+
+        Given a sink that takes 10 lines of a kind a second
+        When 1000 lines of "duty" and 1 line of "request" come
+        Then each write ends with a line and has at most 4096 bytes
+
     Scenario: a reader that has stopped reading
         The pipe is full. Lines that wait would fill the memory until the process is killed, and a write that waits would
         hold up every request.
--- a/src/logging/test/logging.steps.ts
+++ b/src/logging/test/logging.steps.ts
@@ -6,6 +6,7 @@
 interface World {
     sink: LineSink;
     written: string;
+    writes: string[];
 }
 
 After(function(this: World) {
@@ -14,6 +15,7 @@
 
 function createSink(world: World, output: Writable): void {
     world.written = "";
+    world.writes = [];
     world.sink = createLineSink({ output, linesPerSecond: 10, isUnbounded: (kind) => kind === "duty" });
 }
 
@@ -23,6 +25,7 @@
         new Writable({
             write: (chunk, _encoding, done) => {
                 this.written += String(chunk);
+                this.writes.push(String(chunk));
                 done();
             },
         }),
@@ -66,6 +69,11 @@
     assert.ok(this.written.includes("\"lines\":90"));
 });
 
+Then("each write ends with a line and has at most {int} bytes", function(this: World, most: number) {
+    assert.ok(this.writes.length > 1);
+    assert.deepEqual(this.writes.filter((text) => !text.endsWith("\n") || text.length > most), []);
+});
+
 Then("at most {int} KB wait", function(this: World, most: number) {
     assert.ok(this.written.length < most * 1024, `${this.written.length} bytes`);
 });
