--- /dev/null
+++ b/bench/decide/main.ts
@@ -0,0 +1,133 @@
+import { mkdirSync } from "node:fs";
+import { join } from "node:path";
+import { parseArgs } from "node:util";
+import { prepareCheckout } from "./checkouts";
+import { compare } from "./compare";
+import { type Decision, decisions } from "./decisions";
+import { keepPlays, type Play, playDay, playModel, readPlays, type Setting, settingName } from "./plays";
+
+/**
+ * `npm run bench -- decide --list` names decisions and their variants.
+ *
+ * `npm run bench -- decide NAME --work FOLDER --model 1,2` plays seeds of the model with each variant, and
+ * `--bench PROGRAM --day SITE:DAY:SEED` (repeated) days of deployments, in turns. What was played is kept in the folder.
+ */
+export async function runDecide(args: readonly string[]): Promise<number> {
+    const { values, positionals } = parseArgs({
+        args: [...args],
+        allowPositionals: true,
+        options: {
+            list: { type: "boolean", default: false },
+            work: { type: "string" },
+            model: { type: "string", default: "" },
+            quick: { type: "boolean", default: false },
+            bench: { type: "string", default: "" },
+            day: { type: "string", multiple: true, default: [] },
+            jobs: { type: "string", default: "3" },
+        },
+    });
+    if (values.list) {
+        process.stdout.write(decisions.map(describe).join(""));
+        return 0;
+    }
+    const decision = decisions.find(({ name }) => name === positionals[0]);
+    if (decision === undefined || values.work === undefined) {
+        process.stderr.write(
+            "usage: npm run bench -- decide --list | NAME --work FOLDER [--model SEEDS] [--day ...]\n",
+        );
+        return 2;
+    }
+    mkdirSync(values.work, { recursive: true });
+    const file = join(values.work, `${decision.name}.jsonl`);
+    const known = readPlays(file);
+    const seeds = values.model.split(",").filter((text) => text !== "").map(Number);
+    const jobs = [
+        ...seeds.flatMap((seed) => planModel(decision, values.work ?? "", seed, values.quick, known)),
+        ...values.day.map(parseSetting).flatMap((setting) =>
+            planDay(decision, values.work ?? "", values.bench, setting, known)
+        ),
+    ];
+    await runJobs(jobs, Number(values.jobs), file);
+    console.table(tabulate(decision, readPlays(file)));
+    return 0;
+}
+
+type Job = () => Promise<readonly Play[]>;
+
+function describe({ name, question, variants }: Decision): string {
+    const lines = variants.map((variant) =>
+        `    ${variant.name}${variant.isStanding ? " (stands)" : ""}: ${variant.summary}\n`
+    );
+    return `${name}: ${question}\n${lines.join("")}`;
+}
+
+function parseSetting(text: string): Setting {
+    const [site = "", day = "", seed = "1"] = text.split(":");
+    return { site, day, seed: Number(seed) };
+}
+
+function planModel(decision: Decision, work: string, seed: number, isQuick: boolean, known: readonly Play[]): Job[] {
+    return decision.variants
+        .filter(({ name }) => !known.some((play) => play.variant === name && play.setting.endsWith(`seed ${seed}`)))
+        .map((variant) => () => playModel(prepareCheckout(work, decision, variant), variant.name, seed, isQuick));
+}
+
+function planDay(decision: Decision, work: string, bench: string, setting: Setting, known: readonly Play[]): Job[] {
+    return decision.variants
+        .filter(({ name }) => !known.some((play) => play.variant === name && play.setting === settingName(setting)))
+        .map((variant) => async () => [
+            await playDay(bench, prepareCheckout(work, decision, variant), variant.name, setting),
+        ]);
+}
+
+/** At most `most` at a time; what has been played is kept as it ends. */
+async function runJobs(jobs: readonly Job[], most: number, file: string): Promise<void> {
+    const left = [...jobs];
+    const work = async () => {
+        for (let job = left.shift(); job !== undefined; job = left.shift()) {
+            keepPlays(file, await job());
+        }
+    };
+    await Promise.all(Array.from({ length: most }, work));
+}
+
+/** Mean differences of each variant to the one that stands, by group of settings and part of the worth. */
+function tabulate(decision: Decision, plays: readonly Play[]): readonly Record<string, string | number>[] {
+    const standing = decision.variants.find(({ isStanding }) => isStanding)?.name ?? "";
+    const groupOf = ({ setting }: Play) =>
+        setting.startsWith("model, ") ? setting.split(":")[0] : setting.split(" ")[0];
+    const groups = [...new Set(plays.map(groupOf))];
+    const parts = [
+        "worth",
+        ...new Set(plays.flatMap(({ figures }) => Object.keys(figures)).filter((p) => p !== "worth")),
+    ];
+    const rows: Record<string, string | number>[] = [];
+    for (const { name } of decision.variants.filter(({ isStanding }) => !isStanding)) {
+        for (const group of groups) {
+            for (const part of parts) {
+                const pairs = plays.filter((play) => play.variant === name && groupOf(play) === group).flatMap(
+                    (play) => {
+                        const base = plays.find((each) => each.variant === standing && each.setting === play.setting);
+                        const [a, b] = [base?.figures[part], play.figures[part]];
+                        return a === undefined || b === undefined
+                            ? []
+                            : [{ setting: play.setting, standing: a, other: b }];
+                    },
+                );
+                const difference = compare(pairs);
+                if (difference.pairs > 0) {
+                    const { least, most, mean } = difference;
+                    rows.push({
+                        variant: name,
+                        group: group ?? "",
+                        part,
+                        pairs: difference.pairs,
+                        difference: mean.toFixed(4),
+                        interval: `${least.toFixed(4)} to ${most.toFixed(4)}`,
+                    });
+                }
+            }
+        }
+    }
+    return rows;
+}
--- a/bench/experiments.ts
+++ b/bench/experiments.ts
@@ -5,6 +5,7 @@
 import { stateCost } from "./fleet/stateCost";
 import { waves } from "./fleet/waves";
 import { limitsExperiment, limitsSchedulesExperiment } from "./limits";
+import { modelExperiment } from "./model";
 import { onceExperiment } from "./once/onceExperiment";
 import { overheadExperiment } from "./overhead";
 import { overloadExperiment } from "./overload";
@@ -22,6 +23,7 @@
     overheadExperiment,
     decisionsExperiment,
     planningExperiment,
+    modelExperiment,
     configuration,
     soak,
     schedules,
--- /dev/null
+++ b/bench/model/index.ts
@@ -0,0 +1,1 @@
+export { modelExperiment } from "./modelExperiment";
--- /dev/null
+++ b/bench/model/simulateFleet.ts
@@ -0,0 +1,242 @@
+import { chooseMoves, createDemandMeter, type IdleMachine } from "../../src/machines";
+import type { Policy } from "../../src/policy";
+import {
+    addOccurrence,
+    addSubmission,
+    createBoard,
+    createEstimates,
+    createWorker,
+    findTask,
+    isComplete,
+    isOpen,
+    lookAhead,
+    planStarts,
+    removeRun,
+    removeWorker,
+    type Run,
+    type SubmissionEntry,
+    type Worker,
+} from "../../src/schedule";
+import { measureDemand } from "../../src/scheduler";
+import { plainRoute } from "../../standins/scheduling";
+import { createArrivals, type ModelSubmission, poolName } from "./createArrivals";
+import type { ModelFleet } from "./drawFleet";
+import { type ModelResult, scoreDay } from "./scoreDay";
+
+/** Time of a record in the store and of an order to a worker, until a task works, in milliseconds. */
+const startDelayMs = 20;
+/** From a task's end until its owner knows, in milliseconds. */
+const endDelayMs = 25;
+const stepMs = 10;
+const decideMs = 150;
+/** What a machine needs beside the move itself to take work, in milliseconds. */
+const joinOverheadMs = 250;
+/** Orders to machines in one round of decisions: a part of the machines, and a few at least. */
+const movesPerMachine = 0.13;
+const leastMoves = 8;
+
+const standbyPool = "spare";
+
+interface ModelMachine {
+    readonly id: string;
+    readonly zone: string;
+    readonly rack: string;
+    pool: string;
+    worker: Worker | undefined;
+    joinsAtMs: number;
+    lives: number;
+}
+
+interface Ending {
+    readonly run: Run;
+    readonly atMs: number;
+}
+
+/**
+ * Plays a day of a fleet: the product's modules decide on starts and moves, and the model answers for store, workers and
+ * machines with fixed delays. Nothing fails in it; it compares decisions, and the bench has the last word.
+ */
+export function simulateFleet(fleet: ModelFleet, seed: number): ModelResult {
+    const board = createBoard();
+    const estimates = createEstimates();
+    const joinMs = fleet.moveMs + joinOverheadMs;
+    const meter = createDemandMeter(joinMs);
+    const policy = createPolicy(fleet);
+    const mostMoves = Math.max(leastMoves, Math.floor(movesPerMachine * fleet.machines));
+    const machines = createMachines(fleet);
+    const arrivals = createArrivals(fleet, seed);
+    const known = new Map<string, ModelSubmission>();
+    const completedAtMs = new Map<string, number>();
+    const endings = new Map<number, Ending[]>();
+    let [next, machineMs, moves, workedCoreMs] = [0, 0, 0, 0];
+    let decideAtMs = 0;
+    let isDue = true;
+
+    function take(arrival: ModelSubmission, nowMs: number): void {
+        const entry = addSubmission(board, arrival.submission, 1, false, nowMs);
+        known.set(arrival.submission.id, arrival);
+        addOccurrence(entry, nowMs);
+        const { workCoreMs, chainMs } = lookAhead(entry, estimates, nowMs);
+        if (workCoreMs > 0) {
+            const work = { cpuMillis: 1000 * workCoreMs / Math.max(1, chainMs), stayMs: chainMs };
+            meter.note(arrival.submission.service, work, nowMs);
+        }
+    }
+
+    function begin(run: Run, nowMs: number): void {
+        const { task } = run;
+        const trueMs = known.get(task.owner.submission.id)?.taskMs[task.stepNumber]?.[task.index] ?? 0;
+        const isRemote = task.step.dataRack !== undefined && run.worker.rack !== task.step.dataRack;
+        const tookMs = trueMs * (isRemote ? fleet.remoteFactor : 1);
+        run.phase = "running";
+        run.percent = task.step.isLongRunning ? 100 : 0;
+        if (Number.isFinite(tookMs)) {
+            workedCoreMs += tookMs * task.step.size.cpuMillis / 1000;
+            const atMs = Math.ceil((nowMs + startDelayMs + tookMs + endDelayMs) / stepMs) * stepMs;
+            endings.set(atMs, [...endings.get(atMs) ?? [], { run, atMs }]);
+        }
+    }
+
+    function end({ run }: Ending, nowMs: number): void {
+        const { task } = run;
+        if (findTask(board, task.name) !== task) {
+            return;
+        }
+        estimates.learn(task.owner.submission.route, task.step.estimateMs, nowMs - run.plannedAtMs);
+        removeRun(board, run, nowMs);
+        task.phase = "done";
+        finish(task.owner, nowMs);
+    }
+
+    function finish(entry: SubmissionEntry, nowMs: number): void {
+        if (isComplete(entry)) {
+            completedAtMs.set(entry.submission.id, nowMs);
+            board.submissions.delete(entry.submission.id);
+        }
+    }
+
+    function join(machine: ModelMachine, nowMs: number): void {
+        machine.joinsAtMs = Number.POSITIVE_INFINITY;
+        if (machine.pool !== standbyPool) {
+            machine.worker = addWorker(machine, fleet, nowMs);
+            board.workers.set(machine.worker.id, machine.worker);
+        }
+    }
+
+    function listIdle(nowMs: number): readonly IdleMachine[] {
+        return machines.filter(({ joinsAtMs, pool, worker }) =>
+            joinsAtMs === Number.POSITIVE_INFINITY
+            && (pool === standbyPool || (worker !== undefined && isOpen(worker) && worker.runs.size === 0))
+        ).map(({ id, pool, worker }) => ({
+            id,
+            pool,
+            cpuMillis: fleet.cores * 1000,
+            idleMs: nowMs - (worker?.idleSinceMs ?? 0),
+            isEvacuated: false,
+        }));
+    }
+
+    function decide(nowMs: number): void {
+        const pools = measureDemand({
+            board,
+            policy,
+            estimates,
+            meter,
+            nowMs,
+            timeOfDayMs: nowMs,
+            joinMs,
+            comingCpuMillis: (pool) =>
+                machines.filter((machine) => machine.pool === pool && machine.joinsAtMs < Number.POSITIVE_INFINITY)
+                    .length * fleet.cores * 1000,
+        });
+        for (const move of chooseMoves({ pools, idle: listIdle(nowMs), impossible: new Set(), maxMoves: mostMoves })) {
+            const machine = machines.find(({ id }) => id === move.machine);
+            if (machine !== undefined) {
+                send(machine, move.to, nowMs);
+            }
+        }
+    }
+
+    function send(machine: ModelMachine, pool: string, nowMs: number): void {
+        moves++;
+        if (machine.worker !== undefined) {
+            removeWorker(board, machine.worker);
+            board.workers.delete(machine.worker.id);
+        }
+        Object.assign(machine, { pool, worker: undefined, joinsAtMs: nowMs + joinMs - decideMs / 2 });
+    }
+
+    const lastMs = fleet.durationMs + settleMs;
+    for (let nowMs = 0; nowMs < lastMs; nowMs += stepMs) {
+        for (let arrival = arrivals[next]; arrival !== undefined && arrival.atMs <= nowMs; arrival = arrivals[next]) {
+            take(arrival, nowMs);
+            next++;
+            isDue = true;
+        }
+        for (const ending of endings.get(nowMs) ?? []) {
+            end(ending, nowMs);
+            isDue = true;
+        }
+        endings.delete(nowMs);
+        for (const machine of machines) {
+            if (machine.joinsAtMs <= nowMs) {
+                join(machine, nowMs);
+                isDue = true;
+            }
+        }
+        if (isDue) {
+            const options = { board, policy, estimates, nowMs, timeOfDayMs: nowMs, maxStarts: 200 };
+            planStarts({ ...options, allowedWorkers: () => undefined }).forEach((run) => begin(run, nowMs));
+            isDue = false;
+        }
+        if (nowMs >= decideAtMs) {
+            decide(nowMs);
+            decideAtMs = nowMs + decideMs;
+        }
+        machineMs += machines.filter(({ pool }) => pool !== standbyPool).length * stepMs;
+    }
+    return scoreDay({ fleet, arrivals, completedAtMs, machineMs, moves, workedCoreMs });
+}
+
+/** Played on after the last arrival, in milliseconds. */
+const settleMs = 5000;
+
+function createPolicy(fleet: ModelFleet): Policy {
+    const names = Array.from({ length: fleet.pools }, (_, pool) => poolName(pool));
+    const service = (name: string, isStandby: boolean) =>
+        [name, { name, rejectsOverload: false, isStandby, maxConnections: 64 }] as const;
+    return {
+        version: 1,
+        routes: names.map((name) => ({ ...plainRoute, name, service: name, pathPrefix: `/${name}/` })),
+        services: new Map([...names.map((name) => service(name, false)), service(standbyPool, true)]),
+        tenants: [],
+        limits: { maxHeaderBytes: 16_384, maxBodyBytes: 262_144, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
+    };
+}
+
+/** An even share of the machines in each pool, and one in standby. */
+function createMachines({ machines, pools, zones, racksPerZone }: ModelFleet): ModelMachine[] {
+    return Array.from({ length: machines }, (_, at) => ({
+        id: `machine-${at + 1}`,
+        zone: `zone-${at % zones + 1}`,
+        rack: `rack-${at % (zones * racksPerZone) + 1}`,
+        pool: at % (pools + 1) === pools ? standbyPool : poolName(at % (pools + 1)),
+        worker: undefined,
+        joinsAtMs: 0,
+        lives: 0,
+    }));
+}
+
+function addWorker(machine: ModelMachine, { cores }: ModelFleet, nowMs: number): Worker {
+    machine.lives++;
+    return Object.assign(createWorker(`${machine.id}-${machine.lives}`, nowMs), {
+        pool: machine.pool,
+        zone: machine.zone,
+        rack: machine.rack,
+        labels: ["a", machine.rack],
+        capacity: { cpuMillis: cores * 1000, memoryMb: cores * 4000, accelerators: 0 },
+        isListed: true,
+        runList: { kind: "read" as const, firstReadAtMs: nowMs, askedAtMs: nowMs },
+        idleSinceMs: nowMs,
+    });
+}
--- a/src/scheduler/index.ts
+++ b/src/scheduler/index.ts
@@ -1,3 +1,4 @@
 /** What the owner of the scheduling duty does during one tenure. */
 export { createScheduler, type Scheduler, type SchedulerBounds } from "./createScheduler";
+export { measureDemand } from "./measureDemand";
 export type { WorkerDecoder, WorkerEntry } from "./workerEntries";
--- a/standins/random/createRandom.ts
+++ b/standins/random/createRandom.ts
@@ -8,8 +8,12 @@
     /** True with the given probability, in hundredths. */
     chance(percent: number): boolean;
     pick<T>(items: readonly T[]): T;
+    /** A number from 0 to below 1. */
+    real(): number;
 }
 
+const realSteps = 2 ** 24;
+
 export function createRandom(seed: number): Random {
     const generator = xoroshiro128plus(seed);
     const int = (min: number, max: number) => uniformInt(generator, min, max);
@@ -17,5 +21,6 @@
         int,
         chance: (percent) => int(1, 100) <= percent,
         pick: (items) => items[int(0, items.length - 1)] as typeof items[number],
+        real: () => int(0, realSteps - 1) / realSteps,
     };
 }
