feat(bench): client accounts in the model; order of waiting work compared three ways

The order that stands (those that can be in time, least remaining work first) against the time that they have left, and against as many as can be in time together by that time (Moore and Hodgson).

Conclusion: the order stands; the two others are kept as patches.

A copy of the packages for each checkout: through a link a build removed those of the repository.

--- a/bench/decide/decisions.ts
+++ b/bench/decide/decisions.ts
@@ -22,8 +22,9 @@
         name: "order",
         question: "which waiting submission of a queue gets room first",
         variants: [
-            stands("least-work", "those that can be in time first, least remaining work before more"),
-            patched("least-slack", "those that can be in time first, by the time that they have left"),
+            stands("least-work", "those that can be in time, least remaining work before more"),
+            patched("timely-by-slack", "as many as can be in time together, by the time that they have left"),
+            patched("least-slack", "those that can be in time, by the time that they have left"),
         ],
     },
 ];
--- a/bench/decide/main.ts
+++ b/bench/decide/main.ts
@@ -41,10 +41,14 @@
     const file = join(values.work, `${decision.name}.jsonl`);
     const known = readPlays(file);
     const seeds = values.model.split(",").filter((text) => text !== "").map(Number);
+    const work = values.work;
+    const checkouts = new Map(
+        decision.variants.map((variant) => [variant.name, prepareCheckout(work, decision, variant, values.bench)]),
+    );
     const jobs = [
-        ...seeds.flatMap((seed) => planModel(decision, values.work ?? "", seed, values.quick, known)),
+        ...seeds.flatMap((seed) => planModel(decision, checkouts, seed, values.quick, known)),
         ...values.day.map(parseSetting).flatMap((setting) =>
-            planDay(decision, values.work ?? "", values.bench, setting, known)
+            planDay(decision, checkouts, values.bench, setting, known)
         ),
     ];
     await runJobs(jobs, Number(values.jobs), file);
@@ -66,18 +70,30 @@
     return { site, day, seed: Number(seed) };
 }
 
-function planModel(decision: Decision, work: string, seed: number, isQuick: boolean, known: readonly Play[]): Job[] {
+type Checkouts = ReadonlyMap<string, string>;
+
+function planModel(
+    decision: Decision,
+    checkouts: Checkouts,
+    seed: number,
+    isQuick: boolean,
+    known: readonly Play[],
+): Job[] {
     return decision.variants
         .filter(({ name }) => !known.some((play) => play.variant === name && play.setting.endsWith(`seed ${seed}`)))
-        .map((variant) => () => playModel(prepareCheckout(work, decision, variant), variant.name, seed, isQuick));
+        .map(({ name }) => () => playModel(checkouts.get(name) ?? "", name, seed, isQuick));
 }
 
-function planDay(decision: Decision, work: string, bench: string, setting: Setting, known: readonly Play[]): Job[] {
+function planDay(
+    decision: Decision,
+    checkouts: Checkouts,
+    bench: string,
+    setting: Setting,
+    known: readonly Play[],
+): Job[] {
     return decision.variants
         .filter(({ name }) => !known.some((play) => play.variant === name && play.setting === settingName(setting)))
-        .map((variant) => async () => [
-            await playDay(bench, prepareCheckout(work, decision, variant), variant.name, setting),
-        ]);
+        .map(({ name }) => async () => [await playDay(bench, checkouts.get(name) ?? "", name, setting)]);
 }
 
 /** At most `most` at a time; what has been played is kept as it ends. */
@@ -85,7 +101,13 @@
     const left = [...jobs];
     const work = async () => {
         for (let job = left.shift(); job !== undefined; job = left.shift()) {
-            keepPlays(file, await job());
+            try {
+                keepPlays(file, await job());
+            }
+            catch (error) {
+                // The others go on; a later call plays this one again.
+                process.stderr.write(`a play failed: ${String(error)}\n`);
+            }
         }
     };
     await Promise.all(Array.from({ length: most }, work));
--- a/bench/model/createArrivals.ts
+++ b/bench/model/createArrivals.ts
@@ -50,6 +50,21 @@
     return Math.max(1, Math.min(most, Math.round(logNormal(random, mean, sizeSpread))));
 }
 
+/** The share of all work that a client account sends: each has three quarters of the one before it. */
+export function tenantShares({ tenants }: ModelFleet): readonly number[] {
+    const weights = Array.from({ length: tenants }, (_, at) => 0.75 ** at);
+    const sum = weights.reduce((total, weight) => total + weight, 0);
+    return weights.map((weight) => weight / sum);
+}
+
+export const tenantName = (tenant: number): string => `tenant-${tenant + 1}`;
+
+function drawTenant(fleet: ModelFleet, random: Random): string {
+    let left = random.real();
+    const at = tenantShares(fleet).findIndex((share) => (left -= share) < 0);
+    return tenantName(Math.max(0, at));
+}
+
 function drawSubmission(fleet: ModelFleet, random: Random, pool: number, id: string, atMs: number): ModelSubmission {
     const steps: Step[] = [];
     const taskMs: number[][] = [];
@@ -75,7 +90,8 @@
         taskMs.push(times);
         workCoreMs += times.reduce((sum, ms) => sum + ms, 0) * cpuMillis / 1000;
     }
-    return { submission: toSubmission(id, pool, steps, atMs), atMs, taskMs, workCoreMs };
+    const submission = { ...toSubmission(id, pool, steps, atMs), tenant: drawTenant(fleet, random) };
+    return { submission, atMs, taskMs, workCoreMs };
 }
 
 function toSubmission(id: string, pool: number, steps: readonly Step[], atMs: number): Submission {
@@ -92,7 +108,7 @@
 }
 
 /** Work of one submission of the fleet on the mean, in core-milliseconds. */
-function meanWorkCoreMs(fleet: ModelFleet): number {
+export function meanWorkCoreMs(fleet: ModelFleet): number {
     return meanSteps * meanWidth * fleet.taskShare * fleet.cores * fleet.taskMs;
 }
 
--- a/bench/model/drawFleet.ts
+++ b/bench/model/drawFleet.ts
@@ -29,6 +29,10 @@
     readonly turnMs: number;
     /** Processors that a pool's work keeps busy in the middle of its turn, as a share of all machines'. */
     readonly peakShare: number;
+    /** Client accounts; a few of them are large. */
+    readonly tenants: number;
+    /** What an account may have running, as a multiple of its share of the peak; 0: no limit. */
+    readonly capFactor: number;
     /** Tasks that last, in each pool. */
     readonly lastingTasks: number;
     /** Tasks of one submission that last and may share a machine. */
@@ -51,18 +55,22 @@
     moveMs: 1500,
     nearShare: 0,
     remoteFactor: 2,
+    tenants: 6,
+    capFactor: 1.2,
     turns: "hat",
     turnMs: 8500,
-    lastingTasks: 20,
-    lastingPerMachine: 4,
     durationMs: 34_000,
 } as const;
 
+const few = { machines: 35, peakShare: 0.6, lastingTasks: 5, lastingPerMachine: 2 } as const;
+const many = { machines: 246, peakShare: 0.5, lastingTasks: 48, lastingPerMachine: 4 } as const;
+
 /** Fleets of usual sizes, whose pools take turns. */
 export const usualFleets: readonly ModelFleet[] = [
-    { ...turning, name: "few large machines", machines: 35, cores: 32, taskShare: 0.08, taskMs: 1000, peakShare: 0.6 },
-    { ...turning, name: "few small machines", machines: 35, cores: 16, taskShare: 0.1, taskMs: 900, peakShare: 0.6 },
-    { ...turning, name: "many small machines", machines: 246, cores: 16, taskShare: 0.09, taskMs: 640, peakShare: 0.5 },
+    { ...turning, ...few, name: "few large machines", cores: 32, taskShare: 0.08, taskMs: 1000 },
+    { ...turning, ...few, name: "few small machines", cores: 16, taskShare: 0.1, taskMs: 900 },
+    { ...turning, ...many, name: "many large machines", cores: 32, taskShare: 0.12, taskMs: 800 },
+    { ...turning, ...many, name: "many small machines", cores: 16, taskShare: 0.09, taskMs: 640 },
 ];
 
 export interface DrawOptions {
@@ -97,6 +105,8 @@
             turns: random.pick<TurnShape>(["none", "jump", "hat", "hat"]),
             turnMs,
             peakShare: 0.3 + 0.5 * random.real(),
+            tenants: random.int(3, 20),
+            capFactor: random.pick([0, 1.2, 2.5]),
             lastingTasks: random.int(0, Math.floor(machines / pools)),
             lastingPerMachine: random.int(1, 4),
             durationMs: isQuick ? 30_000 : 60_000,
--- a/bench/model/simulateFleet.ts
+++ b/bench/model/simulateFleet.ts
@@ -17,9 +17,9 @@
     type SubmissionEntry,
     type Worker,
 } from "../../src/schedule";
-import { measureDemand } from "../../src/scheduler";
+import { createConsolidator, measureDemand } from "../../src/scheduler";
 import { plainRoute } from "../../standins/scheduling";
-import { createArrivals, type ModelSubmission, poolName } from "./createArrivals";
+import { createArrivals, type ModelSubmission, poolName, tenantName, tenantShares } from "./createArrivals";
 import type { ModelFleet } from "./drawFleet";
 import { type ModelResult, scoreDay } from "./scoreDay";
 
@@ -28,6 +28,8 @@
 /** From a task's end until its owner knows, in milliseconds. */
 const endDelayMs = 25;
 const stepMs = 10;
+/** How long a stop takes, in milliseconds. */
+const maxStopMs = 200;
 const decideMs = 150;
 /** What a machine needs beside the move itself to take work, in milliseconds. */
 const joinOverheadMs = 250;
@@ -64,6 +66,17 @@
     const policy = createPolicy(fleet);
     const mostMoves = Math.max(leastMoves, Math.floor(movesPerMachine * fleet.machines));
     const machines = createMachines(fleet);
+    let nowMs = 0;
+    const consolidator = createConsolidator({
+        board,
+        clocks: { steadyMs: () => nowMs, suspendAwareMs: () => nowMs },
+        maxStopMs,
+        stop(run) {
+            run.phase = "stopping";
+            const atMs = nowMs + maxStopMs;
+            endings.set(atMs, [...endings.get(atMs) ?? [], { run, atMs }]);
+        },
+    });
     const arrivals = createArrivals(fleet, seed);
     const known = new Map<string, ModelSubmission>();
     const completedAtMs = new Map<string, number>();
@@ -102,6 +115,10 @@
         if (findTask(board, task.name) !== task) {
             return;
         }
+        if (run.phase === "stopping") {
+            removeRun(board, run, nowMs);
+            return;
+        }
         estimates.learn(task.owner.submission.route, task.step.estimateMs, nowMs - run.plannedAtMs);
         removeRun(board, run, nowMs);
         task.phase = "done";
@@ -149,6 +166,7 @@
                 machines.filter((machine) => machine.pool === pool && machine.joinsAtMs < Number.POSITIVE_INFINITY)
                     .length * fleet.cores * 1000,
         });
+        consolidator.decide(pools);
         for (const move of chooseMoves({ pools, idle: listIdle(nowMs), impossible: new Set(), maxMoves: mostMoves })) {
             const machine = machines.find(({ id }) => id === move.machine);
             if (machine !== undefined) {
@@ -167,7 +185,7 @@
     }
 
     const lastMs = fleet.durationMs + settleMs;
-    for (let nowMs = 0; nowMs < lastMs; nowMs += stepMs) {
+    for (; nowMs < lastMs; nowMs += stepMs) {
         for (let arrival = arrivals[next]; arrival !== undefined && arrival.atMs <= nowMs; arrival = arrivals[next]) {
             take(arrival, nowMs);
             next++;
@@ -209,11 +227,26 @@
         version: 1,
         routes: names.map((name) => ({ ...plainRoute, name, service: name, pathPrefix: `/${name}/` })),
         services: new Map([...names.map((name) => service(name, false)), service(standbyPool, true)]),
-        tenants: [],
+        tenants: createTenants(fleet),
         limits: { maxHeaderBytes: 16_384, maxBodyBytes: 262_144, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
     };
 }
 
+/** Accounts whose limits are a multiple of their shares of a peak. */
+function createTenants(fleet: ModelFleet): Policy["tenants"] {
+    const { capFactor, peakShare, machines, cores } = fleet;
+    return tenantShares(fleet).map((share, at) => ({
+        name: tenantName(at),
+        keys: [],
+        weight: 1,
+        cap: {
+            cpuMillis: Math.round(capFactor * share * peakShare * machines * cores * 1000),
+            memoryMb: 0,
+            accelerators: 0,
+        },
+    }));
+}
+
 /** An even share of the machines in each pool, and one in standby. */
 function createMachines({ machines, pools, zones, racksPerZone }: ModelFleet): ModelMachine[] {
     return Array.from({ length: machines }, (_, at) => ({
--- a/src/scheduler/index.ts
+++ b/src/scheduler/index.ts
@@ -1,4 +1,5 @@
 /** What the owner of the scheduling duty does during one tenure. */
+export { createConsolidator } from "./createConsolidator";
 export { createScheduler, type Scheduler, type SchedulerBounds } from "./createScheduler";
 export { measureDemand } from "./measureDemand";
 export type { WorkerDecoder, WorkerEntry } from "./workerEntries";
