perf(scheduler): demand and order go by what client accounts may have running

The waiting work was of accounts at their limits.

Change: what a pool needs is counted by account, up to its limit over all pools, arrivals by the same share; submissions of an account at its limit are neither ranked nor looked at for a place.

--- a/src/schedule/index.ts
+++ b/src/schedule/index.ts
@@ -14,6 +14,7 @@
     tasksOf,
 } from "./entries";
 export { createEstimates, type Estimates, remainingChainMs, remainingWork, waitingCpuMillis } from "./estimates";
+export { hasTenantRoom } from "./hasTenantRoom";
 export { lookAhead, targetAgeMs } from "./lookAhead";
 export { listUnits, orderWork, type RankedEntry, type Unit } from "./orderWork";
 export { paceOfWorkCpuMillis } from "./paceOfWork";
--- a/src/schedule/planStarts.ts
+++ b/src/schedule/planStarts.ts
@@ -1,7 +1,8 @@
 import type { Policy } from "../policy";
 import type { Step } from "../submissions";
-import type { Board, Run, SubmissionEntry, Task, Worker } from "./board";
+import type { Board, Run, SubmissionEntry, Worker } from "./board";
 import { type Estimates } from "./estimates";
+import { hasTenantRoom } from "./hasTenantRoom";
 import { listUnits, orderWork, type Unit } from "./orderWork";
 import { isEligible, isOpen, placeTask } from "./placeTask";
 import { routeOf } from "./routeOf";
@@ -30,9 +31,20 @@
     );
     const caps = new Map(policy.tenants.map(({ name, cap }) => [name, cap]));
     const misses = new Map<string, number>();
+    const isWithinCap = ({ entry, tasks }: Unit) => {
+        const { tenant } = entry.submission;
+        const size = tasks[0]?.step.size;
+        return size === undefined || hasTenantRoom(board, tenant, caps.get(tenant ?? ""), size, tasks.length);
+    };
+    const mayHaveMore = ({ submission: { tenant } }: SubmissionEntry, { size }: Step) =>
+        hasTenantRoom(board, tenant, caps.get(tenant ?? ""), size);
     const started: Run[] = [];
     const ranked = orderWork({
-        entries: listPlaceable(board, (entry) => pools.get(routeOf(policy, entry.submission).service)?.hole),
+        entries: listPlaceable(
+            board,
+            (entry) => pools.get(routeOf(policy, entry.submission).service)?.hole,
+            mayHaveMore,
+        ),
         routeOf: (submission) => routeOf(policy, submission),
         estimates,
         nowMs,
@@ -49,7 +61,7 @@
             if (isFull()) {
                 break;
             }
-            if (!isWithinCap(board, caps.get(unit.entry.submission.tenant ?? ""), unit)) {
+            if (!isWithinCap(unit)) {
                 continue;
             }
             const runs = fits(unit, pool.hole) ? placeUnit(unit, pool.workers, opts) : [];
@@ -96,16 +108,19 @@
 }
 
 /**
- * Submissions that have a step for which their pool may have a place. In a peak most wait for a full pool: an owner that
- * ranks all of them in each round spends its time on finding that none of them has a place.
+ * Submissions that have a step for which their pool may have a place, and which their client account may have running. In a
+ * peak most wait for a full pool: an owner that ranks all of them in each round spends its time on finding that none of
+ * them has a place. Those of an account at its limit would, besides, take the place of others among the timely ones.
  */
 function* listPlaceable(
     { submissions }: Board,
     holeOf: (entry: SubmissionEntry) => Hole | undefined,
+    mayHaveMore: (entry: SubmissionEntry, step: Step) => boolean,
 ): Generator<SubmissionEntry> {
     for (const entry of submissions.values()) {
         const hole = holeOf(entry);
-        if (hole !== undefined && entry.submission.steps.some((step) => fitsStep(step, hole))) {
+        const isPlaceable = (step: Step) => hole !== undefined && fitsStep(step, hole) && mayHaveMore(entry, step);
+        if (entry.submission.steps.some(isPlaceable)) {
             yield entry;
         }
     }
@@ -125,19 +140,6 @@
     return pools;
 }
 
-function isWithinCap(board: Board, cap: Task["step"]["size"] | undefined, { entry, tasks }: Unit): boolean {
-    const { tenant } = entry.submission;
-    const size = tasks[0]?.step.size;
-    if (tenant === undefined || cap === undefined || size === undefined) {
-        return true;
-    }
-    const use = board.tenantUse.get(tenant) ?? { cpuMillis: 0, memoryMb: 0, accelerators: 0 };
-    const isBelow = (used: number, each: number, most: number) => most === 0 || used + each * tasks.length <= most;
-    return isBelow(use.cpuMillis, size.cpuMillis, cap.cpuMillis)
-        && isBelow(use.memoryMb, size.memoryMb, cap.memoryMb)
-        && isBelow(use.accelerators, size.accelerators, cap.accelerators);
-}
-
 /** Places all tasks of a unit, or none. */
 function placeUnit(unit: Unit, workers: readonly Worker[], opts: PlanOptions): readonly Run[] {
     const allowed = opts.allowedWorkers(unit, workers);
--- /dev/null
+++ b/src/scheduler/test/demand.steps.ts
@@ -0,0 +1,105 @@
+import { Before, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { plainPolicy, plainSubmission } from "../../../standins/scheduling";
+import { createDemandMeter, type PoolDemand } from "../../machines";
+import type { Policy } from "../../policy";
+import {
+    addDueOccurrences,
+    addSubmission,
+    type Board,
+    createBoard,
+    createEstimates,
+    createWorker,
+} from "../../schedule";
+import { measureDemand } from "../index";
+
+interface World {
+    board: Board;
+    policy: Policy;
+    nowMs: number;
+}
+
+const startMs = 100_000;
+const joinMs = 2000;
+
+Before(function(this: World) {
+    this.board = createBoard();
+    this.policy = { ...plainPolicy, tenants: [] };
+    this.nowMs = startMs;
+});
+
+Given("a pool with {int} worker(s) of {int} cores", function(this: World, count: number, cores: number) {
+    for (let at = 0; at < count; at++) {
+        const worker = Object.assign(createWorker(`worker-${at + 1}`, 1), {
+            pool: "stalls",
+            capacity: { cpuMillis: cores * 1000, memoryMb: 64_000, accelerators: 0 },
+            isListed: true,
+            runList: { kind: "read" as const, firstReadAtMs: 0, askedAtMs: 0 },
+        });
+        this.board.workers.set(worker.id, worker);
+    }
+});
+
+function setCap(world: World, name: string, cores: number): void {
+    const cap = { cpuMillis: cores * 1000, memoryMb: 0, accelerators: 0 };
+    world.policy = { ...world.policy, tenants: [...world.policy.tenants, { name, keys: [], weight: 1, cap }] };
+}
+
+Given("the account {string} may have {int} cores", function(this: World, name: string, cores: number) {
+    setCap(this, name, cores);
+});
+
+Given(
+    "the account {string} may have {int} cores, and has them running",
+    function(this: World, name: string, cores: number) {
+        setCap(this, name, cores);
+        this.board.tenantUse.set(name, { cpuMillis: cores * 1000, memoryMb: 0, accelerators: 0 });
+    },
+);
+
+function send(world: World, tenant: string, count: number, tasks: number, cores: number): void {
+    for (let at = 0; at < count; at++) {
+        const size = { cpuMillis: cores * 1000, memoryMb: 100, accelerators: 0 };
+        const plain = plainSubmission(`${tenant}-${at}`, [{ count: tasks, size }]);
+        const entry = addSubmission(world.board, { ...plain, tenant, acceptedAtMs: startMs }, 1, false, startMs);
+        addDueOccurrences(entry, startMs, startMs);
+    }
+}
+
+When(
+    "{string} sends {int} submission(s) of {int} tasks of {int} core(s)",
+    function(this: World, tenant: string, count: number, tasks: number, cores: number) {
+        send(this, tenant, count, tasks, cores);
+    },
+);
+
+When(
+    "{string} sends {int} submission(s) of {int} tasks of {int} cores, and {int} ms pass",
+    function(this: World, tenant: string, count: number, tasks: number, cores: number, ms: number) {
+        send(this, tenant, count, tasks, cores);
+        this.nowMs += ms;
+    },
+);
+
+function measure({ board, policy, nowMs }: World): PoolDemand {
+    const [demand] = measureDemand({
+        board,
+        policy,
+        estimates: createEstimates(),
+        meter: createDemandMeter(joinMs),
+        nowMs,
+        comingCpuMillis: () => 0,
+        timeOfDayMs: nowMs,
+        joinMs,
+    });
+    assert.ok(demand);
+    return demand;
+}
+
+Then("the pool needs {int} cores", function(this: World, cores: number) {
+    assert.equal(Math.round(measure(this).neededCpuMillis / 1000), cores);
+});
+
+Then("nothing waits without a place", function(this: World) {
+    assert.equal(measure(this).unplaceableCpuMillis, 0);
+});
