--- a/bench/decide/decisions.ts
+++ b/bench/decide/decisions.ts
@@ -27,6 +27,38 @@
             patched("least-slack", "those that can be in time, by the time that they have left"),
         ],
     },
+    {
+        name: "duty-lease",
+        question: "how long the lease of the duty runs",
+        variants: [
+            stands("two-seconds", "an owner that is lost is missed for up to 2 s; short outages end no tenure"),
+            patched("short", "1.2 s"),
+        ],
+    },
+    {
+        name: "zones",
+        question: "whether the tasks of a submission keep to one availability zone",
+        variants: [
+            stands("one", "where the zone has room; a submission then waits for leases to run out in one zone at most"),
+            patched("any", "the fullest worker, wherever it is"),
+        ],
+    },
+    {
+        name: "room",
+        question: "how much room a pool gets for each processor that it needs",
+        variants: [
+            stands("a-fifth-more", "1.2 times"),
+            patched("two-fifths-more", "1.4 times"),
+        ],
+    },
+    {
+        name: "looks",
+        question: "how long the ends of one worker are gathered before it is looked at again",
+        variants: [
+            stands("short", "25 ms: room is found free sooner"),
+            patched("long", "75 ms: fewer calls"),
+        ],
+    },
 ];
 
 /** The file of a variant's patch, relative to the repository. */
