--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -16,6 +16,12 @@
     },
 ];
 
+/** What is decided by the operators' instructions imports them, and not the other way round. */
+const aboveThePolicy = {
+    regex: "^\\.\\./(submissions|schedule|scheduler|machines|runs)$",
+    message: "The operators' instructions stand below the parts that follow them.",
+};
+
 export default tseslint.config(
     { ignores: ["node_modules/", "dist/", "build/", "target/"] },
     ...tseslint.configs.recommended,
@@ -43,6 +49,10 @@
         },
     },
     { files: ["src/**/*.ts"], rules: { "no-restricted-imports": ["error", { patterns: deepImports }] } },
+    {
+        files: ["src/policy/*.ts"],
+        rules: { "no-restricted-imports": ["error", { patterns: [...deepImports, aboveThePolicy] }] },
+    },
     { files: ["src/*/test/**/*.ts"], rules: { "no-restricted-imports": ["error", { patterns: sliceTests }] } },
     {
         files: [
--- a/src/machines/machines.ts
+++ b/src/machines/machines.ts
@@ -1,4 +1,4 @@
-import type { Resources } from "../submissions";
+import type { Resources } from "../resources";
 
 export type MachineState = "up" | "moving" | "maintenance" | "down";
 
--- a/src/policy/policy.ts
+++ b/src/policy/policy.ts
@@ -1,4 +1,4 @@
-import type { Resources } from "../submissions";
+import type { Resources } from "../resources";
 
 /** A queue: which requests it takes, where its tasks run and how they are treated. */
 export interface Route {
--- /dev/null
+++ b/src/resources/index.ts
@@ -0,0 +1,2 @@
+/** Sizes of tasks, machines and limits. */
+export type { Resources } from "./resources";
--- a/src/schedule/board.ts
+++ b/src/schedule/board.ts
@@ -1,4 +1,5 @@
-import type { Resources, Step, Submission } from "../submissions";
+import type { Resources } from "../resources";
+import type { Step, Submission } from "../submissions";
 
 /**
  * Where one start of a task stands.
--- a/src/scheduler/measureDemand.ts
+++ b/src/scheduler/measureDemand.ts
@@ -1,5 +1,6 @@
 import { type DemandMeter, forecastNeedCpuMillis, leastMissingShare, type PoolDemand } from "../machines";
 import type { Policy } from "../policy";
+import type { Resources } from "../resources";
 import {
     type Board,
     type Estimates,
@@ -14,7 +15,6 @@
     waitingCpuMillis,
     type Worker,
 } from "../schedule";
-import type { Resources } from "../submissions";
 import { unplaceableCpuMillis, unplaceableStayingCpuMillis } from "./findUnplaceable";
 import { sumRoom } from "./sumRoom";
 
--- a/src/scheduler/workerEntries.ts
+++ b/src/scheduler/workerEntries.ts
@@ -1,4 +1,4 @@
-import type { Resources } from "../submissions";
+import type { Resources } from "../resources";
 
 /** What a worker says of itself in the platform's store. */
 export interface WorkerEntry {
--- a/src/submissions/index.ts
+++ b/src/submissions/index.ts
@@ -5,7 +5,6 @@
 export { decodeRecord, encodeRecord, submissionKey, submissionPrefix, type SubmissionRecord } from "./record";
 export {
     type FinalState,
-    type Resources,
     type Schedule,
     type Step,
     type Submission,
--- a/src/submissions/submission.ts
+++ b/src/submissions/submission.ts
@@ -1,10 +1,4 @@
-/** What a task occupies while it runs. */
-export interface Resources {
-    /** Thousandths of a processor core. */
-    readonly cpuMillis: number;
-    readonly memoryMb: number;
-    readonly accelerators: number;
-}
+import type { Resources } from "../resources";
 
 /** Equal tasks of a submission that may run side by side. */
 export interface Step {
