fix(machines): a pool with tasks that have no place gets its machine before pools in their turn

Their pool needed one machine; two other pools in their turns lacked a hundred each, and idle machines go to the largest shortage. The wave stood still meanwhile, since the step bears two tasks away, and ended with 3 of 123 machines late.

Change: pools with tasks that fit nowhere come first, those that lack least among them before others.

--- a/src/machines/chooseMoves.ts
+++ b/src/machines/chooseMoves.ts
@@ -77,8 +77,8 @@
  * Which machines should change pools now.
  *
  * Demand turns from queue to queue: in its turn each asks several times what its pool holds. Idle machines go, one by
- * one, to the pool that is shortest of processors, whether for what waits or for what arrives; those that are off go
- * first, then those that have stood idle longest. Machines that no pool needs are parked, also before a pool has had any
+ * one, to pools with tasks that have no place anywhere, then to the pool that is shortest of processors, whether for what
+ * waits or for what arrives; those that are off go first, then those that have stood idle longest. Machines that no pool needs are parked, also before a pool has had any
  * work: from the standby pool they join any pool as fast as from another one, and cost nothing meanwhile. Machines of an
  * availability zone under evacuation are sent nowhere but there.
  */
@@ -92,8 +92,7 @@
     const idle = [...opts.idle].sort((a, b) => rank(a) - rank(b) || b.idleMs - a.idleMs);
     const choices: MoveChoice[] = [];
     while (choices.length < opts.maxMoves) {
-        const [to, short] = [...shortage].reduce((most, pool) => pool[1] > most[1] ? pool : most, ["", 0]);
-        const isStuck = (pools.get(to)?.unplaceableCpuMillis ?? 0) > 0;
+        const { to, short, isStuck } = chooseNeediest(shortage, pools);
         const index = idle.findIndex(({ id, pool, cpuMillis, isEvacuated }) =>
             pool !== to && !isEvacuated && !opts.impossible.has(`${id} ${to}`)
             && (isStuck ? short > 0 : short >= leastMissingShare * cpuMillis)
@@ -112,6 +111,25 @@
     return [...choices, ...park(idle, standby, shortage, pools, opts.maxMoves - choices.length)];
 }
 
+interface Neediest {
+    readonly to: string;
+    /** Processors that it lacks, in thousandths; 0: no pool lacks any. */
+    readonly short: number;
+    /** Tasks of it have no place, however much is free. */
+    readonly isStuck: boolean;
+}
+
+/**
+ * A pool in its turn lacks hundreds of machines; one with a few tasks that fit nowhere lacks one. By shortage alone that
+ * one would wait until all turns are over, with tasks that serve users away and the wave that moved them held up.
+ */
+function chooseNeediest(shortage: ReadonlyMap<string, number>, pools: ReadonlyMap<string, PoolDemand>): Neediest {
+    const short = [...shortage].filter(([, missing]) => missing > 0).sort((a, b) => b[1] - a[1]);
+    const isStuck = (pool: string) => (pools.get(pool)?.unplaceableCpuMillis ?? 0) > 0;
+    const [to, missing] = short.findLast(([pool]) => isStuck(pool)) ?? short[0] ?? ["", 0];
+    return { to, short: missing, isStuck: isStuck(to) };
+}
+
 function park(
     idle: readonly IdleMachine[],
     standby: string | undefined,
