--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -1,10 +1,13 @@
 import type { DefinedCommand } from "../defineCommand";
 import { confirm } from "./confirm";
 import { credentialNew } from "./credentialNew";
+import { day } from "./day";
 import { entry } from "./entry";
+import { explain } from "./explain";
 import { follow } from "./follow";
 import { keyGrant } from "./keyGrant";
 import { keyWithdraw } from "./keyWithdraw";
+import { machineTime } from "./machineTime";
 import { plan } from "./plan";
 import { planCancel, planPause, planResume } from "./planSteer";
 import { settings } from "./settings";
@@ -24,4 +27,7 @@
     keyGrant,
     keyWithdraw,
     credentialNew,
+    explain,
+    machineTime,
+    day,
 ];
--- a/scripts/readLogLines.ts
+++ b/src/logs/readLogLines.ts
@@ -16,6 +16,11 @@
     return sortByTime((await Promise.all(files.map(readFile))).flat());
 }
 
+/** When a line was written, in seconds since 1970. */
+export function logSeconds({ timestamp }: LogLine): number {
+    return Date.parse(timestamp) / 1000;
+}
+
 export function sortByTime(lines: readonly LogLine[]): readonly LogLine[] {
     return [...lines].sort((a, b) => a.timestamp < b.timestamp ? -1 : 1);
 }
--- a/scripts/machineTime.ts
+++ b/src/logs/sumMachineTime.ts
@@ -1,12 +1,7 @@
-import { type LogLine, readLogLines } from "./readLogLines";
+import { type LogLine, logSeconds as seconds } from "./readLogLines";
 
-/**
- * Tells where machine time went, from the logs of all entries:
- *
- *     npm run machine-time -- LOG...
- */
-
-interface PoolTime {
+/** Machine time of a pool, by what its machines did. */
+export interface PoolTime {
     emptyS: number;
     stayingS: number;
     workingS: number;
@@ -14,15 +9,37 @@
     usedCoreS: number;
 }
 
+/** How many machines that joined a pool found work at once, later, or never. */
+export interface JoinedMachines {
+    prompt: number;
+    later: number;
+    never: number;
+}
+
+/** A time without an owner, or without one that decided. */
+export interface Vacancy {
+    readonly until: string;
+    readonly lastedS: number;
+    /** Why the next owner gained the duty. */
+    readonly reason: string;
+}
+
+/** Where machine time went, by the logs of all entries. */
+export interface MachineTime {
+    readonly pools: ReadonlyMap<string, PoolTime>;
+    readonly joined: JoinedMachines;
+    readonly vacancies: readonly Vacancy[];
+}
+
+export function sumMachineTime(lines: readonly LogLine[]): MachineTime {
+    return { pools: sumPools(lines), joined: countJoined(lines), vacancies: listVacancies(lines) };
+}
+
 /** A line each second is expected; across a longer gap nobody decided, and nothing is known. */
 const longestGapS = 3;
 
 /** A machine that has work this soon after it joined was worth its move, in seconds. */
-const promptS = 1;
-
-function seconds({ timestamp }: LogLine): number {
-    return Date.parse(timestamp) / 1000;
-}
+export const promptS = 1;
 
 function sumPools(lines: readonly LogLine[]): ReadonlyMap<string, PoolTime> {
     const pools = new Map<string, PoolTime>();
@@ -49,8 +66,7 @@
     return pools;
 }
 
-/** How many machines that joined a pool found work at once, later, or never. */
-function countJoined(lines: readonly LogLine[]): { prompt: number; later: number; never: number; } {
+function countJoined(lines: readonly LogLine[]): JoinedMachines {
     const firstStartS = new Map<string, number>();
     for (const line of lines.filter(({ message, order }) => message === "order" && order === "start")) {
         const worker = String(line.worker);
@@ -68,31 +84,16 @@
     return counts;
 }
 
-/** Seconds between the loss of the duty, or the last line of its holder, and its next gain. */
-function listVacancies(lines: readonly LogLine[]): readonly string[] {
-    const gaps: string[] = [];
+/** Between the loss of the duty, or the last line of its holder, and its next gain. */
+function listVacancies(lines: readonly LogLine[]): readonly Vacancy[] {
+    const gaps: Vacancy[] = [];
     let last: LogLine | undefined;
     for (const line of lines.filter(({ message }) => message === "duty" || message === "room")) {
         if (line.message === "duty" && line["change"] === "gained" && last !== undefined) {
-            gaps.push(`${line.timestamp} ${(seconds(line) - seconds(last)).toFixed(2)} s (${String(line["reason"])})`);
+            const lastedS = seconds(line) - seconds(last);
+            gaps.push({ until: line.timestamp, lastedS, reason: String(line["reason"]) });
         }
         last = line;
     }
     return gaps;
 }
-
-async function main(files: readonly string[]): Promise<void> {
-    const lines = await readLogLines(files);
-    process.stdout.write("pool        empty s  staying s  working s  processors used\n");
-    for (const [pool, { emptyS, stayingS, workingS, coreS, usedCoreS }] of sumPools(lines)) {
-        const figures = [emptyS, stayingS, workingS].map((each) => each.toFixed(0).padStart(9)).join("  ");
-        process.stdout.write(`${pool.padEnd(10)}${figures}  ${(100 * usedCoreS / Math.max(1, coreS)).toFixed(0)}%\n`);
-    }
-    const { prompt, later, never } = countJoined(lines);
-    process.stdout.write(
-        `machines that joined: ${prompt} found work within ${promptS} s, ${later} later, ${never} none\n`,
-    );
-    process.stdout.write(`without an owner:\n${listVacancies(lines).map((gap) => `  ${gap}\n`).join("")}`);
-}
-
-void main(process.argv.slice(2));
