--- a/src/schedule/planStarts.ts
+++ b/src/schedule/planStarts.ts
@@ -110,7 +110,7 @@
 /**
  * Submissions that have a step for which their pool may have a place, and which their client account may have running. In a
  * peak most wait for a full pool: an owner that ranks all of them in each round spends its time on finding that none of
- * them has a place. Those of an account at its limit would, besides, take the place of others among the timely ones.
+ * them has a place.
  */
 function* listPlaceable(
     { submissions }: Board,
