fix(bench): a rule that one variant alone breaks shows in the comparison

A report names a price or a rule only where it counts; a variant that broke a rule which the other kept had no pair, and the table said nothing of it. The table has a module of its own.

--- a/bench/decide/main.ts
+++ b/bench/decide/main.ts
@@ -2,9 +2,9 @@
 import { join } from "node:path";
 import { parseArgs } from "node:util";
 import { prepareCheckout } from "./checkouts";
-import { compare } from "./compare";
 import { type Decision, decisions } from "./decisions";
 import { keepPlays, type Play, playDay, playModel, readPlays, type Setting, settingName } from "./plays";
+import { tabulate } from "./tabulate";
 
 /**
  * `npm run bench -- decide --list` names decisions and their variants.
@@ -112,44 +112,3 @@
     };
     await Promise.all(Array.from({ length: most }, work));
 }
-
-/** Mean differences of each variant to the one that stands, by group of settings and part of the worth. */
-function tabulate(decision: Decision, plays: readonly Play[]): readonly Record<string, string | number>[] {
-    const standing = decision.variants.find(({ isStanding }) => isStanding)?.name ?? "";
-    const groupOf = ({ setting }: Play) =>
-        setting.startsWith("model, ") ? setting.split(":")[0] : setting.split(" ")[0];
-    const groups = [...new Set(plays.map(groupOf))];
-    const parts = [
-        "worth",
-        ...new Set(plays.flatMap(({ figures }) => Object.keys(figures)).filter((p) => p !== "worth")),
-    ];
-    const rows: Record<string, string | number>[] = [];
-    for (const { name } of decision.variants.filter(({ isStanding }) => !isStanding)) {
-        for (const group of groups) {
-            for (const part of parts) {
-                const pairs = plays.filter((play) => play.variant === name && groupOf(play) === group).flatMap(
-                    (play) => {
-                        const base = plays.find((each) => each.variant === standing && each.setting === play.setting);
-                        const [a, b] = [base?.figures[part], play.figures[part]];
-                        return a === undefined || b === undefined
-                            ? []
-                            : [{ setting: play.setting, standing: a, other: b }];
-                    },
-                );
-                const difference = compare(pairs);
-                if (difference.pairs > 0) {
-                    const { least, most, mean } = difference;
-                    rows.push({
-                        variant: name,
-                        group: group ?? "",
-                        part,
-                        pairs: difference.pairs,
-                        difference: mean.toFixed(4),
-                        interval: `${least.toFixed(4)} to ${most.toFixed(4)}`,
-                    });
-                }
-            }
-        }
-    }
-    return rows;
-}
--- a/test/bench/bench.feature
+++ b/test/bench/bench.feature
@@ -15,6 +15,12 @@
         Given pairs that differ by "0.08,-0.07,0.02,-0.03"
         Then the interval holds zero
 
+    Scenario: a rule that one variant alone breaks
+        Guards against a comparison that leaves a broken rule out, since the other report doesn't name it.
+
+        Given a day that the way that stands plays without a broken rule, and the other with "LOST" 3 times
+        Then the table has 3.0000 more of "broken: LOST" for the other
+
     Scenario: every variant that has lost can be played again
         Guards against patches that no longer fit the code.
 
--- a/test/bench/bench.steps.ts
+++ b/test/bench/bench.steps.ts
@@ -4,6 +4,7 @@
 import { compare, type Difference } from "../../bench/decide/compare";
 import { decisions, patchFile } from "../../bench/decide/decisions";
 import { parseFigures } from "../../bench/decide/plays";
+import { type DifferenceRow, tabulate } from "../../bench/decide/tabulate";
 import { type ModelFleet, usualFleets } from "../../bench/model/drawFleet";
 import type { ModelResult } from "../../bench/model/scoreDay";
 import { simulateFleet } from "../../bench/model/simulateFleet";
@@ -13,6 +14,7 @@
 interface World {
     figures: Readonly<Record<string, number>>;
     difference: Difference;
+    rows: readonly DifferenceRow[];
     fleet: ModelFleet;
     results: readonly ModelResult[];
 }
@@ -64,6 +66,29 @@
     assert.ok(this.difference.least < 0 && this.difference.most > 0);
 });
 
+Given(
+    "a day that the way that stands plays without a broken rule, and the other with {string} {int} times",
+    function(this: World, rule: string, times: number) {
+        const decision = {
+            name: "order",
+            question: "",
+            variants: [
+                { name: "first", summary: "", isStanding: true },
+                { name: "second", summary: "", isStanding: false },
+            ],
+        };
+        this.rows = tabulate(decision, [
+            { setting: "site day 1", variant: "first", figures: { worth: 0.4 } },
+            { setting: "site day 1", variant: "second", figures: { worth: 0.5, [`broken: ${rule}`]: times } },
+        ]);
+    },
+);
+
+Then("the table has {float} more of {string} for the other", function(this: World, count: number, part: string) {
+    const row = this.rows.find((each) => each.part === part);
+    assert.equal(row?.difference, count.toFixed(4));
+});
+
 Then("the patch of every variant applies", function() {
     for (const decision of decisions) {
         for (const variant of decision.variants.filter(({ isStanding }) => !isStanding)) {
