--- a/bench/decide/decisions.ts
+++ b/bench/decide/decisions.ts
@@ -27,6 +27,14 @@
             patched("least-slack", "those that can be in time, by the time that they have left"),
         ],
     },
+    {
+        name: "demand",
+        question: "what a pool needs machines for",
+        variants: [
+            stands("all", "all open work and what arrives"),
+            patched("within-limits", "as much of it as client accounts may have running by their limits"),
+        ],
+    },
     {
         name: "duty-lease",
         question: "how long the lease of the duty runs",
--- a/src/scheduler/measureDemand.ts
+++ b/src/scheduler/measureDemand.ts
@@ -1,11 +1,9 @@
 import { type DemandMeter, forecastNeedCpuMillis, leastMissingShare, type PoolDemand } from "../machines";
 import type { Policy } from "../policy";
-import type { Resources } from "../resources";
 import {
     type Board,
     type Estimates,
     groupByPool,
-    hasTenantRoom,
     isOpen,
     lookAhead,
     paceOfWorkCpuMillis,
@@ -40,7 +38,7 @@
  */
 const reservedSubmissions = 3;
 
-/** What the open submissions of a pool ask for, as far as their client accounts may have it; processors in thousandths. */
+/** What the open submissions of a pool ask for; processors in thousandths. */
 interface OpenWork {
     /** What those should have that end by themselves. */
     cpuMillis: number;
@@ -48,20 +46,9 @@
     /** What ready tasks wait for, and of them those that last. */
     waitingCpuMillis: number;
     waitingToStayCpuMillis: number;
-    /** Part of the work that client accounts may have running at once, by their limits. */
-    allowedShare: number;
-    /** Submissions that wait for a place, and not for their account's limit. */
     readonly waiting: SubmissionEntry[];
 }
 
-/** Work of one client account in one pool that ends by itself. */
-interface TenantWork {
-    readonly pool: string;
-    readonly tenant: string | undefined;
-    cpuMillis: number;
-    coreMs: number;
-}
-
 /** What each pool needs and has. */
 export function measureDemand(opts: DemandOptions): readonly PoolDemand[] {
     const pools = groupByPool(opts.board);
@@ -85,7 +72,7 @@
     const passingCpuMillis = forecastNeedCpuMillis({
         openCpuMillis: open.cpuMillis,
         openCoreMs: open.coreMs,
-        arrivingCpuMillis: meter.arrivingCpuMillis(pool, nowMs) * open.allowedShare,
+        arrivingCpuMillis: meter.arrivingCpuMillis(pool, nowMs),
         roomCpuMillis,
         comingCpuMillis,
         joinMs,
@@ -111,80 +98,27 @@
 }
 
 function createOpenWork(): OpenWork {
-    return {
-        cpuMillis: 0,
-        coreMs: 0,
-        waitingCpuMillis: 0,
-        waitingToStayCpuMillis: 0,
-        allowedShare: 1,
-        waiting: [],
-    };
+    return { cpuMillis: 0, coreMs: 0, waitingCpuMillis: 0, waitingToStayCpuMillis: 0, waiting: [] };
 }
 
 function sumOpenWork(opts: DemandOptions): ReadonlyMap<string, OpenWork> {
     const pools = new Map<string, OpenWork>();
-    const works = new Map<string, TenantWork>();
-    const caps = new Map(opts.policy.tenants.map(({ name, cap }) => [name, cap]));
     for (const entry of opts.board.submissions.values()) {
         if (entry.ending === undefined) {
             const { service } = routeOf(opts.policy, entry.submission);
-            const { tenant } = entry.submission;
             const open = pools.get(service) ?? createOpenWork();
             pools.set(service, open);
-            const key = `${service} ${tenant ?? ""}`;
-            const work = works.get(key) ?? { pool: service, tenant, cpuMillis: 0, coreMs: 0 };
-            works.set(key, work);
-            addOpenWork(open, work, entry, caps.get(tenant ?? ""), opts);
+            addOpenWork(open, entry, opts);
         }
     }
-    addAllowed(pools, [...works.values()], caps);
     return pools;
 }
 
-/**
- * Adds up what client accounts may have running of what their submissions ask for.
- *
- * An account that sends more than its limit lets it have waits for its own tasks to end. Machines that were sent for it
- * stood empty beside hundreds of cores of waiting work.
- */
-function addAllowed(
-    pools: ReadonlyMap<string, OpenWork>,
-    works: readonly TenantWork[],
-    caps: ReadonlyMap<string, Resources>,
-): void {
-    const wanted = new Map<string | undefined, number>();
-    const wantedOf = new Map<string, number>();
-    for (const { pool, tenant, cpuMillis } of works) {
-        wanted.set(tenant, (wanted.get(tenant) ?? 0) + cpuMillis);
-        wantedOf.set(pool, (wantedOf.get(pool) ?? 0) + cpuMillis);
-    }
-    for (const { pool, tenant, cpuMillis, coreMs } of works) {
-        const open = pools.get(pool);
-        const most = caps.get(tenant ?? "")?.cpuMillis ?? 0;
-        const share = most === 0 ? 1 : Math.min(1, most / Math.max(1, wanted.get(tenant) ?? 0));
-        if (open !== undefined) {
-            open.cpuMillis += share * cpuMillis;
-            open.coreMs += share * coreMs;
-        }
-    }
-    for (const [pool, open] of pools) {
-        const sum = wantedOf.get(pool) ?? 0;
-        open.allowedShare = sum > 0 ? open.cpuMillis / sum : 1;
-    }
-}
-
-function addOpenWork(
-    open: OpenWork,
-    work: TenantWork,
-    entry: SubmissionEntry,
-    cap: Resources | undefined,
-    opts: DemandOptions,
-): void {
+function addOpenWork(open: OpenWork, entry: SubmissionEntry, opts: DemandOptions): void {
     const { submission } = entry;
     const cpuMillis = waitingCpuMillis(entry);
     open.waitingCpuMillis += cpuMillis;
-    const mayHaveMore = submission.steps.some(({ size }) => hasTenantRoom(opts.board, submission.tenant, cap, size));
-    if (cpuMillis > 0 && mayHaveMore) {
+    if (cpuMillis > 0) {
         open.waiting.push(entry);
     }
     if (submission.steps.some(({ isLongRunning }) => isLongRunning)) {
@@ -193,8 +127,8 @@
     }
     const outlook = lookAhead(entry, opts.estimates, opts.nowMs);
     const targetMs = targetAgeMs(routeOf(opts.policy, submission), outlook);
-    work.cpuMillis += paceOfWorkCpuMillis(outlook, targetMs, opts.timeOfDayMs - submission.acceptedAtMs);
-    work.coreMs += outlook.workCoreMs;
+    open.cpuMillis += paceOfWorkCpuMillis(outlook, targetMs, opts.timeOfDayMs - submission.acceptedAtMs);
+    open.coreMs += outlook.workCoreMs;
 }
 
 /**
--- a/src/scheduler/test/demand.steps.ts
+++ b/src/scheduler/test/demand.steps.ts
@@ -49,14 +49,6 @@
     setCap(this, name, cores);
 });
 
-Given(
-    "the account {string} may have {int} cores, and has them running",
-    function(this: World, name: string, cores: number) {
-        setCap(this, name, cores);
-        this.board.tenantUse.set(name, { cpuMillis: cores * 1000, memoryMb: 0, accelerators: 0 });
-    },
-);
-
 function send(world: World, tenant: string, count: number, tasks: number, cores: number): void {
     for (let at = 0; at < count; at++) {
         const size = { cpuMillis: cores * 1000, memoryMb: 100, accelerators: 0 };
@@ -73,14 +65,6 @@
     },
 );
 
-When(
-    "{string} sends {int} submission(s) of {int} tasks of {int} cores, and {int} ms pass",
-    function(this: World, tenant: string, count: number, tasks: number, cores: number, ms: number) {
-        send(this, tenant, count, tasks, cores);
-        this.nowMs += ms;
-    },
-);
-
 function measure({ board, policy, nowMs }: World): PoolDemand {
     const [demand] = measureDemand({
         board,
@@ -99,7 +83,3 @@
 Then("the pool needs {int} cores", function(this: World, cores: number) {
     assert.equal(Math.round(measure(this).neededCpuMillis / 1000), cores);
 });
-
-Then("nothing waits without a place", function(this: World) {
-    assert.equal(measure(this).unplaceableCpuMillis, 0);
-});
