--- a/bench/decide/decisions.ts
+++ b/bench/decide/decisions.ts
@@ -35,6 +35,22 @@
             patched("within-limits", "as much of it as client accounts may have running by their limits"),
         ],
     },
+    {
+        name: "machines",
+        question: "which pool gets the next idle machine",
+        variants: [
+            stands("largest-shortage", "the one that lacks most processors"),
+            patched("no-place-first", "those with tasks that have no place on any worker, then the largest shortage"),
+        ],
+    },
+    {
+        name: "waves",
+        question: "how long a serving task that moves for a wave is away, as the wave reckons it",
+        variants: [
+            stands("short", "a stop and a second"),
+            patched("looked-at", "a stop and two seconds, and lists each 0.4 s while such a task starts up"),
+        ],
+    },
     {
         name: "duty-lease",
         question: "how long the lease of the duty runs",
--- a/src/machines/chooseMoves.ts
+++ b/src/machines/chooseMoves.ts
@@ -77,10 +77,10 @@
  * Which machines should change pools now.
  *
  * Demand turns from queue to queue: in its turn each asks several times what its pool holds. Idle machines go, one by
- * one, to pools with tasks that have no place anywhere, then to the pool that is shortest of processors, whether for what
- * waits or for what arrives; those that are off go first, then those that have stood idle longest. Machines that no pool
- * needs are parked, also before a pool has had any work: from the standby pool they join any pool as fast as from another
- * one, and cost nothing meanwhile. Machines of an availability zone under evacuation are sent nowhere but there.
+ * one, to the pool that is shortest of processors, whether for what waits or for what arrives; those that are off go
+ * first, then those that have stood idle longest. Machines that no pool needs are parked, also before a pool has had any
+ * work: from the standby pool they join any pool as fast as from another one, and cost nothing meanwhile. Machines of an
+ * availability zone under evacuation are sent nowhere but there.
  */
 export function chooseMoves(opts: MoveOptions): readonly MoveChoice[] {
     const pools = new Map(opts.pools.map((pool) => [pool.pool, pool]));
@@ -91,14 +91,9 @@
     const rank = ({ pool }: IdleMachine) => pool === standby ? 0 : 1;
     const idle = [...opts.idle].sort((a, b) => rank(a) - rank(b) || b.idleMs - a.idleMs);
     const choices: MoveChoice[] = [];
-    /** Pools that none of the idle machines can join, or that lack too little of one. */
-    const unserved = new Set<string>();
     while (choices.length < opts.maxMoves) {
-        const neediest = chooseNeediest(shortage, pools, unserved);
-        if (neediest === undefined) {
-            break;
-        }
-        const { to, short, isStuck } = neediest;
+        const [to, short] = [...shortage].reduce((most, pool) => pool[1] > most[1] ? pool : most, ["", 0]);
+        const isStuck = (pools.get(to)?.unplaceableCpuMillis ?? 0) > 0;
         const index = idle.findIndex(({ id, pool, cpuMillis, isEvacuated }) =>
             pool !== to && !isEvacuated && !opts.impossible.has(`${id} ${to}`)
             && (isStuck ? short > 0 : short >= leastMissingShare * cpuMillis)
@@ -106,8 +101,7 @@
         );
         const [machine] = index < 0 ? [] : idle.splice(index, 1);
         if (machine === undefined) {
-            unserved.add(to);
-            continue;
+            break;
         }
         shortage.set(to, short - machine.cpuMillis);
         if (machine.pool !== standby) {
@@ -118,30 +112,6 @@
     return [...choices, ...park(idle, standby, shortage, pools, opts.maxMoves - choices.length)];
 }
 
-interface Neediest {
-    readonly to: string;
-    /** Processors that it lacks, in thousandths. */
-    readonly short: number;
-    /** Tasks of it have no place, however much is free. */
-    readonly isStuck: boolean;
-}
-
-/**
- * A pool in its turn lacks hundreds of machines; one with a few tasks that fit nowhere lacks one. By shortage alone that
- * one would wait until all turns are over, with tasks that serve users away and the wave that moved them held up.
- */
-function chooseNeediest(
-    shortage: ReadonlyMap<string, number>,
-    pools: ReadonlyMap<string, PoolDemand>,
-    unserved: ReadonlySet<string>,
-): Neediest | undefined {
-    const lacking = [...shortage]
-        .filter(([pool, missing]) => missing > 0 && !unserved.has(pool))
-        .map(([to, short]) => ({ to, short, isStuck: (pools.get(to)?.unplaceableCpuMillis ?? 0) > 0 }))
-        .sort((a, b) => b.short - a.short);
-    return lacking.findLast(({ isStuck }) => isStuck) ?? lacking[0];
-}
-
 function park(
     idle: readonly IdleMachine[],
     standby: string | undefined,
--- a/src/runs/createLooks.ts
+++ b/src/runs/createLooks.ts
@@ -40,7 +40,7 @@
 /** How long a look waits for an end, in milliseconds; also bounds the age of the lease's last extension. */
 const lookWaitMs = 1000;
 
-/** The same where fillers run beside serving tasks, whose latency has to be followed closely, or news are waited for. */
+/** The same where fillers run beside serving tasks, whose latency has to be followed closely. */
 const closeLookWaitMs = 400;
 
 /** Pause after a look without an answer, in milliseconds. */
@@ -55,14 +55,6 @@
 /** Questions beside the waiting look are gathered for this long, in milliseconds: a cancellation stops many runs at once. */
 const askMs = 5;
 
-/** A long-running task counts as at work at this progress. */
-const atWorkPercent = 100;
-
-/** Whether others wait for news of a run: a new owner for its confirmation, the next to be moved for its step to be whole. */
-function isAwaited({ phase, percent, task: { step } }: Run): boolean {
-    return phase === "unconfirmed" || (step.maxUnavailable > 0 && phase === "running" && percent < atWorkPercent);
-}
-
 /** Keeps leases alive and learns what runs and what has ended, one loop for each worker in use. */
 export function createLooks(opts: LooksOptions): Looks {
     const { api, tenure, clocks, board } = opts;
@@ -131,7 +123,7 @@
         const runs = [...worker.runs];
         const isClose = runs.some(({ task }) => task.step.isFiller)
             && runs.some(({ task }) => task.step.targetLatencyMs > 0);
-        return isClose || runs.some(isAwaited) ? closeLookWaitMs : lookWaitMs;
+        return isClose || runs.some(({ phase }) => phase === "unconfirmed") ? closeLookWaitMs : lookWaitMs;
     }
 
     async function applyLook(worker: Worker, result: LookResult, sentAtMs: number): Promise<void> {
--- a/src/scheduler/emptyingMs.ts
+++ b/src/scheduler/emptyingMs.ts
@@ -1,11 +1,8 @@
 import type { Worker } from "../schedule";
 import type { Step } from "../submissions";
 
-/**
- * A task that was stopped is known to be at work elsewhere this long after its stop, in milliseconds: its start, its startup
- * and the look that shows it.
- */
-const backAtWorkMs = 2000;
+/** A task that was stopped is at work elsewhere this long after its stop, in milliseconds: its start and its startup. */
+const backAtWorkMs = 1000;
 
 /** How many tasks of each step that lasts the given workers run. */
 export function countStaying(workers: readonly Worker[]): ReadonlyMap<Step, number> {
