--- a/bench/decide/plays.ts
+++ b/bench/decide/plays.ts
@@ -4,10 +4,10 @@
 import { join } from "node:path";
 import { promisify } from "node:util";
 
-/** A day of a deployment, or a seed of the model. */
+/** A day of a deployment. */
 export interface Setting {
-    /** The site file; `undefined`: the model of `npm run bench -- model`. */
-    readonly site: string | undefined;
+    /** The site file. */
+    readonly site: string;
     readonly day: string;
     readonly seed: number;
 }
@@ -23,7 +23,7 @@
 const maxOutputBytes = 64 * 1024 * 1024;
 
 export function settingName({ site, day, seed }: Setting): string {
-    return `${site?.replace(/^.*\//, "").replace(/\.toml$/, "") ?? "model"} ${day} ${seed}`;
+    return `${site.replace(/^.*\//, "").replace(/\.toml$/, "")} ${day} ${seed}`;
 }
 
 /** Plays of earlier calls, so that a comparison that was ended goes on where it stopped. */
@@ -61,7 +61,7 @@
     variant: string,
     setting: Setting,
 ): Promise<Play> {
-    const { site = "", day, seed } = setting;
+    const { site, day, seed } = setting;
     const why = `comparison, ${variant}: ${settingName(setting)}`;
     const { stdout } = await run(
         benchProgram,
--- a/bench/model/createArrivals.ts
+++ b/bench/model/createArrivals.ts
@@ -108,7 +108,7 @@
 }
 
 /** Work of one submission of the fleet on the mean, in core-milliseconds. */
-export function meanWorkCoreMs(fleet: ModelFleet): number {
+function meanWorkCoreMs(fleet: ModelFleet): number {
     return meanSteps * meanWidth * fleet.taskShare * fleet.cores * fleet.taskMs;
 }
 
