feat(progress, store, daemon): progress is recorded at the rate of a fast store while the store is slow

Cause: at most 4 commits of 10 submissions were in flight. With a store that takes 200 ms, a leader recorded some 200 submissions a second, and starts waited seconds for their records; it also learned of a new submission one or two slow answers late.

A view applies an item only if it is newer than what it has.

--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -26,10 +26,12 @@
 import { createEventMetrics } from "../metrics";
 import { chooseLinks, createPeers, type Peer } from "../peers";
 import { createPolicyWatcher, isFreshEnoughToStart } from "../policy";
+import { maxConcurrentCommits } from "../progress";
 import { createRelayedWorkerApi } from "../runs";
 import { createScheduler, type Scheduler } from "../scheduler";
 import { createRelayedStore } from "../store";
 import { createRecordWriter, createSubmissionApi } from "../submissions";
+import { createAcceptanceNotifier } from "./createAcceptanceNotifier";
 import { createLeaderQueries } from "./createLeaderQueries";
 
 export interface Daemon {
@@ -46,8 +48,11 @@
     readonly droppedLines: () => number;
 }
 
-/** Connections to the store, for long-polling watches, batched writes, lease renewals and reads for clients. */
-const storeConnections = 16;
+/**
+ * Connections to the store, opened as they are needed: for long-polling watches, batched writes, lease renewals and reads
+ * for clients, and for the commits of a leader, so that renewals do not wait behind commits while the store is slow.
+ */
+const storeConnections = 16 + maxConcurrentCommits;
 
 /** Connections to each worker. A long poll occupies one; start and stop requests share the others. */
 const workerConnections = 5;
@@ -194,6 +199,11 @@
         void scheduler.start();
     }
 
+    const notifier = createAcceptanceNotifier({
+        peers,
+        leaderBoot: presence.leaderBoot,
+        scheduler: () => scheduler,
+    });
     const submissionApi = createSubmissionApi({
         policySource: policyWatcher,
         store,
@@ -202,6 +212,7 @@
         report,
         steadyMs: clocks.monotonicMs,
         revokeMs: settings.revokeMs,
+        onStored: notifier.onStored,
     });
     const broker = new ServiceBroker({
         logger: false,
--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -199,4 +199,12 @@
         readonly state: "lost" | "regained";
         readonly detail: string;
     }
+    /** The number of progress commits that may be in flight has changed, by the answer times of the store. */
+    | {
+        readonly kind: "commitLimit";
+        readonly commits: number;
+        readonly answerMs: number;
+        /** Submissions whose progress waits to be written. */
+        readonly waiting: number;
+    }
     | { readonly kind: "note"; readonly slice: string; readonly message: string; readonly detail?: string; };
--- a/src/metrics/createEventMetrics.ts
+++ b/src/metrics/createEventMetrics.ts
@@ -62,6 +62,16 @@
         labelNames: ["pool", "part"],
         registers,
     });
+    const commitLimit = new Gauge({
+        name: "samphirepin_commit_limit",
+        help: "Progress commits that may be in flight",
+        registers,
+    });
+    const storeAnswer = new Gauge({
+        name: "samphirepin_store_answer_seconds",
+        help: "Mean answer time of the store to progress commits, when the limit last changed",
+        registers,
+    });
     const gauge = (name: string, help: string, read: () => number) =>
         new Gauge({
             name: `samphirepin_${name}`,
@@ -128,6 +138,10 @@
                     poolCores.set({ pool: event.pool, part: "waiting" }, event.waitingCores);
                     poolCores.set({ pool: event.pool, part: "coming" }, event.comingCores);
                     return;
+                case "commitLimit":
+                    commitLimit.set(event.commits);
+                    storeAnswer.set(event.answerMs / 1000);
+                    return;
                 default:
             }
         },
--- a/src/progress/createProgressWriter.ts
+++ b/src/progress/createProgressWriter.ts
@@ -2,9 +2,11 @@
 import type { Tenure } from "../duties";
 import type { Reporter } from "../logging";
 import type { SubmissionEntry } from "../schedule";
-import { type Commit, type CommitResult, maxCommitOperations, type Store, type StoreItem } from "../store";
+import type { Commit, CommitResult, Store, StoreItem } from "../store";
 import { decodeRecord, encodeRecord, submissionKey } from "../submissions";
+import { createCommitLimit } from "./createCommitLimit";
 import { encodeProgress, progressKey } from "./progressRecord";
+import { type PendingSave, SavePurpose, takeBatch } from "./takeBatch";
 
 export interface ProgressWriterOptions {
     readonly store: Store;
@@ -20,35 +22,21 @@
 
 export interface ProgressWriter {
     /** Resolves to true once the entry's present state is in the store; to false if the tenure ends first. */
-    save(entry: SubmissionEntry): Promise<boolean>;
-}
-
-/** A submission with changes that wait for a commit. */
-interface PendingSave {
-    readonly entry: SubmissionEntry;
-    readonly waiters: ((isSaved: boolean) => void)[];
+    save(entry: SubmissionEntry, purpose: SavePurpose): Promise<boolean>;
 }
 
 /** Delay before a failed or unanswered commit is retried, in milliseconds. */
 const retryDelayMs = 60;
 
+/** Submissions of a commit, with the final state to write; `undefined`: their progress is written. */
+type FinalStates = ReadonlyMap<SubmissionEntry, SubmissionEntry["finalState"]>;
+
 /**
  * Minimum interval between two commits, in milliseconds. Changes within it are batched into one call, because each call
  * is paid for. A start waits at most 30 ms longer for it.
  */
 const batchIntervalMs = 30;
 
-/** Maximum number of operations in a commit for one submission: a condition, a put and a delete. */
-const operationsPerSubmission = 3;
-const submissionsPerCommit = Math.floor((maxCommitOperations - 1) / operationsPerSubmission);
-
-/**
- * Maximum number of concurrent commits, each for different submissions. With a slow store, which takes 200 ms per
- * answer, one commit at a time would limit the leader of a busy fleet to 75 submissions a second, a tenth of what it
- * has to record.
- */
-const maxConcurrentCommits = 4;
-
 /**
  * Writes the progress of tasks to the store before the leader acts on it.
  *
@@ -63,6 +51,8 @@
     const pending = new Map<SubmissionEntry, PendingSave>();
     /** Submissions in unfinished commits. A later change of one waits, because it needs the revision of that commit. */
     const committing = new Set<SubmissionEntry>();
+    const limit = createCommitLimit();
+    let reportedLimit = limit.current();
     let activeCommits = 0;
     let lastCommitAtMs = Number.NEGATIVE_INFINITY;
     let timer: NodeJS.Timeout | undefined;
@@ -76,8 +66,8 @@
     }
 
     function startCommits(): void {
-        while (activeCommits < maxConcurrentCommits) {
-            const batch = takeBatch();
+        while (activeCommits < limit.current()) {
+            const batch = takePending();
             if (batch.length === 0) {
                 return;
             }
@@ -86,12 +76,8 @@
         }
     }
 
-    /** Takes as many pending submissions as fit into one commit. */
-    function takeBatch(): readonly PendingSave[] {
-        const batch = [...pending.values()].filter(({ entry }) => !committing.has(entry)).slice(
-            0,
-            submissionsPerCommit,
-        );
+    function takePending(): readonly PendingSave[] {
+        const batch = takeBatch([...pending.values()].filter(({ entry }) => !committing.has(entry)));
         batch.forEach(({ entry }) => {
             pending.delete(entry);
             committing.add(entry);
@@ -115,16 +101,19 @@
     }
 
     async function writeBatch(batch: readonly PendingSave[]): Promise<boolean> {
+        // A final state that is decided from now on is written by a later commit, so that this one does not exceed the
+        // store's limit of operations when it is sent again.
+        const finalStates: FinalStates = new Map(batch.map(({ entry }) => [entry, entry.finalState]));
         while (tenure.isValid()) {
-            // A final state that is decided during this call is written by the next one.
-            const finalStates = new Map(batch.map(({ entry }) => [entry, entry.finalState]));
-            const result = await store.commit(toCommit(batch.map(({ entry }) => entry)));
+            const sentAtMs = performance.now();
+            const result = await store.commit(toCommit(finalStates));
+            recordAnswer(result, performance.now() - sentAtMs);
             switch (result.kind) {
                 case "committed":
                     applyRevision(finalStates, result.revision);
                     return true;
                 case "conflict":
-                    if (!resolveConflict(batch, result)) {
+                    if (!resolveConflict(finalStates, result)) {
                         opts.onFenced();
                         return false;
                     }
@@ -144,20 +133,49 @@
         return false;
     }
 
-    function toCommit(entries: readonly SubmissionEntry[]): Commit {
+    function recordAnswer(result: CommitResult, tookMs: number): void {
+        switch (result.kind) {
+            case "committed":
+            case "conflict":
+                limit.recordAnswer(tookMs);
+                return reportLimit();
+            case "unavailable":
+                if (result.isRateLimited === true) {
+                    limit.recordRateLimited();
+                }
+                return reportLimit();
+            case "leaseEnded":
+            case "unknown":
+        }
+    }
+
+    function reportLimit(): void {
+        const current = limit.current();
+        if (current !== reportedLimit) {
+            reportedLimit = current;
+            opts.report({
+                kind: "commitLimit",
+                commits: current,
+                answerMs: Math.round(limit.meanAnswerMs()),
+                waiting: pending.size,
+            });
+        }
+    }
+
+    function toCommit(finalStates: FinalStates): Commit {
         const commit = { conditions: [tenure.condition], puts: [], deletes: [] } as {
             conditions: Commit["conditions"][number][];
             puts: Commit["puts"][number][];
             deletes: string[];
         };
-        for (const entry of entries) {
+        for (const [entry, finalState] of finalStates) {
             const { id, route } = entry.submission;
-            if (entry.finalState === undefined) {
+            if (finalState === undefined) {
                 commit.conditions.push({ key: progressKey(id), revision: entry.progressRevision });
                 commit.puts.push({ key: progressKey(id), text: encodeProgress(entry) });
                 continue;
             }
-            const record = { kind: "final", route, state: entry.finalState, endedAtMs: Date.now() } as const;
+            const record = { kind: "final", route, state: finalState, endedAtMs: Date.now() } as const;
             commit.conditions.push({ key: submissionKey(id), revision: entry.revision });
             commit.puts.push({ key: submissionKey(id), text: encodeRecord(record) });
             if (entry.progressRevision > 0) {
@@ -167,10 +185,7 @@
         return commit;
     }
 
-    function applyRevision(
-        finalStates: ReadonlyMap<SubmissionEntry, SubmissionEntry["finalState"]>,
-        revision: number,
-    ): void {
+    function applyRevision(finalStates: FinalStates, revision: number): void {
         for (const [entry, finalState] of finalStates) {
             if (finalState === undefined) {
                 entry.progressRevision = revision;
@@ -184,15 +199,15 @@
 
     /** Adopts the revisions found in the store; false if another entry daemon has written the leader key. */
     function resolveConflict(
-        batch: readonly PendingSave[],
+        finalStates: FinalStates,
         { items }: Extract<CommitResult, { kind: "conflict"; }>,
     ): boolean {
         const found = new Map(items.map((item) => [item.key, item]));
         if (found.get(tenure.condition.key)?.revision !== tenure.condition.revision) {
             return false;
         }
-        for (const { entry } of batch) {
-            if (entry.finalState === undefined) {
+        for (const [entry, finalState] of finalStates) {
+            if (finalState === undefined) {
                 // Only this leader writes the record: an earlier commit succeeded, but its answer was lost.
                 entry.progressRevision = found.get(progressKey(entry.submission.id))?.revision ?? 0;
             }
@@ -215,14 +230,15 @@
     }
 
     return {
-        save: (entry) =>
+        save: (entry, purpose) =>
             new Promise((resolve) => {
                 const known = pending.get(entry);
                 if (known === undefined) {
-                    pending.set(entry, { entry, waiters: [resolve] });
+                    pending.set(entry, { entry, purpose, waiters: [resolve] });
                 }
                 else {
                     known.waiters.push(resolve);
+                    known.purpose = purpose === SavePurpose.start ? purpose : known.purpose;
                 }
                 scheduleCommit();
             }),
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -4,7 +4,7 @@
 import type { Reporter } from "../logging";
 import { createDemandMeter, createMachineOrders, type MachineApi } from "../machines";
 import type { Policy, Wave } from "../policy";
-import { createProgressWriter, decodeProgress, progressKey, progressPrefix } from "../progress";
+import { createProgressWriter, decodeProgress, progressKey, progressPrefix, SavePurpose } from "../progress";
 import {
     applyEnd,
     collectDropEvidence,
@@ -24,7 +24,7 @@
     type SubmissionEntry,
     type Worker,
 } from "../schedule";
-import { createPrefixWatcher, maxCommitOperations, type Store } from "../store";
+import { createPrefixWatcher, maxCommitOperations, type Store, type StoreItem } from "../store";
 import { submissionKey, submissionPrefix, type SubmissionState } from "../submissions";
 import { createFleetController } from "./createFleetController";
 import { createPacer } from "./createPacer";
@@ -88,6 +88,8 @@
     countPending(route: string): number | undefined;
     /** Applies the zones under evacuation and plans again. */
     policyChanged(): void;
+    /** Applies a submission's record that another entry has just stored, ahead of the watch. */
+    applyRecord(item: StoreItem): void;
 }
 
 /**
@@ -195,7 +197,7 @@
             }),
         async save(entry) {
             submissionTracker.settle(entry);
-            return submissionTracker.hasEnded(entry) || await progressWriter.save(entry);
+            return submissionTracker.hasEnded(entry) || await progressWriter.save(entry, SavePurpose.end);
         },
         drop,
         sendStops: runControl.sendStops,
@@ -232,7 +234,7 @@
         steadyMs: clocks.monotonicMs,
         stop: runControl.stop,
         findWorker: (id, bornMs) => workerTracker.findRecorded(id, bornMs),
-        save: (entry) => void progressWriter.save(entry),
+        save: (entry) => void progressWriter.save(entry, SavePurpose.end),
     });
     const planner = createPlanner({
         state,
@@ -278,7 +280,7 @@
     });
 
     async function startAll(entry: SubmissionEntry, group: readonly Run[]): Promise<void> {
-        if (!await progressWriter.save(entry)) {
+        if (!await progressWriter.save(entry, SavePurpose.start)) {
             return;
         }
         for (const run of group) {
@@ -407,6 +409,11 @@
             markEvacuated();
             planner.planSoon();
         },
+        applyRecord(item) {
+            if (isLoaded && !isStopped && item.key.startsWith(submissionPrefix)) {
+                submissionWatcher.offer(item);
+            }
+        },
     };
 }
 
--- a/src/store/createPrefixWatcher.ts
+++ b/src/store/createPrefixWatcher.ts
@@ -30,6 +30,8 @@
      * answer.
      */
     freshAtMs(): number | undefined;
+    /** Applies an item that was received by another way, if it is newer than the one in the view. */
+    offer(item: StoreItem): void;
     start(): void;
     stop(): void;
 }
@@ -78,6 +80,12 @@
         opts.onItem(key, item);
     }
 
+    function applyNewer(item: StoreItem): void {
+        if ((items.get(item.key)?.revision ?? 0) < item.revision) {
+            apply(item.key, item);
+        }
+    }
+
     async function readAll(): Promise<void> {
         const sentAtMs = opts.nowMs();
         const result = await opts.store.range(opts.prefix);
@@ -89,14 +97,16 @@
             return;
         }
         const found = new Map(result.items.map((item) => [item.key, item]));
-        [...items.keys()].filter((key) => !found.has(key)).forEach((key) => apply(key, undefined));
+        // An offered item may be newer than what was read.
+        const { revision: readRevision } = result;
+        [...items.values()].filter((item) => !found.has(item.key) && item.revision <= readRevision).forEach((item) =>
+            apply(item.key, undefined)
+        );
         for (const item of result.items) {
             // Pages are not one snapshot: an item may be older than the one already in the view.
-            if ((items.get(item.key)?.revision ?? 0) < item.revision) {
-                apply(item.key, item);
-            }
+            applyNewer(item);
         }
-        revision = result.revision;
+        revision = readRevision;
         recordAnswer(sentAtMs);
         opts.onBatch?.();
     }
@@ -122,7 +132,8 @@
             case "events":
                 for (const event of result.events) {
                     if (event.kind === "put") {
-                        apply(event.item.key, event.item);
+                        // An offered item may be newer than the event.
+                        applyNewer(event.item);
                     }
                     else {
                         apply(event.key, undefined);
@@ -146,6 +157,10 @@
     return {
         items,
         freshAtMs: () => freshAtMs,
+        offer(item) {
+            applyNewer(item);
+            opts.onBatch?.();
+        },
         start() {
             void run();
         },
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -15,6 +15,8 @@
 export interface StoreUnavailable {
     readonly kind: "unavailable";
     readonly detail: string;
+    /** The store received too many calls from all entries together. */
+    readonly isRateLimited?: boolean;
 }
 
 /**
--- a/src/store/test/store.feature
+++ b/src/store/test/store.feature
@@ -110,3 +110,24 @@
         And the store answers "entry-1"
         And 300 ms pass
         Then the watcher has reported the store as lost and recovered, once each
+
+    Scenario: an item that is offered ahead of the watch
+        Guards against a finished submission that is added again by the watch, which delivers its first record later.
+
+        Given a watcher of prefix "k" on a store that answers in 200 ms
+        When 1000 ms pass
+        And "k/1" is written as "open" and offered to the watcher
+        Then the watcher has applied "k/1" once, as "open"
+        When "k/1" is written as "final" and offered to the watcher
+        And 2000 ms pass
+        Then the watcher has applied "k/1" twice, as "final"
+
+    Scenario: an item that is offered late
+        Guards against a notification that arrives after a newer record and would replace it.
+
+        Given a watcher of prefix "k" on a store that answers in 4 ms
+        When "k/1" is written as "open"
+        And "k/1" is written as "final"
+        And 100 ms pass
+        And the first record of "k/1" is offered to the watcher
+        Then the watcher has applied "k/1" once, as "final"
--- a/src/store/test/store.steps.ts
+++ b/src/store/test/store.steps.ts
@@ -3,7 +3,13 @@
 import { type Clock, installClock } from "../../../standins/dispatch";
 import { createFakeNetwork } from "../../../standins/fakes";
 import { createFakeStore, type FakeStore, type StoreFault } from "../../../standins/scheduling";
-import { createPrefixWatcher, createRelayedStore, type PrefixWatcher, type RelayedStore } from "../index";
+import {
+    createPrefixWatcher,
+    createRelayedStore,
+    type PrefixWatcher,
+    type RelayedStore,
+    type StoreItem,
+} from "../index";
 
 interface World {
     clock: Clock;
@@ -11,6 +17,9 @@
     watcher: PrefixWatcher | undefined;
     lost: number;
     regained: number;
+    /** Texts of the items that the watcher has applied, in order. */
+    applied: string[];
+    firstItem: StoreItem | undefined;
     entries: Map<string, RelayedStore>;
 }
 
@@ -21,6 +30,7 @@
     this.watcher = undefined;
     this.lost = 0;
     this.regained = 0;
+    this.applied = [];
 });
 
 After(function(this: World) {
@@ -29,18 +39,50 @@
 });
 
 Given("a watcher of prefix {string}", function(this: World, prefix: string) {
-    this.watcher = createPrefixWatcher({
-        store: this.store.connect("entry-1"),
+    startWatcher(this, prefix);
+});
+
+Given(
+    "a watcher of prefix {string} on a store that answers in {int} ms",
+    function(this: World, prefix: string, answerMs: number) {
+        this.store.setAnswerMs(answerMs);
+        startWatcher(this, prefix);
+    },
+);
+
+When("{string} is written as {string} and offered to the watcher", function(this: World, key: string, text: string) {
+    this.store.put(key, text);
+    const item = this.store.get(key);
+    assert.ok(item);
+    this.watcher?.offer(item);
+});
+
+When("the first record of {string} is offered to the watcher", function(this: World, key: string) {
+    assert.equal(this.firstItem?.key, key);
+    this.watcher?.offer(this.firstItem as StoreItem);
+});
+
+Then(
+    /^the watcher has applied "(.+)" (once|twice), as "(.+)"$/,
+    function(this: World, key: string, count: string, text: string) {
+        assert.equal(this.applied.length, count === "once" ? 1 : 2, this.applied.join(" "));
+        assert.equal(this.watcher?.items.get(key)?.text, text);
+    },
+);
+
+function startWatcher(world: World, prefix: string): void {
+    world.watcher = createPrefixWatcher({
+        store: world.store.connect("entry-1"),
         prefix,
         waitMs: 1000,
         pauseMs: 0,
         nowMs: () => performance.now(),
-        onItem() {},
-        onStoreLost: () => this.lost++,
-        onStoreRecovered: () => this.regained++,
+        onItem: (_key, item) => void world.applied.push(item?.text ?? ""),
+        onStoreLost: () => world.lost++,
+        onStoreRecovered: () => world.regained++,
     });
-    this.watcher.start();
-});
+    world.watcher.start();
+}
 
 When("the store closes the watcher's pending watch", async function(this: World) {
     await this.clock.advance(100);
@@ -76,6 +118,7 @@
 
 When("{string} is written as {string}", function(this: World, key: string, text: string) {
     this.store.put(key, text);
+    this.firstItem ??= this.store.get(key);
 });
 
 When("{string} is deleted and the history compacted", function(this: World, key: string) {
--- a/src/submissions/createSubmissionApi.ts
+++ b/src/submissions/createSubmissionApi.ts
@@ -1,7 +1,7 @@
 import { pause } from "../clock";
 import type { Reporter } from "../logging";
 import { findQueue, findTenant, type Policy, type QueueConfig } from "../policy";
-import type { Store } from "../store";
+import type { Store, StoreItem } from "../store";
 import type { RecordWriter } from "./createRecordWriter";
 import { decodeRecord, encodeRecord, submissionKey, type SubmissionRecord } from "./record";
 import type { Submission, SubmissionRequest, SubmissionState } from "./submission";
@@ -27,6 +27,8 @@
     readonly steadyMs: () => number;
     /** A withdrawn API key has to stop working on every entry within this time, in milliseconds. */
     readonly revokeMs: number;
+    /** A submission has been stored; `tookMs` is the time that the store took, in milliseconds. */
+    onStored?(item: StoreItem, tookMs: number): void;
 }
 
 /** Timeout where neither the client nor the queue sets one, in milliseconds. */
@@ -97,9 +99,11 @@
     async function storeSubmission(context: RequestContext, queue: QueueConfig, submission: Submission) {
         const text = encodeRecord({ kind: "open", submission, isCancelled: false });
         const write = { key: submissionKey(submission.id), revision: 0, text };
+        const sentAtMs = steadyMs();
         const outcome = await writer.write(write, deadlineOf(context, queue));
         switch (outcome.kind) {
             case "written":
+                opts.onStored?.({ key: write.key, text, revision: outcome.revision }, steadyMs() - sentAtMs);
                 return { kind: "accepted", isNew: true } as const;
             case "conflict":
                 return { kind: "accepted", isNew: false } as const;
