feat(fairness): token buckets of client accounts

Nothing on the scheduling path reads the weight of a client account. createAccountRates keeps a token bucket for each account with a weight and classifies submissions as conforming or excess; tokens() is the reading that admission needs, with excess submissions counted. weightedDominantShare orders accounts that borrow capacity.

Run: npm test -- src/fairness (16 of 16), lint, typecheck.

--- /dev/null
+++ b/src/fairness/createAccountRates.ts
@@ -0,0 +1,108 @@
+/** Whether a submission is within the rate of its client account. */
+export const SubmissionClass = { conforming: "conforming", excess: "excess" } as const;
+export type SubmissionClass = (typeof SubmissionClass)[keyof typeof SubmissionClass];
+
+/** Token buckets of client accounts. All times are in milliseconds since 1970. */
+export interface AccountRates {
+    /**
+     * Sets the rates in force from now on, in submissions per second. Accounts that are left out or have a rate of 0 have
+     * no bucket.
+     */
+    setWeights(weightsPerSecond: ReadonlyMap<string, number>, nowMs: number): void;
+    /** Counts an accepted submission. It is conforming if its account has a token, which it takes, or has no bucket. */
+    recordAccepted(account: string | undefined, acceptedAtMs: number, nowMs: number): SubmissionClass;
+    /**
+     * Tokens of an account, each accepted submission counted, also an excess one: from one second's tokens below zero to
+     * one second's tokens plus one. Infinite for an account without a bucket.
+     */
+    tokens(account: string, nowMs: number): number;
+}
+
+interface Bucket {
+    weightPerSecond: number;
+    /** Tokens for conforming submissions, 0 or more. */
+    freeTokens: number;
+    /** Tokens less what excess submissions have used; negative while the account is beyond its rate. */
+    balance: number;
+    /** Time up to which the bucket is filled; it never goes back. */
+    filledAtMs: number;
+}
+
+/**
+ * Creates buckets that are full at first.
+ *
+ * The two levels of a bucket differ only by excess submissions. These must not take tokens from conforming ones: otherwise an
+ * account far beyond its rate would have no conforming submissions at all. Admission needs the other level, which shows
+ * by how much an account is beyond its rate.
+ */
+export function createAccountRates(): AccountRates {
+    const buckets = new Map<string, Bucket>();
+
+    function changeWeight(bucket: Bucket, weightPerSecond: number, nowMs: number): void {
+        if (bucket.weightPerSecond === weightPerSecond) {
+            return;
+        }
+        Object.assign(bucket, fill(bucket, nowMs), { weightPerSecond });
+        bucket.freeTokens = Math.min(bucket.freeTokens, capacityOf(bucket));
+        bucket.balance = Math.max(-weightPerSecond, Math.min(bucket.balance, capacityOf(bucket)));
+    }
+
+    return {
+        setWeights(weightsPerSecond, nowMs) {
+            for (const account of [...buckets.keys()]) {
+                if (!((weightsPerSecond.get(account) ?? 0) > 0)) {
+                    buckets.delete(account);
+                }
+            }
+            for (const [account, weightPerSecond] of weightsPerSecond) {
+                const bucket = buckets.get(account);
+                if (bucket !== undefined) {
+                    changeWeight(bucket, weightPerSecond, nowMs);
+                }
+                else if (weightPerSecond > 0) {
+                    buckets.set(account, createBucket(weightPerSecond));
+                }
+            }
+        },
+        recordAccepted(account, acceptedAtMs, nowMs) {
+            const bucket = account === undefined ? undefined : buckets.get(account);
+            if (bucket === undefined) {
+                return SubmissionClass.conforming;
+            }
+            // A time ahead of this clock, from an entry whose clock is wrong, would stop the bucket until that time.
+            Object.assign(bucket, fill(bucket, Math.min(acceptedAtMs, nowMs)));
+            bucket.balance = Math.max(-bucket.weightPerSecond, bucket.balance - 1);
+            if (bucket.freeTokens < 1) {
+                return SubmissionClass.excess;
+            }
+            bucket.freeTokens--;
+            return SubmissionClass.conforming;
+        },
+        tokens(account, nowMs) {
+            const bucket = buckets.get(account);
+            return bucket === undefined ? Number.POSITIVE_INFINITY : fill(bucket, nowMs).balance;
+        },
+    };
+}
+
+function createBucket(weightPerSecond: number): Bucket {
+    const tokens = weightPerSecond + 1;
+    // Submissions of the store are replayed from before the bucket was created, so its time is set by the first one.
+    return { weightPerSecond, freeTokens: tokens, balance: tokens, filledAtMs: Number.NEGATIVE_INFINITY };
+}
+
+function capacityOf({ weightPerSecond }: Bucket): number {
+    return weightPerSecond + 1;
+}
+
+/** Levels of a bucket at a time; at an earlier time than that of the bucket they are unchanged. */
+function fill(bucket: Bucket, atMs: number): Pick<Bucket, "freeTokens" | "balance" | "filledAtMs"> {
+    const { weightPerSecond, freeTokens, balance, filledAtMs } = bucket;
+    const gained = weightPerSecond * Math.max(0, atMs - filledAtMs) / 1000;
+    const capacity = capacityOf(bucket);
+    return {
+        freeTokens: Math.min(capacity, freeTokens + gained),
+        balance: Math.min(capacity, balance + gained),
+        filledAtMs: Math.max(filledAtMs, atMs),
+    };
+}
--- a/src/fairness/index.ts
+++ b/src/fairness/index.ts
@@ -1,2 +1,4 @@
-/** Fair division among pools and client accounts, without I/O or clock. */
+/** Rates of client accounts, and fair division among accounts and pools, without I/O or clock. */
+export { type AccountRates, createAccountRates, SubmissionClass } from "./createAccountRates";
 export { divideMaxMin } from "./divideMaxMin";
+export { weightedDominantShare } from "./weightedDominantShare";
