feat(schedule): rank excess submissions last, divide starts in flight over pools

Accounts far beyond their rate delayed all others, and the pool with the longest backlog used up all starts in flight while another pool's tasks waited beside idle machines.

- rankSubmissions orders conforming submissions before excess ones, and excess ones by their account's weighted dominant share.
Speculative runs are planned for conforming submissions first.
Without excess submissions the order is as before.
- planStarts divides the free part of the start window by max-min fairness among the pools with work to start; what a pool can't use goes to the others in rank order.
With one pool in need, or enough starts for all, plans are as before.
- listBeforeNewExcess lists what a new excess submission would wait for.

Nothing sets isExcess yet.

--- a/src/runs/createStartWindow.ts
+++ b/src/runs/createStartWindow.ts
@@ -4,6 +4,10 @@
 export interface StartWindow {
     /** Number of starts that may be added now. */
     free(): number;
+    /** Bound on all starts in flight. */
+    size(): number;
+    /** Number of starts in flight by pool. */
+    inFlightByPool(): ReadonlyMap<string, number>;
     /** Adds runs that are about to be recorded and started. */
     add(runs: readonly Run[]): void;
     /** Adapts the window to the response time of a start request, in milliseconds. */
@@ -60,6 +64,15 @@
             removeSettled();
             return Math.max(0, Math.floor(size) - inFlight.size);
         },
+        size: () => Math.floor(size),
+        inFlightByPool() {
+            removeSettled();
+            const counts = new Map<string, number>();
+            for (const { worker: { pool } } of inFlight) {
+                counts.set(pool, (counts.get(pool) ?? 0) + 1);
+            }
+            return counts;
+        },
         add: (runs) => runs.forEach((run) => inFlight.add(run)),
         recordAnswer(tookMs) {
             if (tookMs < promptAnswerMs) {
--- a/src/runs/test/startWindow.feature
+++ b/src/runs/test/startWindow.feature
@@ -29,3 +29,11 @@
         Then 150 starts may be sent
         When the worker of the others has no runs any more
         Then 200 starts may be sent
+
+    Scenario: starts in flight by pool
+        Guards against a pool that is entitled to more starts than are left.
+
+        Given a start window
+        When starts are in flight: 30 in "north" and 12 in "south"
+        Then the starts in flight are 30 in "north" and 12 in "south"
+        And the window is of 200 starts
--- a/src/runs/test/startWindow.steps.ts
+++ b/src/runs/test/startWindow.steps.ts
@@ -47,3 +47,32 @@
 Then("{int} starts may be sent", function(this: World, count: number) {
     assert.equal(this.window.free(), count);
 });
+
+When("starts are in flight: {int} in {string} and {int} in {string}", function(
+    this: World,
+    count: number,
+    pool: string,
+    otherCount: number,
+    otherPool: string,
+) {
+    for (const [each, name] of [[count, pool], [otherCount, otherPool]] as const) {
+        const worker = { pool: name, runs: new Set() } as Pick<Worker, "pool" | "runs">;
+        const runs = Array.from({ length: each }, () => ({ phase: "recording", worker }) as Run);
+        runs.forEach((run) => worker.runs.add(run));
+        this.window.add(runs);
+    }
+});
+
+Then("the starts in flight are {int} in {string} and {int} in {string}", function(
+    this: World,
+    count: number,
+    pool: string,
+    otherCount: number,
+    otherPool: string,
+) {
+    assert.deepEqual([...this.window.inFlightByPool()], [[pool, count], [otherPool, otherCount]]);
+});
+
+Then("the window is of {int} starts", function(this: World, size: number) {
+    assert.equal(this.window.size(), size);
+});
--- a/src/schedule/index.ts
+++ b/src/schedule/index.ts
@@ -1,4 +1,5 @@
 /** Scheduling decisions, without I/O or clock: which tasks wait, in which order they start, and on which worker. */
+export { createAccountShares } from "./createAccountShares";
 export { createWorker } from "./createWorker";
 export { desiredCpuMillis } from "./desiredCpuMillis";
 export { estimateRemaining, targetAgeMs } from "./estimateRemaining";
@@ -12,9 +13,15 @@
 export { isWithinTenantLimit } from "./isWithinTenantLimit";
 export { acceptsNewWork, fitsCapacity, hasFreeCapacity, isEligible, isInService, placeTask } from "./placeTask";
 export { planSpeculativeRuns } from "./planSpeculativeRuns";
-export { groupByPool, listAdviceCandidates, planStarts } from "./planStarts";
+export { groupByPool, listAdviceCandidates, planStarts, type StartsInFlight } from "./planStarts";
 export { queueOf } from "./queueOf";
-export { listPlacementUnits, type PlacementUnit, type RankedEntry, rankSubmissions } from "./rankSubmissions";
+export {
+    listBeforeNewExcess,
+    listPlacementUnits,
+    type PlacementUnit,
+    type RankedEntry,
+    rankSubmissions,
+} from "./rankSubmissions";
 export { addRun, moveRun, removeRun } from "./runs";
 export * from "./schedulerState";
 export {
--- a/src/schedule/planSpeculativeRuns.ts
+++ b/src/schedule/planSpeculativeRuns.ts
@@ -2,7 +2,7 @@
 import type { DurationEstimates } from "./estimates";
 import { placeTask } from "./placeTask";
 import { addRun } from "./runs";
-import type { Run, SchedulerState, Task, Worker } from "./schedulerState";
+import type { Run, SchedulerState, SubmissionEntry, Task, Worker } from "./schedulerState";
 import { tasksOf } from "./submissionEntries";
 
 export interface SpeculationOptions {
@@ -33,7 +33,7 @@
  */
 export function planSpeculativeRuns(opts: SpeculationOptions): readonly Run[] {
     const speculativeRuns: Run[] = [];
-    for (const entry of opts.state.submissions.values()) {
+    for (const entry of listConformingFirst(opts.state)) {
         if (entry.finalState !== undefined || !hasSpeculativeStep(entry.submission.steps)) {
             continue;
         }
@@ -50,6 +50,12 @@
     return speculativeRuns;
 }
 
+/** Speculative runs of excess submissions use only what the others leave. */
+function listConformingFirst({ submissions }: SchedulerState): readonly SubmissionEntry[] {
+    const entries = [...submissions.values()];
+    return [...entries.filter(({ isExcess }) => !isExcess), ...entries.filter(({ isExcess }) => isExcess)];
+}
+
 function hasSpeculativeStep(steps: readonly Task["step"][]): boolean {
     return steps.some(({ isSpeculative }) => isSpeculative);
 }
--- a/src/schedule/planStarts.ts
+++ b/src/schedule/planStarts.ts
@@ -1,10 +1,12 @@
 import type { Policy } from "../policy";
 import type { Step } from "../submissions";
+import { createAccountShares } from "./createAccountShares";
+import { divideStarts } from "./divideStarts";
 import { type DurationEstimates } from "./estimates";
 import { isWithinTenantLimit } from "./isWithinTenantLimit";
 import { acceptsNewWork, isEligible, placeTask } from "./placeTask";
 import { queueOf } from "./queueOf";
-import { listPlacementUnits, type PlacementUnit, rankSubmissions } from "./rankSubmissions";
+import { listPlacementUnits, type PlacementUnit, type RankedEntry, rankSubmissions } from "./rankSubmissions";
 import { addRun, removeRun } from "./runs";
 import type { Run, SchedulerState, SubmissionEntry, Worker } from "./schedulerState";
 
@@ -27,6 +29,14 @@
      * unit of the round may exceed it.
      */
     readonly maxStarts: number;
+    /** Starts in flight, of which `maxStarts` is the free part; `undefined`: none are in flight. */
+    readonly window?: StartsInFlight;
+}
+
+/** Starts in flight and their bound. */
+export interface StartsInFlight {
+    readonly sizeStarts: number;
+    readonly inFlightByPool: ReadonlyMap<string, number>;
 }
 
 /** A pool counts as full for the rest of the round after more failed placements than this. */
@@ -47,7 +57,6 @@
     };
     const mayRunMore = ({ submission: { tenant } }: SubmissionEntry, { size }: Step) =>
         isWithinTenantLimit(state, tenant, caps.get(tenant ?? ""), size);
-    const started: Run[] = [];
     const ranked = rankSubmissions({
         entries: listPlaceable(
             state,
@@ -58,18 +67,34 @@
         estimates,
         nowMs,
         timeOfDayMs: opts.timeOfDayMs,
+        shareOf: createAccountShares(state, policy),
     });
-    for (const each of ranked) {
-        const { service: poolName } = each.queue;
+    const quotas = divideStarts({
+        freeStarts: opts.maxStarts,
+        windowStarts: opts.window?.sizeStarts ?? opts.maxStarts,
+        inFlightByPool: opts.window?.inFlightByPool ?? new Map(),
+        waitingByPool: countWaiting(ranked, pools, opts),
+    });
+    const started: Run[] = [];
+    const startedByPool = new Map<string, number>();
+    const hasStartsLeft = () => started.length < opts.maxStarts;
+    const isExhausted = (pool: string) => !pools.has(pool) || (failedPlacements.get(pool) ?? 0) > maxFailedPlacements;
+    const hasQuotaLeft = (pool: string) =>
+        quotas === undefined ? hasStartsLeft() : (startedByPool.get(pool) ?? 0) < (quotas.get(pool) ?? 0);
+
+    /** Starts units of a pool in order. Returns those that were not tried because `mayStart` was false. */
+    function startUnits(
+        poolName: string,
+        units: readonly PlacementUnit[],
+        mayStart: (pool: string) => boolean,
+    ): readonly PlacementUnit[] {
         const pool = pools.get(poolName);
-        const isFull = () =>
-            started.length >= opts.maxStarts || (failedPlacements.get(poolName) ?? 0) > maxFailedPlacements;
-        if (pool === undefined || isFull()) {
-            continue;
-        }
-        for (const unit of listPlacementUnits(each, nowMs)) {
-            if (isFull()) {
-                break;
+        for (const [at, unit] of units.entries()) {
+            if (pool === undefined || isExhausted(poolName)) {
+                return [];
+            }
+            if (!mayStart(poolName)) {
+                return units.slice(at);
             }
             if (!isWithinLimit(unit)) {
                 continue;
@@ -78,12 +103,69 @@
             if (runs.length === 0) {
                 failedPlacements.set(poolName, (failedPlacements.get(poolName) ?? 0) + 1);
             }
+            startedByPool.set(poolName, (startedByPool.get(poolName) ?? 0) + runs.length);
             started.push(...runs);
         }
+        return [];
+    }
+
+    const deferred: { readonly poolName: string; readonly listUnits: () => readonly PlacementUnit[]; }[] = [];
+    for (const each of ranked) {
+        const { service: poolName } = each.queue;
+        if (isExhausted(poolName)) {
+            continue;
+        }
+        if (!hasQuotaLeft(poolName)) {
+            deferred.push({ poolName, listUnits: () => listPlacementUnits(each, nowMs) });
+            continue;
+        }
+        const left = startUnits(poolName, listPlacementUnits(each, nowMs), hasQuotaLeft);
+        if (left.length > 0) {
+            deferred.push({ poolName, listUnits: () => left });
+        }
+    }
+    // What some pools leave of their quotas goes to the others, in rank order.
+    for (const { poolName, listUnits } of deferred) {
+        if (!hasStartsLeft()) {
+            break;
+        }
+        if (!isExhausted(poolName)) {
+            startUnits(poolName, listUnits(), hasStartsLeft);
+        }
     }
     return started;
 }
 
+/**
+ * Counts the tasks of each pool that can start. The count of a pool ends at the size of the window, or where the pool
+ * would count as full, so that a long backlog is not listed in each round.
+ */
+function countWaiting(
+    ranked: readonly RankedEntry[],
+    pools: ReadonlyMap<string, { readonly maxFree: MaxFree; }>,
+    { nowMs, maxStarts, window }: PlanOptions,
+): ReadonlyMap<string, number> {
+    const maxCount = window?.sizeStarts ?? maxStarts;
+    const waitingByPool = new Map<string, number>();
+    const misfits = new Map<string, number>();
+    for (const each of ranked) {
+        const { service: poolName } = each.queue;
+        const pool = pools.get(poolName);
+        const count = waitingByPool.get(poolName) ?? 0;
+        const misfitCount = misfits.get(poolName) ?? 0;
+        if (pool === undefined || count >= maxCount || misfitCount > maxFailedPlacements) {
+            continue;
+        }
+        const units = listPlacementUnits(each, nowMs);
+        const fitting = units.filter((unit) => fits(unit, pool.maxFree));
+        misfits.set(poolName, misfitCount + units.length - fitting.length);
+        if (fitting.length > 0) {
+            waitingByPool.set(poolName, fitting.reduce((sum, { tasks }) => sum + tasks.length, count));
+        }
+    }
+    return waitingByPool;
+}
+
 /** Maximum free capacity of any one worker of a pool, in each dimension separately. */
 interface MaxFree {
     readonly cpuMillis: number;
--- a/src/schedule/rankSubmissions.ts
+++ b/src/schedule/rankSubmissions.ts
@@ -19,6 +19,8 @@
     readonly estimates: DurationEstimates;
     readonly nowMs: number;
     readonly timeOfDayMs: number;
+    /** Weighted dominant share of a client account. Excess submissions are ordered by it. */
+    readonly shareOf: (account: string | undefined) => number;
 }
 
 /**
@@ -33,9 +35,14 @@
     readonly queue: QueueConfig;
 }
 
+/** First sort key. Starving submissions are in the same group as those in time. */
+const RankGroup = { longRunning: 0, conformingInTime: 1, conformingLate: 2, excessInTime: 3, excessLate: 4 } as const;
+type RankGroup = (typeof RankGroup)[keyof typeof RankGroup];
+
 interface Ranked extends RankedEntry {
-    /** First sort key: 0 for long-running, 1 for in time or starving, 2 for late. */
-    readonly group: number;
+    readonly group: RankGroup;
+    /** Weighted dominant share of the account of an excess submission, otherwise 0. */
+    readonly share: number;
     readonly workCoreMs: number;
 }
 
@@ -47,6 +54,10 @@
  * critical path, plus the queue's latency target) and a fraction of it later. Small submissions have more value per
  * core-second. So those that can still meet their target come first, by priority of the queue and then least remaining
  * work first. Late ones follow, unless they have waited so long that they rank with the first.
+ *
+ * Submissions beyond the rate of their client account follow all others, so that they delay no account within its rate.
+ * Among them, those of the account with the smallest weighted dominant share come first, which divides the capacity that
+ * the others leave among the accounts that borrow it.
  */
 export function rankSubmissions(opts: RankOptions): readonly RankedEntry[] {
     const ranked: Ranked[] = [];
@@ -56,14 +67,37 @@
         }
     }
     return ranked.sort((a, b) =>
-        a.group - b.group || a.queue.priority - b.queue.priority || a.workCoreMs - b.workCoreMs
+        a.group - b.group || compareShares(a, b) || a.queue.priority - b.queue.priority || a.workCoreMs - b.workCoreMs
     );
 }
 
+/** Both shares can be infinite, so they are not subtracted. */
+function compareShares(a: Ranked, b: Ranked): number {
+    return a.share === b.share ? 0 : a.share < b.share ? -1 : 1;
+}
+
+/**
+ * Open submissions that may rank before a new excess submission, in no order. Other excess submissions in time are all
+ * included, because the share of the new one's account is not considered.
+ */
+export function listBeforeNewExcess(opts: Omit<RankOptions, "shareOf">): readonly RankedEntry[] {
+    const before: RankedEntry[] = [];
+    for (const entry of opts.entries) {
+        const queue = opts.queueOf(entry.submission);
+        if (entry.finalState === undefined && !entry.isCancelled) {
+            const { group } = rank(entry, queue, { ...opts, shareOf: () => 0 });
+            if (group !== RankGroup.excessLate) {
+                before.push({ entry, queue });
+            }
+        }
+    }
+    return before;
+}
+
 function rank(entry: SubmissionEntry, queue: QueueConfig, opts: RankOptions): Ranked {
-    const { submission } = entry;
+    const { submission, isExcess } = entry;
     if (submission.steps.some(({ isLongRunning }) => isLongRunning)) {
-        return { entry, queue, group: 0, workCoreMs: 0 };
+        return { entry, queue, group: RankGroup.longRunning, share: 0, workCoreMs: 0 };
     }
     const remaining = estimateRemaining(entry, opts.estimates, opts.nowMs);
     const ageMs = opts.timeOfDayMs - submission.acceptedAtMs;
@@ -71,11 +105,19 @@
     return {
         entry,
         queue,
-        group: isInTime || ageMs > starvationAgeMs ? 1 : 2,
+        group: findGroup(isExcess, isInTime || ageMs > starvationAgeMs),
+        share: isExcess ? opts.shareOf(submission.tenant) : 0,
         workCoreMs: remaining.workCoreMs,
     };
 }
 
+function findGroup(isExcess: boolean, isInTime: boolean): RankGroup {
+    if (isExcess) {
+        return isInTime ? RankGroup.excessInTime : RankGroup.excessLate;
+    }
+    return isInTime ? RankGroup.conformingInTime : RankGroup.conformingLate;
+}
+
 function hasStartable({ occurrences }: SubmissionEntry, nowMs: number): boolean {
     return occurrences.some((occurrence) =>
         occurrence.tasks.some((step, number) =>
--- a/src/schedule/schedulerState.ts
+++ b/src/schedule/schedulerState.ts
@@ -92,6 +92,8 @@
     /** Revision of the submission's progress record, which the leader writes; 0: there is none. */
     progressRevision: number;
     isCancelled: boolean;
+    /** Its account was beyond its rate. Set once, when the submission is classified. */
+    isExcess: boolean;
     hasStarted: boolean;
     readonly occurrences: Occurrence[];
     /** The final state that has been decided; made visible once it is in the store. */
--- a/src/schedule/submissionEntries.ts
+++ b/src/schedule/submissionEntries.ts
@@ -19,6 +19,7 @@
         revision,
         progressRevision: 0,
         isCancelled,
+        isExcess: false,
         hasStarted: false,
         occurrences: [],
         finalState: undefined,
--- a/src/scheduler/createPlanner.ts
+++ b/src/scheduler/createPlanner.ts
@@ -6,10 +6,12 @@
     type DurationEstimates,
     groupByPool,
     listAdviceCandidates,
+    listBeforeNewExcess,
     type PlacementUnit,
     planSpeculativeRuns,
     planStarts,
     queueOf,
+    type RankedEntry,
     type Run,
     type SchedulerState,
     type SubmissionEntry,
@@ -32,6 +34,8 @@
 export interface Planner {
     /** Schedules a planning round, after a change of state. */
     planSoon(): void;
+    /** Open submissions that may rank before a new excess one; none while the configuration is unknown or stale. */
+    listBeforeNewExcess(): readonly RankedEntry[];
     stop(): void;
 }
 
@@ -84,6 +88,7 @@
             timeOfDayMs: Date.now(),
             allowedWorkers: findAllowedWorkers,
             maxStarts,
+            window: { sizeStarts: opts.window.size(), inFlightByPool: opts.window.inFlightByPool() },
         });
         const pools = groupByPool(state);
         const speculative = planSpeculativeRuns({
@@ -117,6 +122,16 @@
 
     return {
         planSoon,
+        listBeforeNewExcess() {
+            const policy = opts.policy();
+            return policy === undefined ? [] : listBeforeNewExcess({
+                entries: state.submissions.values(),
+                queueOf: (submission) => queueOf(policy, submission),
+                estimates,
+                nowMs: steadyMs(),
+                timeOfDayMs: Date.now(),
+            });
+        },
         stop: () => void (isStopped = true),
     };
 }
