feat(scheduler): classify submissions by the rates of client accounts

With two accounts at nine times their rate, accounts within their rate waited just as long, because nothing read an account's weight.

The leader classifies the submissions of each answer of the store in order of acceptance, once the configuration is known, and sets isExcess on their entries. A new leader replays the records of ended submissions: final records get the optional fields tenant and acceptedAtMs. Log: event accountRate, and the class of a submission that is taken. Metrics: submissions by class, starts in flight by pool. The scheduler offers tokens and listBeforeNewExcess to admission.

The submission event with change=taken is now logged when the submission is classified; in the usual case that is in the same answer of the store.

--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -85,6 +85,7 @@
         dutyToken: () => leaderElection.tenure()?.token,
         droppedLines,
         openRequests: () => openRequests,
+        startsInFlight: () => scheduler?.startsInFlight() ?? new Map(),
     });
     const report: Reporter = (event) => {
         metrics.record(event);
--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -113,6 +113,8 @@
         readonly change: string;
         readonly route: string;
         readonly sinceAcceptedMs: number;
+        /** Of a submission that is taken: whether its client account was within its rate. */
+        readonly class?: "conforming" | "excess";
     }
     | {
         readonly kind: "order";
@@ -199,4 +201,17 @@
         readonly state: "lost" | "regained";
         readonly detail: string;
     }
+    /** Submissions of a client account in a period with excess ones, and its tokens at the end of the period. */
+    | {
+        readonly kind: "accountRate";
+        readonly account: string;
+        readonly accepted: number;
+        readonly excess: number;
+        readonly tokens: number;
+        readonly weightPerSecond: number;
+        readonly policyVersion: number;
+        readonly periodMs: number;
+        /** Age of the latest submission that is counted, since its acceptance. */
+        readonly latestAgeMs: number;
+    }
     | { readonly kind: "note"; readonly slice: string; readonly message: string; readonly detail?: string; };
--- a/src/metrics/createEventMetrics.ts
+++ b/src/metrics/createEventMetrics.ts
@@ -11,6 +11,8 @@
     dutyToken(): number | undefined;
     droppedLines(): number;
     openRequests(): number;
+    /** Starts in flight by pool; empty while this entry isn't the leader. */
+    startsInFlight(): ReadonlyMap<string, number>;
 }
 
 export interface EventMetrics {
@@ -84,6 +86,21 @@
     );
     gauge("log_lines_dropped", "Log lines left out since the start", readings.droppedLines);
     gauge("open_requests", "Clients' requests under way", readings.openRequests);
+    const submissionClasses = counter(
+        "submission_classes",
+        "Submissions taken by this leader, within and beyond the rate of their client account",
+        "class",
+    );
+    new Gauge({
+        name: "samphirepin_starts_in_flight",
+        help: "Starts that are being recorded or sent, by pool",
+        labelNames: ["pool"],
+        registers,
+        collect() {
+            this.reset();
+            readings.startsInFlight().forEach((count, pool) => this.set({ pool }, count));
+        },
+    });
 
     return {
         record(event) {
@@ -108,6 +125,9 @@
                     return;
                 case "submission":
                     submissions.inc({ change: event.change });
+                    if (event.class !== undefined) {
+                        submissionClasses.inc({ class: event.class });
+                    }
                     if (event.change !== "taken") {
                         submissionTime.observe({ change: event.change }, event.sinceAcceptedMs / 1000);
                     }
--- a/src/progress/createProgressWriter.ts
+++ b/src/progress/createProgressWriter.ts
@@ -151,15 +151,22 @@
             deletes: string[];
         };
         for (const entry of entries) {
-            const { id, route } = entry.submission;
+            const { id, route, tenant, acceptedAtMs } = entry.submission;
             if (entry.finalState === undefined) {
                 commit.conditions.push({ key: progressKey(id), revision: entry.progressRevision });
                 commit.puts.push({ key: progressKey(id), text: encodeProgress(entry) });
                 continue;
             }
-            const record = { kind: "final", route, state: entry.finalState, endedAtMs: Date.now() } as const;
+            const text = encodeRecord({
+                kind: "final",
+                route,
+                state: entry.finalState,
+                endedAtMs: Date.now(),
+                tenant,
+                acceptedAtMs,
+            });
             commit.conditions.push({ key: submissionKey(id), revision: entry.revision });
-            commit.puts.push({ key: submissionKey(id), text: encodeRecord(record) });
+            commit.puts.push({ key: submissionKey(id), text });
             if (entry.progressRevision > 0) {
                 commit.deletes.push(progressKey(id));
             }
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -1,6 +1,7 @@
 import { type AdviceClient, createPermitCache } from "../advice";
 import { type Clocks, pause } from "../clock";
 import type { Tenure } from "../duties";
+import { type AccountRates, createAccountRates } from "../fairness";
 import type { Reporter } from "../logging";
 import { createDemandMeter, createMachineOrders, type MachineApi } from "../machines";
 import type { Policy, Wave } from "../policy";
@@ -18,6 +19,7 @@
     addDueOccurrences,
     createDurationEstimates,
     createSchedulerState,
+    type RankedEntry,
     removeRun,
     removeWorker,
     type Run,
@@ -29,6 +31,7 @@
 import { createFleetController } from "./createFleetController";
 import { createPacer } from "./createPacer";
 import { adviceStepName, createPlanner } from "./createPlanner";
+import { createSubmissionClassifier } from "./createSubmissionClassifier";
 import { createSubmissionTracker } from "./createSubmissionTracker";
 import { createWatchdog } from "./createWatchdog";
 import { createWorkerTracker } from "./createWorkerTracker";
@@ -88,6 +91,11 @@
     countPending(route: string): number | undefined;
     /** Applies the zones under evacuation and plans again. */
     policyChanged(): void;
+    /** Tokens of a client account; see `AccountRates`. */
+    readonly rates: Pick<AccountRates, "tokens">;
+    /** Open submissions that may rank before a new excess one; empty until they have been read. */
+    listBeforeNewExcess(): readonly RankedEntry[];
+    startsInFlight(): ReadonlyMap<string, number>;
 }
 
 /**
@@ -224,10 +232,13 @@
         evacuatedZones: opts.evacuatedZones,
         ensurePolling: polling.ensurePolling,
     });
+    const rates = createAccountRates();
+    const classifier = createSubmissionClassifier({ rates, policy: opts.policy, report, steadyMs: clocks.monotonicMs });
     const submissionTracker = createSubmissionTracker({
         state,
         estimates,
         meter,
+        classifier,
         report,
         steadyMs: clocks.monotonicMs,
         stop: runControl.stop,
@@ -309,6 +320,7 @@
             }
         }
         watchdog.tick();
+        classifier.tick();
         removeExpiredSubmissions();
         planner.planSoon();
     }
@@ -337,6 +349,7 @@
         nowMs: clocks.suspendAwareMs,
         onItem: submissionTracker.handleRecord,
         onBatch() {
+            classifier.classify();
             startWorkerWatcher();
             planner.planSoon();
         },
@@ -402,9 +415,13 @@
         },
         // Before all submissions have been read, a queue with a backlog would be reported as empty.
         findState: (id) => isLoaded ? submissionTracker.findState(id) : undefined,
+        rates,
+        listBeforeNewExcess: () => isLoaded ? planner.listBeforeNewExcess() : [],
+        startsInFlight: startWindow.inFlightByPool,
         countPending: (route) => isLoaded ? submissionTracker.countPending(route) : undefined,
         policyChanged() {
             markEvacuated();
+            classifier.classify();
             planner.planSoon();
         },
     };
--- a/src/scheduler/createSubmissionTracker.ts
+++ b/src/scheduler/createSubmissionTracker.ts
@@ -15,12 +15,14 @@
 } from "../schedule";
 import type { StoreItem } from "../store";
 import { decodeRecord, type FinalState, submissionPrefix, SubmissionState } from "../submissions";
+import type { SubmissionClassifier } from "./createSubmissionClassifier";
 import { restoreProgress } from "./restoreProgress";
 
 export interface SubmissionTrackerOptions {
     readonly state: SchedulerState;
     readonly estimates: DurationEstimates;
     readonly meter: DemandMeter;
+    readonly classifier: Pick<SubmissionClassifier, "addOpen" | "addFinal">;
     readonly report: Reporter;
     readonly steadyMs: () => number;
     stop(run: Run, reason: string): void;
@@ -81,6 +83,10 @@
             return;
         }
         if (record.kind === "final") {
+            // The end of a submission that this leader has read while it was open is not counted again.
+            if (!finalStates.has(id) && !schedulerState.submissions.has(id)) {
+                opts.classifier.addFinal(record.tenant, record.acceptedAtMs);
+            }
             finalStates.set(id, { state: record.state, atMs: record.endedAtMs });
             return;
         }
@@ -111,7 +117,7 @@
                 ageMs,
             );
         }
-        reportChange(entry, "taken");
+        opts.classifier.addOpen(entry);
         settle(entry);
     }
 
--- a/src/submissions/record.ts
+++ b/src/submissions/record.ts
@@ -6,7 +6,15 @@
 /** Record of a submission in the store, under `submissionPrefix` followed by its id. */
 export type SubmissionRecord =
     | { readonly kind: "open"; readonly submission: Submission; readonly isCancelled: boolean; }
-    | { readonly kind: "final"; readonly route: string; readonly state: FinalState; readonly endedAtMs: number; };
+    | {
+        readonly kind: "final";
+        readonly route: string;
+        readonly state: FinalState;
+        readonly endedAtMs: number;
+        /** Client account and time of acceptance; missing in records of builds that did not write them. */
+        readonly tenant?: string | undefined;
+        readonly acceptedAtMs?: number | undefined;
+    };
 
 export function submissionKey(id: string): string {
     return submissionPrefix + id;
