--- a/src/policy/policy.ts
+++ b/src/policy/policy.ts
@@ -45,7 +45,10 @@
     readonly name: string;
     /** API keys of its clients. */
     readonly keys: readonly string[];
-    /** Weight of its share when the fleet is full. */
+    /**
+     * Rate to which it is entitled, in submissions per second, and weight of its share of the capacity that accounts beyond
+     * their rate borrow. 0: no rate is set, and no submission counts as beyond it.
+     */
     readonly weight: number;
     /** Most that its tasks may use at a time on all workers; 0 for no limit. */
     readonly cap: Resources;
