fix(scheduler): classify only after all submissions have been read

A configuration that arrives while a new leader still reads the submissions would classify a part of them, and the rest later, out of the order of acceptance.

--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -421,7 +421,10 @@
         countPending: (route) => isLoaded ? submissionTracker.countPending(route) : undefined,
         policyChanged() {
             markEvacuated();
-            classifier.classify();
+            // Until all submissions have been read, they are not classified: their order would be lost.
+            if (isLoaded) {
+                classifier.classify();
+            }
             planner.planSoon();
         },
     };
