feat(store): an entry that can't store says so within a second

Cause: in a zone that is cut off, calls to the store time out after 900 ms and are retried, so clients waited for their own timeout (3 s). The configuration watch detects the loss only after 1.5 to 3 s.

Change: createStoreHealth observes direct calls. One that is unanswered for 400 ms starts a probe, directly on connections of its own and through peers. Without an answer the store counts as lost: submissions, states and cancellations are answered 503 at once, readiness probes 503, and RecordWriter.abandonAll settles the writes that wait (503 if not sent, 504 if sent).

--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -28,7 +28,7 @@
 import { createPolicyWatcher, isFreshEnoughToStart } from "../policy";
 import { createRelayedWorkerApi } from "../runs";
 import { createScheduler, type Scheduler } from "../scheduler";
-import { createRelayedStore } from "../store";
+import { createRelayedStore, createStoreHealth, storeProbeTimeoutMs } from "../store";
 import { createRecordWriter, createSubmissionApi } from "../submissions";
 import { createLeaderQueries } from "./createLeaderQueries";
 
@@ -49,6 +49,12 @@
 /** Connections to the store, for long-polling watches, batched writes, lease renewals and reads for clients. */
 const storeConnections = 16;
 
+/** Connections for probes of the store. Two probes overlap, and one connection may be silent. */
+const storeProbeConnections = 3;
+
+/** Key that is read to probe the store; it need not exist. */
+const storeProbeKey = "samphirepin/probe";
+
 /** Connections to each worker. A long poll occupies one; start and stop requests share the others. */
 const workerConnections = 5;
 
@@ -109,8 +115,30 @@
     });
     const callStore = createJsonCaller(storeConnections);
     const callWorker = createJsonCaller(workerConnections);
+    const probeStore = createStore(
+        createJsonCaller(storeProbeConnections),
+        settings.storeAddress,
+        storeProbeTimeoutMs,
+    );
+    const storeHealth = createStoreHealth({
+        probe: () => probeStore.read(storeProbeKey),
+        probePeers: (timeoutMs) => store.probePeers(timeoutMs),
+        relayedAtMs: () => store.relayedAtMs(),
+        nowMs: clocks.suspendAwareMs,
+        onLost(detail) {
+            report({ kind: "dependency", name: "store calls", state: "lost", detail });
+            writer.abandonAll("the store does not answer this entry");
+        },
+        onRecovered: (lostMs) =>
+            report({
+                kind: "dependency",
+                name: "store calls",
+                state: "regained",
+                detail: `after ${Math.round(lostMs)} ms`,
+            }),
+    });
     const store = createRelayedStore({
-        direct: createStore(callStore, settings.storeAddress),
+        direct: storeHealth.observe(createStore(callStore, settings.storeAddress)),
         peers,
         nowMs: clocks.suspendAwareMs,
         onPathChange: (path, detail) =>
@@ -194,10 +222,14 @@
         void scheduler.start();
     }
 
+    const writer = createRecordWriter(store, clocks.monotonicMs);
     const submissionApi = createSubmissionApi({
-        policySource: policyWatcher,
+        policySource: {
+            ...policyWatcher,
+            isStoreLost: () => storeHealth.isLost() || policyWatcher.isStoreLost(),
+        },
         store,
-        writer: createRecordWriter(store, clocks.monotonicMs),
+        writer,
         leader: createLeaderQueries({ peers, leaderBoot: presence.leaderBoot, scheduler: () => scheduler }),
         report,
         steadyMs: clocks.monotonicMs,
@@ -214,12 +246,12 @@
 
     /**
      * Near `revokeMs` the entry refuses requests with a key. It reports not ready at half of this age, so that the load
-     * balancer sends its clients to other entries before that.
+     * balancer sends its clients to other entries before that. It also reports not ready while it can't store.
      */
     function isReady(): boolean {
         const ageMs = policyWatcher.ageMs();
         return !isStopping && policyWatcher.policy() !== undefined && ageMs !== undefined
-            && ageMs < settings.revokeMs / 2;
+            && ageMs < settings.revokeMs / 2 && !storeHealth.isLost();
     }
 
     function createServices(): void {
--- a/src/store/createRelayedStore.ts
+++ b/src/store/createRelayedStore.ts
@@ -1,5 +1,5 @@
-import type { Peers } from "../peers";
-import type { Commit, Store } from "./store";
+import type { Peer, Peers } from "../peers";
+import type { Commit, ReadResult, Store } from "./store";
 
 /** Peer message topic of relayed store calls. */
 const relayTopic = "store";
@@ -42,6 +42,10 @@
 export interface RelayedStore extends Store {
     /** True if the store does not answer this entry directly, but answered it through a peer within `relayFreshMs`. */
     isRelayOnly(): boolean;
+    /** When a peer last relayed a call that the store answered, on the clock `nowMs`; negative infinity if never. */
+    relayedAtMs(): number;
+    /** Reads a key through the peers that would relay calls; resolves to true if one of them has an answer in time. */
+    probePeers(timeoutMs: number): Promise<boolean>;
 }
 
 /**
@@ -55,6 +59,7 @@
     const { direct, peers, nowMs } = opts;
     let isDirectDown = false;
     let relayedAtMs = Number.NEGATIVE_INFINITY;
+    let relayAnsweredAtMs = Number.NEGATIVE_INFINITY;
 
     peers.onRequest(relayTopic, (_from, body) => isDirectDown ? refuse() : callStore(direct, body as RelayedCall));
 
@@ -120,12 +125,8 @@
 
     async function callPeers<R extends { kind: string; }>(call: RelayedCall): Promise<R | undefined> {
         const timeoutMs = relayTimeoutMs + (call.call === "watch" ? call.waitMs : 0);
-        const candidates = [...peers.connected()].sort((a, b) => hashPair(a.boot) - hashPair(b.boot)).slice(
-            0,
-            maxPeersAsked,
-        );
         let result: R | undefined;
-        for (const peer of candidates) {
+        for (const peer of chooseRelays()) {
             const answer = await peers.request(peer.boot, relayTopic, call, timeoutMs);
             result = answer.caseOf<R>({
                 Right: (given) => given as R,
@@ -136,6 +137,7 @@
                         & { detail: string; },
             });
             if (result.kind !== "unavailable") {
+                relayAnsweredAtMs = result.kind === "unknown" ? relayAnsweredAtMs : nowMs();
                 recordRelayedAnswer();
                 return result;
             }
@@ -143,6 +145,16 @@
         return result;
     }
 
+    function chooseRelays(): readonly Peer[] {
+        return [...peers.connected()].sort((a, b) => hashPair(a.boot) - hashPair(b.boot)).slice(0, maxPeersAsked);
+    }
+
+    async function probePeer({ boot }: Peer, timeoutMs: number): Promise<boolean> {
+        const call: RelayedCall = { call: "read", key: probeKey };
+        const answer = await peers.request(boot, relayTopic, call, timeoutMs);
+        return answer.map((given) => (given as ReadResult).kind !== "unavailable").orDefault(false);
+    }
+
     /** Hashes the pair of boots, so that different entries relay through different peers. */
     function hashPair(boot: string): number {
         return [...`${peers.self.boot}${boot}`].reduce((sum, char) => (sum * 31 + char.charCodeAt(0)) % 65_521, 7);
@@ -164,6 +176,11 @@
 
     return {
         isRelayOnly: () => isDirectDown && nowMs() - relayedAtMs < relayFreshMs,
+        relayedAtMs: () => relayAnsweredAtMs,
+        async probePeers(timeoutMs) {
+            const answers = await Promise.all(chooseRelays().map((peer) => probePeer(peer, timeoutMs)));
+            return answers.includes(true);
+        },
         read: (key) => callAny({ call: "read", key }),
         range: (prefix) => callAny({ call: "range", prefix }),
         watch: (prefix, after, waitMs) => callAny({ call: "watch", prefix, after, waitMs }),
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -1,4 +1,5 @@
-/** Interface of the platform's store, relaying of store calls through other entries, and watched prefixes. */
+/** Interface of the platform's store, relaying of store calls through other entries, loss of the store, and watched prefixes. */
 export { createPrefixWatcher, type PrefixWatcher } from "./createPrefixWatcher";
 export { createRelayedStore, type RelayedStore } from "./createRelayedStore";
+export { createStoreHealth, type StoreHealth, storeProbeTimeoutMs } from "./createStoreHealth";
 export * from "./store";
--- a/src/submissions/createRecordWriter.ts
+++ b/src/submissions/createRecordWriter.ts
@@ -26,6 +26,11 @@
 export interface RecordWriter {
     /** Retries until the deadline, a reading of the monotonic clock in milliseconds. */
     write(write: RecordWrite, deadlineMs: number): Promise<WriteOutcome>;
+    /**
+     * Settles all writes now: those of which no call may have arrived at the store as `notWritten`, the others as
+     * `unknown`. For a store that has stopped answering.
+     */
+    abandonAll(detail: string): void;
 }
 
 interface PendingWrite {
@@ -52,6 +57,10 @@
 export function createRecordWriter(store: Store, steadyMs: () => number): RecordWriter {
     let queue: PendingWrite[] = [];
     let isFlushing = false;
+    /** Writes of the commit in flight. */
+    let sent: readonly PendingWrite[] = [];
+    /** Ends the wait for the commit in flight. */
+    let endWait = (): void => undefined;
 
     async function flush(): Promise<void> {
         if (isFlushing) {
@@ -71,24 +80,39 @@
 
     function abandonOverdue(): void {
         const latestMs = steadyMs() + latencyMarginMs;
-        queue.filter(({ deadlineMs }) => deadlineMs <= latestMs).forEach(abandon);
+        queue.filter(({ deadlineMs }) => deadlineMs <= latestMs).forEach((pending) =>
+            abandon(pending, "the store gave no answer in time")
+        );
         queue = queue.filter(({ deadlineMs }) => deadlineMs > latestMs);
     }
 
-    function abandon(pending: PendingWrite): void {
-        pending.settle({
-            kind: pending.mayBeWritten ? "unknown" : "notWritten",
-            detail: "the store gave no answer in time",
-        });
+    function abandon(pending: PendingWrite, detail: string): void {
+        pending.settle({ kind: pending.mayBeWritten ? "unknown" : "notWritten", detail });
     }
 
     async function writeBatch(batch: readonly PendingWrite[]): Promise<void> {
-        const result = await store.commit({
+        const committing = store.commit({
             conditions: batch.map(({ write }) => ({ key: write.key, revision: write.revision })),
             puts: batch.map(({ write }) => ({ key: write.key, text: write.text })),
             deletes: [],
         });
-        await applyResult(batch, result);
+        sent = batch;
+        const abandoned = new Promise<undefined>((resolve) => endWait = () => resolve(undefined));
+        const result = await Promise.race([committing, abandoned]);
+        sent = [];
+        // A late answer to an abandoned commit changes nothing: its writes have been settled as unknown.
+        if (result !== undefined) {
+            await applyResult(batch, result);
+        }
+    }
+
+    function abandonAll(detail: string): void {
+        sent.forEach((pending) => pending.mayBeWritten = true);
+        const abandoned = [...sent, ...queue];
+        queue = [];
+        sent = [];
+        abandoned.forEach((pending) => abandon(pending, detail));
+        endWait();
     }
 
     async function applyResult(batch: readonly PendingWrite[], result: CommitResult): Promise<void> {
@@ -137,5 +161,6 @@
                 queue.push({ write, deadlineMs, mayBeWritten: false, settle });
                 void flush();
             }),
+        abandonAll,
     };
 }
--- a/src/submissions/createSubmissionApi.ts
+++ b/src/submissions/createSubmissionApi.ts
@@ -47,6 +47,8 @@
 /** Clients are asked to retry after this time, in milliseconds: a new leader has read all open work in 1-2 s. */
 const leaderRetryAfterMs = 1000;
 
+const storeLostDetail = "the store does not answer this entry";
+
 /** Pause before a read without an answer is retried, in milliseconds. */
 const storeRetryMs = 150;
 
@@ -118,6 +120,9 @@
     async function readRecord(context: RequestContext, id: string) {
         const deadlineMs = deadlineOf(context, undefined);
         for (;;) {
+            if (policySource.isStoreLost()) {
+                return unavailable(storeLostDetail);
+            }
             const result = await store.read(submissionKey(id));
             switch (result.kind) {
                 case "found": {
@@ -196,7 +201,7 @@
                     context,
                     "accept",
                     request.id,
-                    unavailable("the store does not answer this entry"),
+                    unavailable(storeLostDetail),
                 );
             }
             const submission = toSubmission(request, authorized);
