feat(admission): excess submissions are refused when they can't be done in time

Cause: entries accepted everything.

Change: the leader measures the backlog of pools with waiting work and broadcasts a load summary. An entry refuses a submission with 429 OVERLOADED and Retry-After if the summary is fresh, the account has no token, and the wait exceeds the submission's slack. Before that it reads the submission's key (4 reads in flight, 100 waiting, 200 ms), and stores as usual where an earlier attempt may have been stored, the read has no answer or the store is slow.

--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -13,6 +13,14 @@
     policyDecoder,
     workerDecoder,
 } from "../../platform";
+import {
+    type AccountTokens,
+    createAdmission,
+    createLoadBroadcaster,
+    decodeLoadSummary,
+    listAccountLoads,
+    loadSummaryTopic,
+} from "../admission";
 import { createClocks, pause } from "../clock";
 import {
     computeStrength,
@@ -29,7 +37,7 @@
 import { createRelayedWorkerApi } from "../runs";
 import { createScheduler, type Scheduler } from "../scheduler";
 import { createRelayedStore, createStoreHealth, storeProbeTimeoutMs } from "../store";
-import { createRecordWriter, createSubmissionApi } from "../submissions";
+import { createLoadCheck, createRecordWriter, createSubmissionApi } from "../submissions";
 import { createLeaderQueries } from "./createLeaderQueries";
 
 export interface Daemon {
@@ -91,6 +99,7 @@
         dutyToken: () => leaderElection.tenure()?.token,
         droppedLines,
         openRequests: () => openRequests,
+        loadSummaryAgeMs: () => admission.summaryAgeMs(clocks.monotonicMs()),
     });
     const report: Reporter = (event) => {
         metrics.record(event);
@@ -222,7 +231,26 @@
         void scheduler.start();
     }
 
-    const writer = createRecordWriter(store, clocks.monotonicMs);
+    const admission = createAdmission(Math.random);
+    peers.onMessage(loadSummaryTopic, (_from, body) => {
+        const summary = decodeLoadSummary(body);
+        if (summary !== undefined) {
+            admission.receive(summary, clocks.monotonicMs());
+        }
+    });
+    // No account's tokens are known until the leader classifies submissions by rate, so none is refused for load.
+    const accountTokens: AccountTokens = { tokens: () => undefined };
+    const loadBroadcaster = createLoadBroadcaster({
+        measure: () => scheduler?.measureLoad(),
+        accounts: () => listAccountLoads(policyWatcher.policy()?.tenants ?? [], accountTokens, Date.now()),
+        broadcast(summary) {
+            peers.broadcast(loadSummaryTopic, summary);
+            admission.receive(summary, clocks.monotonicMs());
+        },
+        report,
+        nowMs: clocks.monotonicMs,
+    });
+    const writer = createRecordWriter(store, clocks.monotonicMs, storeHealth.isLost);
     const submissionApi = createSubmissionApi({
         policySource: {
             ...policyWatcher,
@@ -231,6 +259,13 @@
         store,
         writer,
         leader: createLeaderQueries({ peers, leaderBoot: presence.leaderBoot, scheduler: () => scheduler }),
+        loadCheck: createLoadCheck({
+            admission,
+            store,
+            isStoreSlow: storeHealth.isSlow,
+            report,
+            nowMs: clocks.monotonicMs,
+        }),
         report,
         steadyMs: clocks.monotonicMs,
         revokeMs: settings.revokeMs,
@@ -294,6 +329,7 @@
             lagMonitor.start();
             loadMeter.start();
             leaderElection.start();
+            loadBroadcaster.start();
             report({ kind: "started", boot, zone: settings.zone, region: settings.region });
         },
         async stop() {
@@ -303,6 +339,7 @@
             await pause(leaveRotationMs);
             await waitForOpenRequests();
             leaderElection.stop();
+            loadBroadcaster.stop();
             policyWatcher.stop();
             // Bounded, so that the process ends before the grace period does.
             await Promise.race([presence.stop(), pause(exitMarginMs / 2)]);
--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -199,4 +199,28 @@
         readonly state: "lost" | "regained";
         readonly detail: string;
     }
+    /** Wait of new excess submissions in a pool, logged by the leader once a second while there is any, and at its end. */
+    | {
+        readonly kind: "load";
+        readonly pool: string;
+        readonly excessWaitMs: number;
+        /** Remaining work that ranks before a new excess submission. */
+        readonly workCoreSeconds: number;
+        readonly waitingCores: number;
+        /** Processors that the pool has, has on the way, or could get. */
+        readonly cores: number;
+        readonly freeCores: number;
+        /** Age of the measured capacities. */
+        readonly ageMs: number;
+    }
+    /** A submission was not refused for load although its account is beyond its rate: the refusal might be untrue. */
+    | {
+        readonly kind: "refusalSkipped";
+        readonly submission: string;
+        readonly reason: string;
+        readonly tokens: number;
+        readonly excessWaitMs: number;
+        readonly slackMs: number;
+        readonly summaryAgeMs: number;
+    }
     | { readonly kind: "note"; readonly slice: string; readonly message: string; readonly detail?: string; };
--- a/src/metrics/createEventMetrics.ts
+++ b/src/metrics/createEventMetrics.ts
@@ -11,6 +11,8 @@
     dutyToken(): number | undefined;
     droppedLines(): number;
     openRequests(): number;
+    /** Age of the leader's latest load summary, in milliseconds; `undefined` before the first. */
+    loadSummaryAgeMs(): number | undefined;
 }
 
 export interface EventMetrics {
@@ -85,11 +87,28 @@
     gauge("log_lines_dropped", "Log lines left out since the start", readings.droppedLines);
     gauge("open_requests", "Clients' requests under way", readings.openRequests);
 
+    const refusals = counter("refusals", "Submissions that were not accepted, by reason", "reason");
+    const skippedRefusals = counter("skipped_refusals", "Submissions not refused for load, by reason", "reason");
+    const excessWait = new Gauge({
+        name: "samphirepin_excess_wait_seconds",
+        help: "Wait of a new submission of an account beyond its rate, as this leader measured it last",
+        labelNames: ["pool"],
+        registers,
+    });
+    gauge(
+        "load_summary_age_seconds",
+        "Age of the leader's load summary; -1 before the first",
+        () => (readings.loadSummaryAgeMs() ?? -1000) / 1000,
+    );
+
     return {
         record(event) {
             switch (event.kind) {
                 case "request":
                     requests.inc({ action: event.action, outcome: event.outcome });
+                    if (event.action === "accept" && event.outcome !== "accepted") {
+                        refusals.inc({ reason: event.outcome });
+                    }
                     return;
                 case "order":
                     orders.inc({ order: event.order, outcome: event.outcome.split(":", 1)[0] ?? "" });
@@ -128,6 +147,12 @@
                     poolCores.set({ pool: event.pool, part: "waiting" }, event.waitingCores);
                     poolCores.set({ pool: event.pool, part: "coming" }, event.comingCores);
                     return;
+                case "load":
+                    excessWait.set({ pool: event.pool }, event.excessWaitMs / 1000);
+                    return;
+                case "refusalSkipped":
+                    skippedRefusals.inc({ reason: event.reason });
+                    return;
                 default:
             }
         },
--- a/src/schedule/estimates.ts
+++ b/src/schedule/estimates.ts
@@ -1,3 +1,4 @@
+import { defaultTaskMs } from "../submissions";
 import type { Occurrence, Run, SubmissionEntry, Task } from "./schedulerState";
 import { isStepReady } from "./submissionEntries";
 
@@ -15,9 +16,6 @@
 /** Bounds the ratio of one sample, in both directions, so that one stalled run does not distort the average. */
 const maxRatio = 4;
 
-/** Duration assumed where a client declares none, in milliseconds. */
-const defaultTaskMs = 1000;
-
 /**
  * Creates estimates without samples. Declared durations may be wrong by a factor of two or three in either direction,
  * for a whole queue or for single tasks. The moving average corrects the error of the queue. Ranking and speculative
--- a/src/scheduler/createFleetController.ts
+++ b/src/scheduler/createFleetController.ts
@@ -5,6 +5,7 @@
     chooseMoves,
     type DemandMeter,
     findShortage,
+    type IdleMachine,
     type Machine,
     type MachineApi,
     type MachineOrder,
@@ -49,10 +50,20 @@
     onChange(): void;
 }
 
+/** Demand of all pools at one time. */
+export interface MeasuredDemand {
+    readonly pools: readonly PoolDemand[];
+    readonly idle: readonly IdleMachine[];
+    /** When it was measured, on the monotonic clock, in milliseconds. */
+    readonly atMs: number;
+}
+
 /** Decides machine moves and maintenance in a loop. */
 export interface FleetController {
     /** Whether an order for the worker's machine is pending, which may end the worker. */
     hasPendingOrder(worker: Worker): boolean;
+    /** The demand of all pools and the idle machines, as last measured; `undefined` before that. */
+    latestDemand(): MeasuredDemand | undefined;
     start(): void;
     stop(): void;
 }
@@ -75,6 +86,7 @@
     const waves = createWaveController({ ...opts, view, standby });
     const consolidator = createConsolidator(opts);
     let reportedAtMs = Number.NEGATIVE_INFINITY;
+    let latestDemand: MeasuredDemand | undefined;
     let isStopped = false;
     let timer: NodeJS.Timeout | undefined;
 
@@ -156,6 +168,7 @@
             timeOfDayMs: Date.now(),
             joinMs: opts.joinMs,
         });
+        latestDemand = { pools: demand, idle: view.listIdle(new Set()), atMs: clocks.monotonicMs() };
         reportPoolUsage(demand);
         consolidator.decide(demand);
         const chosenOrders = chooseOrders(demand);
@@ -174,6 +187,7 @@
 
     return {
         hasPendingOrder: view.hasPendingOrder,
+        latestDemand: () => latestDemand,
         start: () => void runLoop(),
         stop() {
             isStopped = true;
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -1,3 +1,4 @@
+import type { LoadMeasurement } from "../admission";
 import { type AdviceClient, createPermitCache } from "../advice";
 import { type Clocks, pause } from "../clock";
 import type { Tenure } from "../duties";
@@ -26,6 +27,7 @@
 } from "../schedule";
 import { createPrefixWatcher, maxCommitOperations, type Store } from "../store";
 import { submissionKey, submissionPrefix, type SubmissionState } from "../submissions";
+import { createBacklogMeter } from "./createBacklogMeter";
 import { createFleetController } from "./createFleetController";
 import { createPacer } from "./createPacer";
 import { adviceStepName, createPlanner } from "./createPlanner";
@@ -88,6 +90,8 @@
     countPending(route: string): number | undefined;
     /** Applies the zones under evacuation and plans again. */
     policyChanged(): void;
+    /** Measures what new excess submissions would wait for; `undefined` while that is not known. */
+    measureLoad(): LoadMeasurement | undefined;
 }
 
 /**
@@ -276,6 +280,16 @@
         onIncarnationEnded: handleIncarnationEnded,
         onChange: () => planner.planSoon(),
     });
+    const measureLoad = createBacklogMeter({
+        state,
+        estimates,
+        tenure,
+        clocks,
+        policy: opts.policy,
+        latestDemand: fleetController.latestDemand,
+        // Until submissions are classified by the rates of their accounts, all count as within them.
+        isExcess: () => false,
+    });
 
     async function startAll(entry: SubmissionEntry, group: readonly Run[]): Promise<void> {
         if (!await progressWriter.save(entry)) {
@@ -407,6 +421,7 @@
             markEvacuated();
             planner.planSoon();
         },
+        measureLoad: () => isLoaded ? measureLoad() : undefined,
     };
 }
 
--- /dev/null
+++ b/src/submissions/createAttemptLog.ts
@@ -0,0 +1,48 @@
+/** Remembers for which submissions this entry has tried a write that may be in the store, or may still get there. */
+export interface AttemptLog {
+    begin(id: string): void;
+    /** @param mayBeStored false if the write is known not to be in the store, now and later */
+    end(id: string, mayBeStored: boolean): void;
+    /** True while an attempt is in progress, and for `rememberedMs` after one that may have been stored. */
+    mayBeStored(id: string): boolean;
+}
+
+/** How long an ended attempt is remembered, in milliseconds. The store applies a late write within seconds. */
+const rememberedMs = 10_000;
+
+export function createAttemptLog(nowMs: () => number): AttemptLog {
+    const open = new Map<string, number>();
+    /** Ends of attempts, oldest first. */
+    const endedAtMs = new Map<string, number>();
+
+    function forgetOld(): void {
+        for (const [id, atMs] of endedAtMs) {
+            if (nowMs() - atMs < rememberedMs) {
+                return;
+            }
+            endedAtMs.delete(id);
+        }
+    }
+
+    return {
+        begin: (id) => void open.set(id, (open.get(id) ?? 0) + 1),
+        end(id, mayBeStored) {
+            const count = (open.get(id) ?? 0) - 1;
+            if (count > 0) {
+                open.set(id, count);
+            }
+            else {
+                open.delete(id);
+            }
+            if (mayBeStored) {
+                endedAtMs.delete(id);
+                endedAtMs.set(id, nowMs());
+            }
+            forgetOld();
+        },
+        mayBeStored(id) {
+            forgetOld();
+            return open.has(id) || endedAtMs.has(id);
+        },
+    };
+}
--- a/src/submissions/createRecordWriter.ts
+++ b/src/submissions/createRecordWriter.ts
@@ -53,8 +53,14 @@
 /**
  * Writes records in batches: one commit is in flight at a time, and the next one takes the writes that arrived meanwhile.
  * In a burst of submissions one call stores up to 16 of them; a single write is sent without delay.
+ *
+ * @param isStoreLost while it returns true, writes are settled as `notWritten` at once
  */
-export function createRecordWriter(store: Store, steadyMs: () => number): RecordWriter {
+export function createRecordWriter(
+    store: Store,
+    steadyMs: () => number,
+    isStoreLost: () => boolean = () => false,
+): RecordWriter {
     let queue: PendingWrite[] = [];
     let isFlushing = false;
     /** Writes of the commit in flight. */
@@ -158,6 +164,10 @@
     return {
         write: (write, deadlineMs) =>
             new Promise((settle) => {
+                if (isStoreLost()) {
+                    settle({ kind: "notWritten", detail: "the store does not answer" });
+                    return;
+                }
                 queue.push({ write, deadlineMs, mayBeWritten: false, settle });
                 void flush();
             }),
--- a/src/submissions/createSubmissionApi.ts
+++ b/src/submissions/createSubmissionApi.ts
@@ -1,7 +1,8 @@
 import { pause } from "../clock";
 import type { Reporter } from "../logging";
-import { findQueue, findTenant, type Policy, type QueueConfig } from "../policy";
+import { findQueue, findTenant, type Policy, type QueueConfig, type Tenant } from "../policy";
 import type { Store } from "../store";
+import type { LoadCheck } from "./createLoadCheck";
 import type { RecordWriter } from "./createRecordWriter";
 import { decodeRecord, encodeRecord, submissionKey, type SubmissionRecord } from "./record";
 import type { Submission, SubmissionRequest, SubmissionState } from "./submission";
@@ -22,6 +23,8 @@
     readonly store: Store;
     readonly writer: RecordWriter;
     readonly leader: LeaderQueries;
+    /** Refuses submissions for load; without it, none is refused for load. */
+    readonly loadCheck?: LoadCheck;
     readonly report: Reporter;
     /** Reads the monotonic clock, in milliseconds. */
     readonly steadyMs: () => number;
@@ -68,7 +71,7 @@
      */
     function authorize(
         context: RequestContext,
-    ): { policy: Policy; queue: QueueConfig; tenant: string | undefined; } | Refusal {
+    ): { policy: Policy; queue: QueueConfig; tenant: Tenant | undefined; } | Refusal {
         const [policy, ageMs] = [policySource.policy(), policySource.ageMs()];
         if (policy === undefined || ageMs === undefined) {
             return {
@@ -89,31 +92,46 @@
             return { kind: "notInForce", detail, retryAfterMs: storeRetryAfterMs };
         }
         const tenant = context.key === undefined ? undefined : findTenant(policy, context.key);
-        return tenant === undefined ? { kind: "badKey" } : { policy, queue, tenant: tenant.name };
+        return tenant === undefined ? { kind: "badKey" } : { policy, queue, tenant };
     }
 
     function deadlineOf(context: RequestContext, queue: QueueConfig | undefined): number {
         return steadyMs() + (context.timeoutMs ?? queue?.timeoutMs ?? defaultTimeoutMs) - answerMarginMs;
     }
 
-    async function storeSubmission(context: RequestContext, queue: QueueConfig, submission: Submission) {
+    async function storeSubmission(
+        context: RequestContext,
+        queue: QueueConfig,
+        submission: Submission,
+    ): Promise<AcceptResult> {
         const text = encodeRecord({ kind: "open", submission, isCancelled: false });
         const write = { key: submissionKey(submission.id), revision: 0, text };
         const outcome = await writer.write(write, deadlineOf(context, queue));
         switch (outcome.kind) {
             case "written":
-                return { kind: "accepted", isNew: true } as const;
+                return { kind: "accepted", isNew: true };
             case "conflict":
-                return { kind: "accepted", isNew: false } as const;
+                return { kind: "accepted", isNew: false };
             case "notWritten":
-                return {
-                    kind: "storeUnavailable",
-                    detail: outcome.detail,
-                    retryAfterMs: storeRetryAfterMs,
-                } as const;
+                return unavailable(outcome.detail);
             case "unknown":
-                return { kind: "unknown", detail: outcome.detail } as const;
+                return { kind: "unknown", detail: outcome.detail };
+        }
+    }
+
+    /** Stores a submission, unless it is refused for load. */
+    async function admit(
+        context: RequestContext,
+        request: SubmissionRequest,
+        authorized: { readonly queue: QueueConfig; readonly tenant: Tenant | undefined; },
+    ): Promise<AcceptResult> {
+        const { queue, tenant } = authorized;
+        const answer = await opts.loadCheck?.check(request, queue, tenant);
+        if (answer !== undefined) {
+            return answer;
         }
+        const storing = () => storeSubmission(context, queue, toSubmission(request, authorized));
+        return opts.loadCheck === undefined ? storing() : opts.loadCheck.track(request.id, storing);
     }
 
     /** Reads the record of a submission, with retries until the client's timeout. */
@@ -204,13 +222,7 @@
                     unavailable(storeLostDetail),
                 );
             }
-            const submission = toSubmission(request, authorized);
-            return logRequest(
-                context,
-                "accept",
-                request.id,
-                await storeSubmission(context, authorized.queue, submission),
-            );
+            return logRequest(context, "accept", request.id, await admit(context, request, authorized));
         },
         async state(context, id) {
             const authorized = authorize(context);
@@ -267,9 +279,9 @@
 
 function toSubmission(
     request: SubmissionRequest,
-    { queue, tenant }: { queue: QueueConfig; tenant: string | undefined; },
+    { queue, tenant }: { queue: QueueConfig; tenant: Tenant | undefined; },
 ): Submission {
-    return { ...request, tenant, route: queue.name, service: queue.service, acceptedAtMs: Date.now() };
+    return { ...request, tenant: tenant?.name, route: queue.name, service: queue.service, acceptedAtMs: Date.now() };
 }
 
 /** State according to the record alone. Only the leader knows whether tasks have started. */
--- a/src/submissions/index.ts
+++ b/src/submissions/index.ts
@@ -1,6 +1,8 @@
 /** Submissions: their types, their records in the store, and the API for clients' requests about them. */
+export { createLoadCheck, type LoadCheck } from "./createLoadCheck";
 export { createRecordWriter, type RecordWriter } from "./createRecordWriter";
 export { createSubmissionApi } from "./createSubmissionApi";
+export { declaredCriticalPathMs, defaultTaskMs } from "./declaredCriticalPathMs";
 export { decodeRecord, encodeRecord, submissionKey, submissionPrefix, type SubmissionRecord } from "./record";
 export {
     type FinalState,
--- a/src/submissions/submissionApi.ts
+++ b/src/submissions/submissionApi.ts
@@ -25,6 +25,8 @@
     | { readonly kind: "invalid"; readonly detail: string; }
     /** The store is unavailable and nothing was written, so a new submission was not accepted and never runs. */
     | { readonly kind: "storeUnavailable"; readonly detail: string; readonly retryAfterMs: number; }
+    /** The account is beyond its rate, and the work that waits would make the submission late. Nothing was written. */
+    | { readonly kind: "overloaded"; readonly detail: string; readonly retryAfterMs: number; }
     /** There is no leader at the moment, or it can't be reached, and only the leader knows the answer. */
     | { readonly kind: "ownerUnavailable"; readonly retryAfterMs: number; }
     /** It is not known whether the request was stored; the client may send the same request again. */
--- a/src/submissions/test/storeLoss.feature
+++ b/src/submissions/test/storeLoss.feature
@@ -16,6 +16,16 @@
         And 1 client submits, and 1 ms passes
         Then 1 answer is "storeUnavailable"
 
+    Scenario: a submission that was checked before the store was lost and is written after it
+        Guards against a write that is queued after all others have been settled, and waits for the client's timeout.
+
+        Given an entry that observes the store
+        And its requests are checked before the loss
+        And the store is "silent"
+        When 1 client submits, and 800 ms pass
+        And 1 client submits, and 1 ms passes
+        Then 1 answer is "storeUnavailable"
+
     Scenario: a settled write is not sent again
         Guards against a submission that is answered as not stored and runs after the outage.
 
--- a/src/submissions/test/storeLoss.steps.ts
+++ b/src/submissions/test/storeLoss.steps.ts
@@ -17,11 +17,13 @@
     observedApi: SubmissionApi;
     outcomes: string[];
     submitted: string[];
+    isLossKnown: boolean;
 }
 
 Before(function(this: World) {
     this.outcomes = [];
     this.submitted = [];
+    this.isLossKnown = true;
 });
 
 function contextOf(id: string) {
@@ -47,9 +49,13 @@
         onLost: () => writer.abandonAll("lost"),
     });
     const store = health.observe(client);
-    const writer: RecordWriter = createRecordWriter(store, steadyMs);
+    const writer: RecordWriter = createRecordWriter(store, steadyMs, health.isLost);
     this.observedApi = createSubmissionApi({
-        policySource: { policy: () => plainPolicy, ageMs: () => 100, isStoreLost: health.isLost },
+        policySource: {
+            policy: () => plainPolicy,
+            ageMs: () => 100,
+            isStoreLost: () => this.isLossKnown && health.isLost(),
+        },
         store,
         writer,
         leader: { findState: () => Promise.resolve(undefined), countPending: () => Promise.resolve(undefined) },
@@ -59,6 +65,10 @@
     });
 });
 
+Given("its requests are checked before the loss", function(this: World) {
+    this.isLossKnown = false;
+});
+
 Given("the store takes {int} ms for each call", function(this: World, ms: number) {
     this.store.setAnswerMs(ms);
 });
