--- a/src/submissions/test/overload.feature
+++ b/src/submissions/test/overload.feature
@@ -33,6 +33,15 @@
         When submission "a" was let through and is being stored
         And submission "a" arrives
         Then the last answer is "accepted"
+        And no read was made
+
+    Scenario: another attempt begins while the record is read
+        Guards against a refusal by a read that is older than the write of the other attempt.
+
+        Given an overloaded entry
+        And the answers of reads take 50 ms
+        When submission "a" arrives, and arrives again and is let through meanwhile
+        Then no answer is "overloaded"
 
     Scenario: an attempt that was not stored is no reason to accept the next one
         Given an overloaded entry
@@ -66,6 +75,7 @@
         And every submission was answered as "accepted" or "overloaded" within 500 ms
         And the answers were truthful
         And at least 100 answers were "overloaded"
+        And at least 890 refusals were skipped at once
 
     Scenario: a store that is slow for reads bounds the wait of refusals
         Given an overloaded entry
--- a/src/submissions/test/overload.steps.ts
+++ b/src/submissions/test/overload.steps.ts
@@ -30,9 +30,12 @@
     isSlow: boolean;
     /** Extra time that each read takes, in milliseconds; infinite: reads are not answered. */
     readDelayMs: number;
+    /** Time from the reading of a record to its answer, in milliseconds. */
+    answerDelayMs: number;
     reads: number;
     mostReads: number;
     answered: Answered[];
+    skippedAtOnce: number;
     events: LogEvent[];
 }
 
@@ -40,6 +43,8 @@
     this.isOverloaded = true;
     this.isSlow = false;
     this.readDelayMs = 0;
+    this.answerDelayMs = 0;
+    this.skippedAtOnce = 0;
     this.reads = 0;
     this.mostReads = 0;
     this.answered = [];
@@ -58,6 +63,7 @@
                 Number.isFinite(world.readDelayMs) ? setTimeout(resolve, world.readDelayMs) : undefined
             );
             const result = await store.read(key);
+            await new Promise((resolve) => setTimeout(resolve, world.answerDelayMs));
             world.reads--;
             return result;
         },
@@ -116,6 +122,34 @@
     this.readDelayMs = ms;
 });
 
+Given("the answers of reads take {int} ms", function(this: World, ms: number) {
+    this.answerDelayMs = ms;
+});
+
+When(
+    "submission {string} arrives, and arrives again and is let through meanwhile",
+    async function(this: World, id: string) {
+        void submit(this, createRequest(id));
+        await this.clock.advance(10);
+        this.isOverloaded = false;
+        await submitAndWait(this, createRequest(id));
+        await this.clock.advance(100);
+    },
+);
+
+Then("no answer is {string}", function(this: World, kind: string) {
+    assert.equal(this.answered.length, 2);
+    assert.ok(this.answered.every((answer) => answer.kind !== kind));
+});
+
+Then("no read was made", function(this: World) {
+    assert.equal(this.mostReads, 0);
+});
+
+Then("at least {int} refusals were skipped at once", function(this: World, count: number) {
+    assert.ok(this.skippedAtOnce >= count, String(this.skippedAtOnce));
+});
+
 Given("the store counts as slow", function(this: World) {
     this.isSlow = true;
 });
@@ -189,6 +223,8 @@
 
 When("{int} submissions arrive at once", async function(this: World, count: number) {
     Array.from({ length: count }, (_, index) => void submit(this, createRequest(`s${index}`)));
+    await this.clock.advance(1);
+    this.skippedAtOnce = this.events.filter(({ kind }) => kind === "refusalSkipped").length;
     await this.clock.advance(2000);
     assert.equal(this.answered.length, count);
 });
