fix(daemon): a loss that the configuration watch reports after the outage refuses nothing

Cause: in a trial of one daemon against a stand-in store that was silent for 2.5 s, the watch that hung reported the store as lost 0.65 s after the store had answered again, and submissions would have been refused for another 0.2 s.

Change: the report of the watch counts only if no direct call was answered within 500 ms.

--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -254,7 +254,8 @@
     const submissionApi = createSubmissionApi({
         policySource: {
             ...policyWatcher,
-            isStoreLost: () => storeHealth.isLost() || policyWatcher.isStoreLost(),
+            // After an outage the watch of the configuration may report a loss that is already over.
+            isStoreLost: () => storeHealth.isLost() || (policyWatcher.isStoreLost() && !storeHealth.isAnswering()),
         },
         store,
         writer,
--- a/src/store/createStoreHealth.ts
+++ b/src/store/createStoreHealth.ts
@@ -24,6 +24,8 @@
     observe(direct: Store): Store;
     /** The store answers neither directly nor through a peer. */
     isLost(): boolean;
+    /** A direct call was answered within the last `freshMs`. */
+    isAnswering(): boolean;
     /** The store is lost, a call to it is overdue, or its answers have taken more than `slowAnswerMs` on average. */
     isSlow(): boolean;
 }
@@ -40,8 +42,8 @@
 /** Interval of probes while the store is lost, in milliseconds. */
 const probeIntervalMs = 200;
 
-/** A relayed call that succeeded within this time shows that the store is not lost, in milliseconds. */
-const relayFreshMs = 500;
+/** An answer within this time, direct or relayed, shows that the store is not lost, in milliseconds. */
+const freshMs = 500;
 
 /** Mean answer time from which the store counts as slow, in milliseconds. A fast store takes about 4. */
 const slowAnswerMs = 50;
@@ -90,7 +92,7 @@
             })
         );
         await Promise.race([Promise.all(results), pauseThenReadSockets(storeProbeTimeoutMs)]);
-        return answeredAtMs >= sentAtMs || nowMs() - opts.relayedAtMs() < relayFreshMs;
+        return answeredAtMs >= sentAtMs || nowMs() - opts.relayedAtMs() < freshMs;
     }
 
     async function probeAfterSilence(): Promise<void> {
@@ -143,6 +145,7 @@
             endLease: (lease) => observeTimed(direct.endLease(lease)),
         }),
         isLost: () => lostAtMs !== undefined,
+        isAnswering: () => nowMs() - answeredAtMs < freshMs,
         isSlow: () => lostAtMs !== undefined || isProbing || meanAnswerMs > slowAnswerMs,
     };
 }
--- a/src/store/test/storeHealth.feature
+++ b/src/store/test/storeHealth.feature
@@ -41,8 +41,10 @@
         And the store does not answer "b"
         When "a" commits and 2000 ms pass
         Then "a" counts the store as lost, once
+        And "a" has no answer of late
         When the store answers all again, and 300 ms pass
         Then "a" does not count the store as lost
+        And "a" has an answer of late
         And "a" has logged the recovery once
 
     Scenario: a watch waits for changes
--- a/src/store/test/storeHealth.steps.ts
+++ b/src/store/test/storeHealth.steps.ts
@@ -140,6 +140,10 @@
     assert.equal(findEntry(this, name).health.isSlow(), true);
 });
 
+Then(/^"(\w+)" has (an|no) answer of late$/, function(this: World, name: string, article: string) {
+    assert.equal(findEntry(this, name).health.isAnswering(), article === "an");
+});
+
 Then("{string} has logged the recovery once", function(this: World, name: string) {
     assert.equal(findEntry(this, name).recovered, 1);
 });
