--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -13,6 +13,14 @@
     policyDecoder,
     workerDecoder,
 } from "../../platform";
+import {
+    type AccountTokens,
+    createAdmission,
+    createLoadBroadcaster,
+    decodeLoadSummary,
+    listAccountLoads,
+    loadSummaryTopic,
+} from "../admission";
 import { createClocks, pause } from "../clock";
 import {
     computeStrength,
@@ -29,8 +37,8 @@
 import { maxConcurrentCommits } from "../progress";
 import { createRelayedWorkerApi } from "../runs";
 import { createScheduler, type Scheduler } from "../scheduler";
-import { createRelayedStore } from "../store";
-import { createRecordWriter, createSubmissionApi } from "../submissions";
+import { createRelayedStore, createStoreHealth, storeProbeTimeoutMs } from "../store";
+import { createLoadCheck, createRecordWriter, createSubmissionApi } from "../submissions";
 import { createAcceptanceNotifier } from "./createAcceptanceNotifier";
 import { createLeaderQueries } from "./createLeaderQueries";
 
@@ -54,6 +62,12 @@
  */
 const storeConnections = 16 + maxConcurrentCommits;
 
+/** Connections for probes of the store. Two probes overlap, and one connection may be silent. */
+const storeProbeConnections = 3;
+
+/** Key that is read to probe the store; it need not exist. */
+const storeProbeKey = "samphirepin/probe";
+
 /** Connections to each worker. A long poll occupies one; start and stop requests share the others. */
 const workerConnections = 5;
 
@@ -91,6 +105,7 @@
         droppedLines,
         openRequests: () => openRequests,
         startsInFlight: () => scheduler?.startsInFlight() ?? new Map(),
+        loadSummaryAgeMs: () => admission.summaryAgeMs(clocks.monotonicMs()),
     });
     const report: Reporter = (event) => {
         metrics.record(event);
@@ -115,8 +130,30 @@
     });
     const callStore = createJsonCaller(storeConnections);
     const callWorker = createJsonCaller(workerConnections);
+    const probeStore = createStore(
+        createJsonCaller(storeProbeConnections),
+        settings.storeAddress,
+        storeProbeTimeoutMs,
+    );
+    const storeHealth = createStoreHealth({
+        probe: () => probeStore.read(storeProbeKey),
+        probePeers: (timeoutMs) => store.probePeers(timeoutMs),
+        relayedAtMs: () => store.relayedAtMs(),
+        nowMs: clocks.suspendAwareMs,
+        onLost(detail) {
+            report({ kind: "dependency", name: "store calls", state: "lost", detail });
+            writer.abandonAll("the store does not answer this entry");
+        },
+        onRecovered: (lostMs) =>
+            report({
+                kind: "dependency",
+                name: "store calls",
+                state: "regained",
+                detail: `after ${Math.round(lostMs)} ms`,
+            }),
+    });
     const store = createRelayedStore({
-        direct: createStore(callStore, settings.storeAddress),
+        direct: storeHealth.observe(createStore(callStore, settings.storeAddress)),
         peers,
         nowMs: clocks.suspendAwareMs,
         onPathChange: (path, detail) =>
@@ -205,11 +242,41 @@
         leaderBoot: presence.leaderBoot,
         scheduler: () => scheduler,
     });
+    const admission = createAdmission(Math.random);
+    peers.onMessage(loadSummaryTopic, (_from, body) => {
+        const summary = decodeLoadSummary(body);
+        if (summary !== undefined) {
+            admission.receive(summary, clocks.monotonicMs());
+        }
+    });
+    const accountTokens: AccountTokens = { tokens: (account, nowMs) => scheduler?.rates.tokens(account, nowMs) };
+    const loadBroadcaster = createLoadBroadcaster({
+        measure: () => scheduler?.measureLoad(),
+        accounts: () => listAccountLoads(policyWatcher.policy()?.tenants ?? [], accountTokens, Date.now()),
+        broadcast(summary) {
+            peers.broadcast(loadSummaryTopic, summary);
+            admission.receive(summary, clocks.monotonicMs());
+        },
+        report,
+        nowMs: clocks.monotonicMs,
+    });
+    const writer = createRecordWriter(store, clocks.monotonicMs, storeHealth.isLost);
     const submissionApi = createSubmissionApi({
-        policySource: policyWatcher,
+        policySource: {
+            ...policyWatcher,
+            // After an outage the watch of the configuration may report a loss that is already over.
+            isStoreLost: () => storeHealth.isLost() || (policyWatcher.isStoreLost() && !storeHealth.isAnswering()),
+        },
         store,
-        writer: createRecordWriter(store, clocks.monotonicMs),
+        writer,
         leader: createLeaderQueries({ peers, leaderBoot: presence.leaderBoot, scheduler: () => scheduler }),
+        loadCheck: createLoadCheck({
+            admission,
+            store,
+            isStoreSlow: storeHealth.isSlow,
+            report,
+            nowMs: clocks.monotonicMs,
+        }),
         report,
         steadyMs: clocks.monotonicMs,
         revokeMs: settings.revokeMs,
@@ -226,12 +293,12 @@
 
     /**
      * Near `revokeMs` the entry refuses requests with a key. It reports not ready at half of this age, so that the load
-     * balancer sends its clients to other entries before that.
+     * balancer sends its clients to other entries before that. It also reports not ready while it can't store.
      */
     function isReady(): boolean {
         const ageMs = policyWatcher.ageMs();
         return !isStopping && policyWatcher.policy() !== undefined && ageMs !== undefined
-            && ageMs < settings.revokeMs / 2;
+            && ageMs < settings.revokeMs / 2 && !storeHealth.isLost();
     }
 
     function createServices(): void {
@@ -274,6 +341,7 @@
             lagMonitor.start();
             loadMeter.start();
             leaderElection.start();
+            loadBroadcaster.start();
             report({ kind: "started", boot, zone: settings.zone, region: settings.region });
         },
         async stop() {
@@ -283,6 +351,7 @@
             await pause(leaveRotationMs);
             await waitForOpenRequests();
             leaderElection.stop();
+            loadBroadcaster.stop();
             policyWatcher.stop();
             // Bounded, so that the process ends before the grace period does.
             await Promise.race([presence.stop(), pause(exitMarginMs / 2)]);
--- a/src/fairness/createAccountRates.ts
+++ b/src/fairness/createAccountRates.ts
@@ -12,28 +12,22 @@
     /** Counts an accepted submission. It is conforming if its account has a token, which it takes, or has no bucket. */
     recordAccepted(account: string | undefined, acceptedAtMs: number, nowMs: number): SubmissionClass;
     /**
-     * Tokens of an account, each accepted submission counted, also an excess one: from one second's tokens below zero to
-     * one second's tokens plus one. Infinite for an account without a bucket.
+     * Tokens of an account: from 0 to one second's tokens plus one. A submission that is accepted while there is one is
+     * conforming. Infinite for an account without a bucket.
      */
     tokens(account: string, nowMs: number): number;
 }
 
 interface Bucket {
     weightPerSecond: number;
-    /** Tokens for conforming submissions, 0 or more. */
-    freeTokens: number;
-    /** Tokens less what excess submissions have used; negative while the account is beyond its rate. */
-    balance: number;
+    tokens: number;
     /** Time up to which the bucket is filled; it never goes back. */
     filledAtMs: number;
 }
 
 /**
- * Creates buckets that are full at first.
- *
- * The two levels of a bucket differ only by excess submissions. These must not take tokens from conforming ones: otherwise an
- * account far beyond its rate would have no conforming submissions at all. Admission needs the other level, which shows
- * by how much an account is beyond its rate.
+ * Creates buckets that are full at first. Excess submissions take no tokens: otherwise an account far beyond its rate
+ * would have no conforming submissions at all.
  */
 export function createAccountRates(): AccountRates {
     const buckets = new Map<string, Bucket>();
@@ -43,8 +37,7 @@
             return;
         }
         Object.assign(bucket, fill(bucket, nowMs), { weightPerSecond });
-        bucket.freeTokens = Math.min(bucket.freeTokens, capacityOf(bucket));
-        bucket.balance = Math.max(-weightPerSecond, Math.min(bucket.balance, capacityOf(bucket)));
+        bucket.tokens = Math.min(bucket.tokens, capacityOf(bucket));
     }
 
     return {
@@ -71,38 +64,34 @@
             }
             // A time ahead of this clock, from an entry whose clock is wrong, would stop the bucket until that time.
             Object.assign(bucket, fill(bucket, Math.min(acceptedAtMs, nowMs)));
-            bucket.balance = Math.max(-bucket.weightPerSecond, bucket.balance - 1);
-            if (bucket.freeTokens < 1) {
+            if (bucket.tokens < 1) {
                 return SubmissionClass.excess;
             }
-            bucket.freeTokens--;
+            bucket.tokens--;
             return SubmissionClass.conforming;
         },
         tokens(account, nowMs) {
             const bucket = buckets.get(account);
-            return bucket === undefined ? Number.POSITIVE_INFINITY : fill(bucket, nowMs).balance;
+            return bucket === undefined ? Number.POSITIVE_INFINITY : fill(bucket, nowMs).tokens;
         },
     };
 }
 
 function createBucket(weightPerSecond: number): Bucket {
-    const tokens = weightPerSecond + 1;
     // Submissions of the store are replayed from before the bucket was created, so its time is set by the first one.
-    return { weightPerSecond, freeTokens: tokens, balance: tokens, filledAtMs: Number.NEGATIVE_INFINITY };
+    return { weightPerSecond, tokens: weightPerSecond + 1, filledAtMs: Number.NEGATIVE_INFINITY };
 }
 
 function capacityOf({ weightPerSecond }: Bucket): number {
     return weightPerSecond + 1;
 }
 
-/** Levels of a bucket at a time; at an earlier time than that of the bucket they are unchanged. */
-function fill(bucket: Bucket, atMs: number): Pick<Bucket, "freeTokens" | "balance" | "filledAtMs"> {
-    const { weightPerSecond, freeTokens, balance, filledAtMs } = bucket;
+/** Tokens of a bucket at a time; at an earlier time than that of the bucket they are unchanged. */
+function fill(bucket: Bucket, atMs: number): Pick<Bucket, "tokens" | "filledAtMs"> {
+    const { weightPerSecond, tokens, filledAtMs } = bucket;
     const gained = weightPerSecond * Math.max(0, atMs - filledAtMs) / 1000;
-    const capacity = capacityOf(bucket);
     return {
-        freeTokens: Math.min(capacity, freeTokens + gained),
-        balance: Math.min(capacity, balance + gained),
+        tokens: Math.min(capacityOf(bucket), tokens + gained),
         filledAtMs: Math.max(filledAtMs, atMs),
     };
 }
--- a/src/fairness/test/accountRates.steps.ts
+++ b/src/fairness/test/accountRates.steps.ts
@@ -98,6 +98,13 @@
     assert.ok(Math.abs(this.rates.tokens(account, this.nowMs + ms) - tokens) < 1e-6);
 });
 
+Then(
+    "{string} has less than {int} tokens {int} ms later",
+    function(this: World, account: string, tokens: number, ms: number) {
+        assert.ok(this.rates.tokens(account, this.nowMs + ms) < tokens);
+    },
+);
+
 Then("the new leader classifies them alike", function(this: World) {
     assert.deepEqual(this.later.classes, this.classes);
 });
--- a/src/metrics/createEventMetrics.ts
+++ b/src/metrics/createEventMetrics.ts
@@ -13,6 +13,8 @@
     openRequests(): number;
     /** Starts in flight by pool; empty while this entry isn't the leader. */
     startsInFlight(): ReadonlyMap<string, number>;
+    /** Age of the leader's latest load summary, in milliseconds; `undefined` before the first. */
+    loadSummaryAgeMs(): number | undefined;
 }
 
 export interface EventMetrics {
@@ -112,11 +114,28 @@
         },
     });
 
+    const refusals = counter("refusals", "Submissions that were not accepted, by reason", "reason");
+    const skippedRefusals = counter("skipped_refusals", "Submissions not refused for load, by reason", "reason");
+    const excessWait = new Gauge({
+        name: "samphirepin_excess_wait_seconds",
+        help: "Wait of a new submission of an account beyond its rate, as this leader measured it last",
+        labelNames: ["pool"],
+        registers,
+    });
+    gauge(
+        "load_summary_age_seconds",
+        "Age of the leader's load summary; -1 before the first",
+        () => (readings.loadSummaryAgeMs() ?? -1000) / 1000,
+    );
+
     return {
         record(event) {
             switch (event.kind) {
                 case "request":
                     requests.inc({ action: event.action, outcome: event.outcome });
+                    if (event.action === "accept" && event.outcome !== "accepted") {
+                        refusals.inc({ reason: event.outcome });
+                    }
                     return;
                 case "order":
                     orders.inc({ order: event.order, outcome: event.outcome.split(":", 1)[0] ?? "" });
@@ -162,6 +181,12 @@
                     commitLimit.set(event.commits);
                     storeAnswer.set(event.answerMs / 1000);
                     return;
+                case "load":
+                    excessWait.set({ pool: event.pool }, event.excessWaitMs / 1000);
+                    return;
+                case "refusalSkipped":
+                    skippedRefusals.inc({ reason: event.reason });
+                    return;
                 default:
             }
         },
--- a/src/schedule/index.ts
+++ b/src/schedule/index.ts
@@ -15,13 +15,7 @@
 export { planSpeculativeRuns } from "./planSpeculativeRuns";
 export { groupByPool, listAdviceCandidates, planStarts, type StartsInFlight } from "./planStarts";
 export { queueOf } from "./queueOf";
-export {
-    listBeforeNewExcess,
-    listPlacementUnits,
-    type PlacementUnit,
-    type RankedEntry,
-    rankSubmissions,
-} from "./rankSubmissions";
+export { listPlacementUnits, type PlacementUnit, type RankedEntry, rankSubmissions } from "./rankSubmissions";
 export { addRun, moveRun, removeRun } from "./runs";
 export * from "./schedulerState";
 export {
--- a/src/schedule/rankSubmissions.ts
+++ b/src/schedule/rankSubmissions.ts
@@ -76,24 +76,6 @@
     return a.share === b.share ? 0 : a.share < b.share ? -1 : 1;
 }
 
-/**
- * Open submissions that may rank before a new excess submission, in no order. Other excess submissions in time are all
- * included, because the share of the new one's account is not considered.
- */
-export function listBeforeNewExcess(opts: Omit<RankOptions, "shareOf">): readonly RankedEntry[] {
-    const before: RankedEntry[] = [];
-    for (const entry of opts.entries) {
-        const queue = opts.queueOf(entry.submission);
-        if (entry.finalState === undefined && !entry.isCancelled) {
-            const { group } = rank(entry, queue, { ...opts, shareOf: () => 0 });
-            if (group !== RankGroup.excessLate) {
-                before.push({ entry, queue });
-            }
-        }
-    }
-    return before;
-}
-
 function rank(entry: SubmissionEntry, queue: QueueConfig, opts: RankOptions): Ranked {
     const { submission, isExcess } = entry;
     if (submission.steps.some(({ isLongRunning }) => isLongRunning)) {
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -1,3 +1,4 @@
+import type { LoadMeasurement } from "../admission";
 import { type AdviceClient, createPermitCache } from "../advice";
 import { type Clocks, pause } from "../clock";
 import type { Tenure } from "../duties";
@@ -19,7 +20,6 @@
     addDueOccurrences,
     createDurationEstimates,
     createSchedulerState,
-    type RankedEntry,
     removeRun,
     removeWorker,
     type Run,
@@ -28,6 +28,7 @@
 } from "../schedule";
 import { createPrefixWatcher, maxCommitOperations, type Store, type StoreItem } from "../store";
 import { submissionKey, submissionPrefix, type SubmissionState } from "../submissions";
+import { createBacklogMeter } from "./createBacklogMeter";
 import { createFleetController } from "./createFleetController";
 import { createPacer } from "./createPacer";
 import { adviceStepName, createPlanner } from "./createPlanner";
@@ -95,9 +96,9 @@
     applyRecord(item: StoreItem): void;
     /** Tokens of a client account; see `AccountRates`. */
     readonly rates: Pick<AccountRates, "tokens">;
-    /** Open submissions that may rank before a new excess one; empty until they have been read. */
-    listBeforeNewExcess(): readonly RankedEntry[];
     startsInFlight(): ReadonlyMap<string, number>;
+    /** Measures what new excess submissions would wait for; `undefined` while that is not known. */
+    measureLoad(): LoadMeasurement | undefined;
 }
 
 /**
@@ -289,6 +290,15 @@
         onIncarnationEnded: handleIncarnationEnded,
         onChange: () => planner.planSoon(),
     });
+    const measureLoad = createBacklogMeter({
+        state,
+        estimates,
+        tenure,
+        clocks,
+        policy: opts.policy,
+        latestDemand: fleetController.latestDemand,
+        isExcess: (entry) => entry.isExcess,
+    });
 
     async function startAll(entry: SubmissionEntry, group: readonly Run[]): Promise<void> {
         if (!await progressWriter.save(entry, SavePurpose.start)) {
@@ -418,7 +428,6 @@
         // Before all submissions have been read, a queue with a backlog would be reported as empty.
         findState: (id) => isLoaded ? submissionTracker.findState(id) : undefined,
         rates,
-        listBeforeNewExcess: () => isLoaded ? planner.listBeforeNewExcess() : [],
         startsInFlight: startWindow.inFlightByPool,
         countPending: (route) => isLoaded ? submissionTracker.countPending(route) : undefined,
         policyChanged() {
@@ -434,6 +443,7 @@
                 submissionWatcher.offer(item);
             }
         },
+        measureLoad: () => isLoaded ? measureLoad() : undefined,
     };
 }
 
--- a/src/submissions/createSubmissionApi.ts
+++ b/src/submissions/createSubmissionApi.ts
@@ -1,7 +1,8 @@
 import { pause } from "../clock";
 import type { Reporter } from "../logging";
-import { findQueue, findTenant, type Policy, type QueueConfig } from "../policy";
+import { findQueue, findTenant, type Policy, type QueueConfig, type Tenant } from "../policy";
 import type { Store, StoreItem } from "../store";
+import type { LoadCheck } from "./createLoadCheck";
 import type { RecordWriter } from "./createRecordWriter";
 import { decodeRecord, encodeRecord, submissionKey, type SubmissionRecord } from "./record";
 import type { Submission, SubmissionRequest, SubmissionState } from "./submission";
@@ -22,6 +23,8 @@
     readonly store: Store;
     readonly writer: RecordWriter;
     readonly leader: LeaderQueries;
+    /** Refuses submissions for load; without it, none is refused for load. */
+    readonly loadCheck?: LoadCheck;
     readonly report: Reporter;
     /** Reads the monotonic clock, in milliseconds. */
     readonly steadyMs: () => number;
@@ -49,6 +52,8 @@
 /** Clients are asked to retry after this time, in milliseconds: a new leader has read all open work in 1-2 s. */
 const leaderRetryAfterMs = 1000;
 
+const storeLostDetail = "the store does not answer this entry";
+
 /** Pause before a read without an answer is retried, in milliseconds. */
 const storeRetryMs = 150;
 
@@ -68,7 +73,7 @@
      */
     function authorize(
         context: RequestContext,
-    ): { policy: Policy; queue: QueueConfig; tenant: string | undefined; } | Refusal {
+    ): { policy: Policy; queue: QueueConfig; tenant: Tenant | undefined; } | Refusal {
         const [policy, ageMs] = [policySource.policy(), policySource.ageMs()];
         if (policy === undefined || ageMs === undefined) {
             return {
@@ -89,14 +94,18 @@
             return { kind: "notInForce", detail, retryAfterMs: storeRetryAfterMs };
         }
         const tenant = context.key === undefined ? undefined : findTenant(policy, context.key);
-        return tenant === undefined ? { kind: "badKey" } : { policy, queue, tenant: tenant.name };
+        return tenant === undefined ? { kind: "badKey" } : { policy, queue, tenant };
     }
 
     function deadlineOf(context: RequestContext, queue: QueueConfig | undefined): number {
         return steadyMs() + (context.timeoutMs ?? queue?.timeoutMs ?? defaultTimeoutMs) - answerMarginMs;
     }
 
-    async function storeSubmission(context: RequestContext, queue: QueueConfig, submission: Submission) {
+    async function storeSubmission(
+        context: RequestContext,
+        queue: QueueConfig,
+        submission: Submission,
+    ): Promise<AcceptResult> {
         const text = encodeRecord({ kind: "open", submission, isCancelled: false });
         const write = { key: submissionKey(submission.id), revision: 0, text };
         const sentAtMs = steadyMs();
@@ -104,24 +113,38 @@
         switch (outcome.kind) {
             case "written":
                 opts.onStored?.({ key: write.key, text, revision: outcome.revision }, steadyMs() - sentAtMs);
-                return { kind: "accepted", isNew: true } as const;
+                return { kind: "accepted", isNew: true };
             case "conflict":
-                return { kind: "accepted", isNew: false } as const;
+                return { kind: "accepted", isNew: false };
             case "notWritten":
-                return {
-                    kind: "storeUnavailable",
-                    detail: outcome.detail,
-                    retryAfterMs: storeRetryAfterMs,
-                } as const;
+                return unavailable(outcome.detail);
             case "unknown":
-                return { kind: "unknown", detail: outcome.detail } as const;
+                return { kind: "unknown", detail: outcome.detail };
         }
     }
 
+    /** Stores a submission, unless it is refused for load. */
+    async function admit(
+        context: RequestContext,
+        request: SubmissionRequest,
+        authorized: { readonly queue: QueueConfig; readonly tenant: Tenant | undefined; },
+    ): Promise<AcceptResult> {
+        const { queue, tenant } = authorized;
+        const answer = await opts.loadCheck?.check(request, queue, tenant);
+        if (answer !== undefined) {
+            return answer;
+        }
+        const storing = () => storeSubmission(context, queue, toSubmission(request, authorized));
+        return opts.loadCheck === undefined ? storing() : opts.loadCheck.track(request.id, storing);
+    }
+
     /** Reads the record of a submission, with retries until the client's timeout. */
     async function readRecord(context: RequestContext, id: string) {
         const deadlineMs = deadlineOf(context, undefined);
         for (;;) {
+            if (policySource.isStoreLost()) {
+                return unavailable(storeLostDetail);
+            }
             const result = await store.read(submissionKey(id));
             switch (result.kind) {
                 case "found": {
@@ -200,16 +223,10 @@
                     context,
                     "accept",
                     request.id,
-                    unavailable("the store does not answer this entry"),
+                    unavailable(storeLostDetail),
                 );
             }
-            const submission = toSubmission(request, authorized);
-            return logRequest(
-                context,
-                "accept",
-                request.id,
-                await storeSubmission(context, authorized.queue, submission),
-            );
+            return logRequest(context, "accept", request.id, await admit(context, request, authorized));
         },
         async state(context, id) {
             const authorized = authorize(context);
@@ -266,9 +283,9 @@
 
 function toSubmission(
     request: SubmissionRequest,
-    { queue, tenant }: { queue: QueueConfig; tenant: string | undefined; },
+    { queue, tenant }: { queue: QueueConfig; tenant: Tenant | undefined; },
 ): Submission {
-    return { ...request, tenant, route: queue.name, service: queue.service, acceptedAtMs: Date.now() };
+    return { ...request, tenant: tenant?.name, route: queue.name, service: queue.service, acceptedAtMs: Date.now() };
 }
 
 /** State according to the record alone. Only the leader knows whether tasks have started. */
