feat(machines, scheduler): entitlements of competing pools, reclaims, and a bound on needs that starts limit

Cause: machines went to the pool with the largest shortage, and a pool that was short itself gave none away. A pool with a large backlog kept nearly all machines, empty ones that it could not fill included, and pools with usual load starved.

Change: where the pools need more than all machines have, max-min division gives each an entitlement, conforming work first (all work is conforming until accounts have rates). Moves then go to the pool with the smallest part of its entitlement, also from pools that are short themselves but stay at theirs. Machines that are in use beyond an entitlement get no new tasks until they are empty. The need of a pool that had more than an idle machine for its waiting tasks during the time of a join is bounded.

--- a/bench/model/simulateFleet.ts
+++ b/bench/model/simulateFleet.ts
@@ -17,7 +17,7 @@
     type SubmissionEntry,
     type Worker,
 } from "../../src/schedule";
-import { createConsolidator, measureDemand } from "../../src/scheduler";
+import { createCompetition, createConsolidator, measureDemand } from "../../src/scheduler";
 import { plainRoute } from "../../standins/scheduling";
 import { createArrivals, type ModelSubmission, poolName, tenantName, tenantShares } from "./createArrivals";
 import type { ModelFleet } from "./drawFleet";
@@ -77,6 +77,7 @@
             endings.set(atMs, [...endings.get(atMs) ?? [], { run, atMs }]);
         },
     });
+    const competition = createCompetition({ state, estimates, joinMs });
     const arrivals = createArrivals(fleet, seed);
     const known = new Map<string, ModelSubmission>();
     const completedAtMs = new Map<string, number>();
@@ -141,20 +142,23 @@
     }
 
     function listIdle(nowMs: number): readonly IdleMachine[] {
-        return machines.filter(({ joinsAtMs, pool, worker }) =>
+        return machines.filter(({ id, joinsAtMs, pool, worker }) =>
             joinsAtMs === Number.POSITIVE_INFINITY
-            && (pool === standbyPool || (worker !== undefined && acceptsNewWork(worker) && worker.runs.size === 0))
+            && (pool === standbyPool
+                || (worker !== undefined && worker.runs.size === 0
+                    && (competition.reclaimed.has(id) || acceptsNewWork(worker))))
         ).map(({ id, pool, worker }) => ({
             id,
             pool,
             cpuMillis: fleet.cores * 1000,
             idleMs: nowMs - (worker?.idleSinceMs ?? 0),
             isEvacuated: false,
+            isReclaimed: competition.reclaimed.has(id),
         }));
     }
 
     function decide(nowMs: number): void {
-        const pools = measureDemand({
+        const measured = measureDemand({
             state,
             policy,
             estimates,
@@ -166,10 +170,32 @@
                 machines.filter((machine) => machine.pool === pool && machine.joinsAtMs < Number.POSITIVE_INFINITY)
                     .length * fleet.cores * 1000,
         });
-        consolidator.decide(pools);
-        for (
-            const move of chooseMoves({ pools, idle: listIdle(nowMs), impossibleMoves: new Set(), maxMoves: mostMoves })
-        ) {
+        const atRest = machines.filter(({ joinsAtMs }) => joinsAtMs === Number.POSITIVE_INFINITY);
+        const countCpuMillis = (list: readonly ModelMachine[]) => list.length * fleet.cores * 1000;
+        const { demand: pools, entitlements } = competition.judge(measured, {
+            unassignedCpuMillis: countCpuMillis(atRest.filter(({ pool }) => pool === standbyPool)),
+            heldCpuMillis: (pool) => countCpuMillis(machines.filter((machine) => machine.pool === pool)),
+        }, nowMs);
+        consolidator.decide(measured);
+        const idle = listIdle(nowMs);
+        const impossibleMoves = new Set<string>();
+        const chosen = chooseMoves({ pools, idle, impossibleMoves, maxMoves: mostMoves, entitlements });
+        const movingIds = new Set(chosen.map(({ machine }) => machine));
+        competition.reclaim({
+            demand: pools,
+            entitlements,
+            moves: chosen,
+            idle,
+            impossibleMoves,
+            machines: atRest.flatMap(({ id, pool, worker }) =>
+                worker === undefined || movingIds.has(id)
+                    ? []
+                    : [{ machine: { id, pool, capacity: worker.capacity }, worker }]
+            ),
+            isTakenOver: (id) => movingIds.has(id),
+            nowMs,
+        });
+        for (const move of chosen) {
             const machine = machines.find(({ id }) => id === move.machine);
             if (machine !== undefined) {
                 send(machine, move.to, nowMs);
--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -184,6 +184,21 @@
         readonly neededCores: number;
         readonly comingCores: number;
     }
+    /** What a pool is entitled to, logged once a second while the pools need more than all machines; in whole cores. */
+    | {
+        readonly kind: "entitlement";
+        readonly pool: string;
+        readonly neededCores: number;
+        readonly conformingCores: number;
+        readonly entitledCores: number;
+        /** Cores that accept work, without those of long-running tasks. */
+        readonly cores: number;
+        readonly comingCores: number;
+        /** Machines of the pool that run empty for another pool. */
+        readonly reclaimed: number;
+        /** Age of the platform's list of machines, in milliseconds. */
+        readonly listAgeMs: number;
+    }
     /** The platform lists a machine with another state, pool or incarnation than before. */
     | {
         readonly kind: "machine";
--- a/src/machines/test/machines.steps.ts
+++ b/src/machines/test/machines.steps.ts
@@ -38,6 +38,10 @@
     waitingCpuMillis: 0,
     unplaceableCpuMillis: 0,
     neededCpuMillis: 0,
+    conformingNeedCpuMillis: 0,
+    usedCpuMillis: 0,
+    startableCpuMillis: 0,
+    machineCpuMillis: 0,
     capacityCpuMillis: 0,
     comingCpuMillis: 0,
     reserveCpuMillis: 0,
@@ -63,6 +67,7 @@
             cpuMillis: cores * 1000,
             idleMs: 5000,
             isEvacuated: false,
+            isReclaimed: false,
         });
     }
     world.pools = world.pools.map((known) =>
--- a/src/metrics/createEventMetrics.ts
+++ b/src/metrics/createEventMetrics.ts
@@ -62,6 +62,12 @@
         labelNames: ["pool", "part"],
         registers,
     });
+    const poolEntitlement = new Gauge({
+        name: "samphirepin_pool_entitlement_cores",
+        help: "Processors to which a pool is entitled while the pools need more than all machines have",
+        labelNames: ["pool"],
+        registers,
+    });
     const gauge = (name: string, help: string, read: () => number) =>
         new Gauge({
             name: `samphirepin_${name}`,
@@ -121,7 +127,12 @@
                 case "dependency":
                     dependencies.inc({ state: event.state });
                     return;
+                case "entitlement":
+                    poolEntitlement.set({ pool: event.pool }, event.entitledCores);
+                    return;
                 case "room":
+                    // While the pools compete, the pool's entitlement is logged right after this event.
+                    poolEntitlement.remove({ pool: event.pool });
                     poolCores.set({ pool: event.pool, part: "all" }, event.cores);
                     poolCores.set({ pool: event.pool, part: "longRunning" }, event.longRunningCores);
                     poolCores.set({ pool: event.pool, part: "short" }, event.shortCores);
--- a/src/schedule/index.ts
+++ b/src/schedule/index.ts
@@ -10,7 +10,15 @@
     waitingCpuMillis,
 } from "./estimates";
 export { isWithinTenantLimit } from "./isWithinTenantLimit";
-export { acceptsNewWork, fitsCapacity, hasFreeCapacity, isEligible, isInService, placeTask } from "./placeTask";
+export {
+    acceptsNewWork,
+    fitsCapacity,
+    hasFreeCapacity,
+    isEligible,
+    isInService,
+    isOperational,
+    placeTask,
+} from "./placeTask";
 export { planSpeculativeRuns } from "./planSpeculativeRuns";
 export { groupByPool, listAdviceCandidates, planStarts } from "./planStarts";
 export { queueOf } from "./queueOf";
--- a/src/schedule/placeTask.ts
+++ b/src/schedule/placeTask.ts
@@ -34,8 +34,12 @@
 
 /** Whether the state of a worker and its machine allows new work; evacuation of its zone is not considered. */
 export function isInService(worker: Worker): boolean {
+    return isOperational(worker) && !worker.isReserved;
+}
+
+/** Whether a worker is known to work and has no other runs than those that are known; it may be reserved. */
+export function isOperational(worker: Worker): boolean {
     return worker.isRegistered && worker.runList.kind === "read" && worker.isReachable && !worker.isDraining
-        && !worker.isReserved
         && worker.strayRunCount === 0;
 }
 
--- a/src/scheduler/createFleetController.ts
+++ b/src/scheduler/createFleetController.ts
@@ -9,15 +9,16 @@
     type MachineApi,
     type MachineOrder,
     type MachineOrders,
-    type PoolDemand,
 } from "../machines";
 import type { Policy, Wave } from "../policy";
-import { type DurationEstimates, groupByPool, type Run, type SchedulerState, type Worker } from "../schedule";
+import { type DurationEstimates, type Run, type SchedulerState, type Worker } from "../schedule";
+import { createCompetition, type Judgement } from "./createCompetition";
 import { createConsolidator } from "./createConsolidator";
 import { createFleetView } from "./createFleetView";
+import { createPoolReport } from "./createPoolReport";
+import type { OccupiedMachine } from "./createReclaimer";
 import { createWaveController } from "./createWaveController";
 import { measureDemand } from "./measureDemand";
-import { sumPoolUsage } from "./sumPoolUsage";
 
 export interface FleetControllerOptions {
     readonly state: SchedulerState;
@@ -63,10 +64,7 @@
 /** Share of the platform's order rate that moves may use. Maintenance and repeated orders need the rest. */
 const moveRateShare = 0.9;
 
-/** Interval between logs of each pool's capacity and use, in milliseconds. */
-const reportIntervalMs = 1000;
-
-/** Moves machines to pools with waiting work, moves idle ones to the standby pool, and carries out maintenance waves. */
+/** Moves machines to pools with waiting work and between competing pools, moves idle ones to the standby pool, and carries out maintenance waves. */
 export function createFleetController(opts: FleetControllerOptions): FleetController {
     const { state, clocks } = opts;
     const maxMovesPerRound = Math.max(1, Math.floor(opts.ordersPerSecond * decisionIntervalMs / 1000 * moveRateShare));
@@ -74,35 +72,21 @@
     const view = createFleetView({ ...opts, standby });
     const waves = createWaveController({ ...opts, view, standby });
     const consolidator = createConsolidator(opts);
-    let reportedAtMs = Number.NEGATIVE_INFINITY;
+    const competition = createCompetition(opts);
+    const reportPools = createPoolReport({ ...opts, countReclaimed: competition.countReclaimed });
     let isStopped = false;
     let timer: NodeJS.Timeout | undefined;
 
-    function reportPoolUsage(demand: readonly PoolDemand[]): void {
-        const nowMs = clocks.monotonicMs();
-        if (nowMs - reportedAtMs < reportIntervalMs) {
-            return;
-        }
-        reportedAtMs = nowMs;
-        const pools = groupByPool(state);
-        for (const { pool, isStandby, waitingCpuMillis, neededCpuMillis, comingCpuMillis: coming } of demand) {
-            const usage = sumPoolUsage(pools.get(pool) ?? []);
-            if (!isStandby) {
-                opts.report({
-                    kind: "room",
-                    pool,
-                    workers: usage.workers,
-                    emptyWorkers: usage.emptyWorkers,
-                    stayingWorkers: usage.longRunningOnlyWorkers,
-                    cores: toCores(usage.cpuMillis),
-                    longRunningCores: toCores(usage.longRunningCpuMillis),
-                    shortCores: toCores(usage.shortCpuMillis),
-                    waitingCores: toCores(waitingCpuMillis),
-                    neededCores: toCores(neededCpuMillis),
-                    comingCores: toCores(coming),
-                });
-            }
-        }
+    const isTakenOver = (id: string, worker: Worker) => view.hasPendingOrder(worker) || waves.isEmptying(id);
+
+    /** Lists the machines in pools that may be reclaimed, or are reclaimed. */
+    function listOccupied(): readonly OccupiedMachine[] {
+        const evacuated = opts.evacuatedZones();
+        return [...view.machines.values()].flatMap((machine) => {
+            const worker = view.workerOf(machine);
+            const isFree = machine.state === "up" && !evacuated.has(machine.zone) && view.isOrderable(machine.id);
+            return isFree && worker !== undefined && !isTakenOver(machine.id, worker) ? [{ machine, worker }] : [];
+        });
     }
 
     /**
@@ -110,17 +94,19 @@
      * are maintained when their pool can do without them. When a wave has no time left, its maintenance is chosen
      * before anything else.
      */
-    function chooseOrders(demand: readonly PoolDemand[]): readonly MachineOrder[] {
+    function chooseOrders({ demand, entitlements }: Judgement): readonly MachineOrder[] {
         const openWaves = waves.listOpen();
         const urgentWaves = openWaves.filter(({ mayWait }) => !mayWait);
         const urgentMaintenance = urgentWaves.flatMap((wave) => waves.decide(wave, () => false));
         const maintenanceIds = new Set(urgentMaintenance.map(({ machine }) => machine));
         [...view.machines.keys()].filter(waves.isEmptying).forEach((id) => maintenanceIds.add(id));
+        const idle = view.listIdle(maintenanceIds, competition.reclaimed);
         const moves = chooseMoves({
             pools: demand,
-            idle: view.listIdle(maintenanceIds),
+            idle,
             impossibleMoves: view.impossible,
             maxMoves: maxMovesPerRound,
+            entitlements,
         });
         const movingIds = new Set(moves.map(({ machine }) => machine));
         const shortageByPool = new Map(demand.map((pool) => [pool.pool, pool.isStandby ? 0 : findShortage(pool)]));
@@ -130,6 +116,17 @@
         const deferrableMaintenance = openWaves.filter(({ mayWait }) => mayWait).flatMap((wave) =>
             waves.decide(wave, isNeeded)
         );
+        [...movingIds, ...deferrableMaintenance.map(({ machine }) => machine)].forEach((id) => maintenanceIds.add(id));
+        competition.reclaim({
+            demand,
+            entitlements,
+            moves,
+            idle,
+            impossibleMoves: view.impossible,
+            machines: listOccupied().filter(({ machine: { id } }) => !maintenanceIds.has(id)),
+            isTakenOver: (id, worker) => maintenanceIds.has(id) || isTakenOver(id, worker),
+            nowMs: clocks.monotonicMs(),
+        });
         return [
             ...urgentMaintenance,
             ...deferrableMaintenance,
@@ -146,6 +143,7 @@
         if (view.machines.size === 0 || isStopped) {
             return;
         }
+        competition.handOver(isTakenOver);
         const demand = measureDemand({
             state,
             policy,
@@ -156,9 +154,11 @@
             timeOfDayMs: Date.now(),
             joinMs: opts.joinMs,
         });
-        reportPoolUsage(demand);
+        const cores = { unassignedCpuMillis: view.unassignedCpuMillis(), heldCpuMillis: view.heldCpuMillis };
+        const judgement = competition.judge(demand, cores, clocks.monotonicMs());
+        reportPools(demand, judgement, view.listAgeMs());
         consolidator.decide(demand);
-        const chosenOrders = chooseOrders(demand);
+        const chosenOrders = chooseOrders(judgement);
         if (chosenOrders.length > 0) {
             view.send(chosenOrders);
             opts.onChange();
@@ -181,7 +181,3 @@
         },
     };
 }
-
-function toCores(cpuMillis: number): number {
-    return Math.round(cpuMillis / 1000);
-}
--- a/src/scheduler/createFleetView.ts
+++ b/src/scheduler/createFleetView.ts
@@ -1,7 +1,7 @@
 import type { Clocks } from "../clock";
 import type { Reporter } from "../logging";
 import type { IdleMachine, Machine, MachineApi, MachineOrder, MachineOrderResult, MachineOrders } from "../machines";
-import { isInService, type SchedulerState, type Worker } from "../schedule";
+import { isInService, isOperational, type SchedulerState, type Worker } from "../schedule";
 
 export interface FleetViewOptions {
     readonly state: SchedulerState;
@@ -48,8 +48,21 @@
      * Lists machines without work.
      *
      * @param wanted ids of machines that are left out because they are wanted for something else
+     * @param reclaimed ids of machines that are reserved in order to be moved
      */
-    listIdle(wanted: ReadonlySet<string>): readonly IdleMachine[];
+    listIdle(wanted: ReadonlySet<string>, reclaimed?: ReadonlySet<string>): readonly IdleMachine[];
+    /**
+     * Cores of machines that are in the standby pool or on their way to a pool, in thousandths, without those that this
+     * leader has ordered and those under evacuation.
+     */
+    unassignedCpuMillis(): number;
+    /**
+     * Cores of machines that the list shows in a pool, or that this leader has ordered to it, in thousandths; without those
+     * that are down or under evacuation.
+     */
+    heldCpuMillis(pool: string): number;
+    /** Age of the platform's list, in milliseconds. */
+    listAgeMs(): number;
     /** Cores of the machines that are moving to a pool, in thousandths. */
     comingCpuMillis(pool: string): number;
     /** Lists machines whose maintenance for a wave was ordered and is not known to be over. */
@@ -266,7 +279,7 @@
         hasPendingOrder: (worker) =>
             [...pendingOrders.values()].some(({ incarnationBefore }) => findIncarnation(incarnationBefore) === worker),
         isOrderable: canOrder,
-        listIdle(wanted) {
+        listIdle(wanted, reclaimed = new Set()) {
             const standby = opts.standby();
             const nowMs = clocks.monotonicMs();
             const idle: IdleMachine[] = [];
@@ -275,8 +288,10 @@
                     continue;
                 }
                 const worker = workerOf(machine);
+                const isReclaimed = reclaimed.has(machine.id);
                 const isIdle = machine.pool === standby
-                    || (worker !== undefined && isInService(worker) && worker.runs.size === 0);
+                    || (worker !== undefined && worker.runs.size === 0
+                        && (isReclaimed ? isOperational(worker) : isInService(worker)));
                 if (isIdle) {
                     idle.push({
                         id: machine.id,
@@ -284,11 +299,27 @@
                         cpuMillis: machine.capacity.cpuMillis,
                         idleMs: nowMs - (worker?.idleSinceMs ?? 0),
                         isEvacuated: isEvacuated(machine),
+                        isReclaimed,
                     });
                 }
             }
             return idle;
         },
+        unassignedCpuMillis() {
+            const standby = opts.standby();
+            return [...machines.values()]
+                .filter(({ id, pool, state }) =>
+                    !pendingOrders.has(id)
+                    && (state === "moving" ? pool !== standby : state === "up" && pool === standby)
+                )
+                .reduce((sum, machine) => sum + (isEvacuated(machine) ? 0 : machine.capacity.cpuMillis), 0);
+        },
+        heldCpuMillis: (pool) =>
+            [...machines.values()]
+                .filter((machine) => (pendingOrders.get(machine.id)?.targetPool ?? machine.pool) === pool)
+                .filter((machine) => machine.state !== "down" && !isEvacuated(machine))
+                .reduce((sum, { capacity }) => sum + capacity.cpuMillis, 0),
+        listAgeMs: () => clocks.monotonicMs() - listedAtMs,
         comingCpuMillis: (pool) =>
             [...pendingOrders].filter(([id, pending]) => pending.targetPool === pool && !isEvacuated(machines.get(id)))
                 .reduce((sum, [id]) => sum + (machines.get(id)?.capacity.cpuMillis ?? 0), 0),
--- a/src/scheduler/index.ts
+++ b/src/scheduler/index.ts
@@ -1,4 +1,5 @@
 /** The work of the scheduling leader during one tenure. */
+export { createCompetition } from "./createCompetition";
 export { createConsolidator } from "./createConsolidator";
 export { createScheduler, type Scheduler, type SchedulerBounds } from "./createScheduler";
 export { measureDemand } from "./measureDemand";
--- a/src/scheduler/measureDemand.ts
+++ b/src/scheduler/measureDemand.ts
@@ -14,6 +14,7 @@
     type Worker,
 } from "../schedule";
 import { unplaceableCpuMillis, unplaceableLongRunningCpuMillis } from "./findUnplaceable";
+import { measureStartable } from "./measureStartable";
 import { sumPoolUsage } from "./sumPoolUsage";
 
 export interface DemandOptions {
@@ -96,6 +97,13 @@
         waitingCpuMillis: open.waitingCpuMillis,
         unplaceableCpuMillis: unplaceable + unplaceableLongRunningCpuMillis(workers, nowMs),
         neededCpuMillis,
+        conformingNeedCpuMillis: neededCpuMillis,
+        usedCpuMillis: usage.shortCpuMillis,
+        startableCpuMillis: Math.min(
+            open.waitingCpuMillis,
+            measureStartable(open.waitingSubmissions, workers, nowMs),
+        ),
+        machineCpuMillis: usage.largestCpuMillis,
         capacityCpuMillis: availableCpuMillis,
         comingCpuMillis,
         reserveCpuMillis: reservedSubmissions * meter.meanSubmissionCpuMillis(pool),
--- /dev/null
+++ b/src/scheduler/measureStartable.ts
@@ -0,0 +1,64 @@
+import { isEligible, isStepReady, type SubmissionEntry, type Task, type Worker } from "../schedule";
+
+/** Waiting submissions of which one task each is checked, evenly spread over all of them. Each check goes over all workers. */
+const checkedSubmissions = 5;
+
+/** Minimum wait of a task that is checked, in milliseconds. Most tasks are started within one or two rounds. */
+const minWaitMs = 300;
+
+/**
+ * Returns the idle cores of a pool on which its waiting tasks could run now, in thousandths.
+ *
+ * Free cores alone don't tell whether a pool can't fill its machines. Free cores may lie in parts that are too small for any
+ * waiting task, or on workers without enough memory or without the label. So the cores count on which tasks of the same size
+ * as a checked one would fit.
+ */
+export function measureStartable(
+    waiting: readonly SubmissionEntry[],
+    workers: readonly Worker[],
+    nowMs: number,
+): number {
+    const stride = Math.max(1, Math.floor(waiting.length / checkedSubmissions));
+    const checked = waiting.filter((_, index) => index % stride === 0).slice(0, checkedSubmissions);
+    const sums = checked.map((entry) => {
+        const task = findWaitingTask(entry, nowMs);
+        return task === undefined
+            ? 0
+            : workers.reduce((sum, worker) => sum + startableCpuMillis(worker, task, nowMs), 0);
+    });
+    return Math.max(0, ...sums);
+}
+
+function findWaitingTask(entry: SubmissionEntry, nowMs: number): Task | undefined {
+    for (const occurrence of entry.occurrences) {
+        for (const [number, step] of occurrence.tasks.entries()) {
+            const task = isStepReady(occurrence, number) ? step.find((each) => isDue(each, nowMs)) : undefined;
+            if (task !== undefined) {
+                return task;
+            }
+        }
+    }
+    return undefined;
+}
+
+function isDue(task: Task, nowMs: number): boolean {
+    return task.phase === "waiting" && task.runs.length === 0 && !task.step.isFiller && task.notBeforeMs <= nowMs
+        && nowMs - task.waitingSinceMs > minWaitMs;
+}
+
+function startableCpuMillis(worker: Worker, task: Task, nowMs: number): number {
+    const { capacity, used } = worker;
+    const { cpuMillis, memoryMb, accelerators } = task.step.size;
+    const count = Math.min(
+        countFitting(capacity.cpuMillis - used.cpuMillis, cpuMillis),
+        countFitting(capacity.memoryMb - used.memoryMb, memoryMb),
+        countFitting(capacity.accelerators - used.accelerators, accelerators),
+    );
+    return count >= 1 && Number.isFinite(count) && isEligible(worker, task, { workers: [], nowMs })
+        ? count * cpuMillis
+        : 0;
+}
+
+function countFitting(free: number, size: number): number {
+    return size > 0 ? Math.floor(free / size) : Number.POSITIVE_INFINITY;
+}
