--- a/src/scheduler/index.ts
+++ b/src/scheduler/index.ts
@@ -1,6 +1,7 @@
 /** The work of the scheduling leader during one tenure. */
 export { createCompetition } from "./createCompetition";
 export { createConsolidator } from "./createConsolidator";
+export { createFleetController } from "./createFleetController";
 export { createScheduler, type Scheduler, type SchedulerBounds } from "./createScheduler";
 export { measureDemand } from "./measureDemand";
 export type { WorkerDecoder, WorkerRegistration } from "./workerRegistration";
--- a/src/scheduler/test/competition.steps.ts
+++ b/src/scheduler/test/competition.steps.ts
@@ -1,7 +1,7 @@
 import { After, Given, setDefaultTimeout, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { type Clock, installClock } from "../../../standins/dispatch";
-import { type CompetitionWorld, createCompetitionWorld } from "./competitionWorld";
+import { type CompetitionWorld, createCompetitionWorld } from "../../../standins/scheduling";
 
 setDefaultTimeout(60_000);
 
--- a/src/scheduler/test/demand.feature
+++ b/src/scheduler/test/demand.feature
@@ -13,3 +13,19 @@
         And the account "groom" may have 20 cores
         When "groom" sends 10 submissions of 8 tasks of 1 core
         Then the pool needs 80 cores
+
+    Scenario Outline: idle cores count for waiting tasks only where these could run
+        Guards against a pool that counts as unable to fill its machines because its free cores lie in parts that are too
+        small for a task, or on machines without free memory.
+
+        Given a pool with 4 workers of 16 cores
+        When "groom" sends 2 submissions of 8 tasks of <cores> cores
+        And each worker has <used> cores and <memory> MB in use for 400 ms
+        Then its waiting tasks could use <startable> cores
+
+        Examples:
+            | cores | used | memory | startable |
+            | 5     | 0    | 0      | 60        |
+            | 5     | 12   | 0      | 0         |
+            | 5     | 0    | 64000  | 0         |
+            | 1     | 12   | 0      | 16        |
--- a/src/scheduler/test/demand.steps.ts
+++ b/src/scheduler/test/demand.steps.ts
@@ -83,3 +83,17 @@
 Then("the pool needs {int} cores", function(this: World, cores: number) {
     assert.equal(Math.round(measure(this).neededCpuMillis / 1000), cores);
 });
+
+When(
+    "each worker has {int} cores and {int} MB in use for {int} ms",
+    function(this: World, cores: number, memoryMb: number, ms: number) {
+        for (const worker of this.state.workers.values()) {
+            worker.used = { cpuMillis: cores * 1000, memoryMb, accelerators: 0 };
+        }
+        this.nowMs = startMs + ms;
+    },
+);
+
+Then("its waiting tasks could use {int} cores", function(this: World, cores: number) {
+    assert.equal(measure(this).startableCpuMillis / 1000, cores);
+});
--- a/src/scheduler/test/competitionWorld.ts
+++ b/standins/scheduling/createCompetitionWorld.ts
@@ -1,7 +1,6 @@
-import { plainPolicy, plainRoute, plainStep, plainSubmission } from "../../../standins/scheduling";
-import type { LogEvent } from "../../logging";
-import { createDemandMeter, type Machine, type MachineOrder } from "../../machines";
-import type { Policy, Wave } from "../../policy";
+import type { LogEvent } from "../../src/logging";
+import { createDemandMeter, type Machine, type MachineOrder } from "../../src/machines";
+import type { Policy, Wave } from "../../src/policy";
 import {
     addOccurrence,
     addSubmission,
@@ -15,8 +14,9 @@
     type Run,
     type SchedulerState,
     type Worker,
-} from "../../schedule";
-import { createFleetController } from "../createFleetController";
+} from "../../src/schedule";
+import { createFleetController } from "../../src/scheduler";
+import { plainPolicy, plainRoute, plainStep, plainSubmission } from "./plainPolicy";
 
 /** Work that a pool gets. */
 export interface PoolLoad {
@@ -61,6 +61,10 @@
 const tasksPerSubmission = 8;
 const standby = "spare";
 
+/**
+ * Creates a fleet of machines in racks under the product's decisions on starts and machines. Starts, moves and maintenance
+ * take fixed times; a pool's starts can be limited.
+ */
 export function createCompetitionWorld(pools: readonly string[]): CompetitionWorld {
     const state = createSchedulerState();
     const estimates = createDurationEstimates();
--- a/standins/scheduling/index.ts
+++ b/standins/scheduling/index.ts
@@ -1,4 +1,5 @@
 /** In-memory store, workers and machines for scenarios of scheduling; all use the runtime's clock. */
+export { type CompetitionWorld, createCompetitionWorld, type PoolLoad } from "./createCompetitionWorld";
 export { createFakeStore, type FakeStore, type StoreFault } from "./createFakeStore";
 export {
     createFakeTaskWorkers,
