fix(scheduler): machines that have just joined or freed a task don't show that a pool is limited by starts

In a large pool more than a machine is free at any moment for the next round of starts.

Change: only workers count that have been read and have had no end of a run for 0.3 s.

--- a/src/scheduler/measureStartable.ts
+++ b/src/scheduler/measureStartable.ts
@@ -3,7 +3,11 @@
 /** Waiting submissions of which one task each is checked, evenly spread over all of them. Each check goes over all workers. */
 const checkedSubmissions = 5;
 
-/** Minimum wait of a task that is checked, in milliseconds. Most tasks are started within one or two rounds. */
+/**
+ * Minimum wait of a task that is checked, and minimum time since a worker has joined and since a run on it has ended, in
+ * milliseconds. Most tasks are started within one or two rounds. In a large pool tasks end and machines join all the time,
+ * so that at any moment more than a machine is free for the next round of starts.
+ */
 const minWaitMs = 300;
 
 /**
@@ -11,24 +15,29 @@
  *
  * Free cores alone don't tell whether a pool can't fill its machines. Free cores may lie in parts that are too small for any
  * waiting task, or on workers without enough memory or without the label. So the cores count on which tasks of the same size
- * as a checked one would fit.
+ * as a checked one would fit, on workers that nothing has freed for a while.
  */
 export function measureStartable(
     waiting: readonly SubmissionEntry[],
     workers: readonly Worker[],
     nowMs: number,
 ): number {
+    const unused = workers.filter((worker) => hasBeenUnused(worker, nowMs));
     const stride = Math.max(1, Math.floor(waiting.length / checkedSubmissions));
     const checked = waiting.filter((_, index) => index % stride === 0).slice(0, checkedSubmissions);
     const sums = checked.map((entry) => {
         const task = findWaitingTask(entry, nowMs);
         return task === undefined
             ? 0
-            : workers.reduce((sum, worker) => sum + startableCpuMillis(worker, task, nowMs), 0);
+            : unused.reduce((sum, worker) => sum + startableCpuMillis(worker, task, nowMs), 0);
     });
     return Math.max(0, ...sums);
 }
 
+function hasBeenUnused({ runList, idleSinceMs }: Worker, nowMs: number): boolean {
+    return runList.kind === "read" && nowMs - Math.max(runList.firstReadAtMs, idleSinceMs) > minWaitMs;
+}
+
 function findWaitingTask(entry: SubmissionEntry, nowMs: number): Task | undefined {
     for (const occurrence of entry.occurrences) {
         for (const [number, step] of occurrence.tasks.entries()) {
--- a/src/scheduler/test/demand.feature
+++ b/src/scheduler/test/demand.feature
@@ -29,3 +29,18 @@
             | 5     | 12   | 0      | 0         |
             | 5     | 0    | 64000  | 0         |
             | 1     | 12   | 0      | 16        |
+
+    Scenario Outline: cores that have just become free don't count for waiting tasks
+        Guards against a large pool that counts as unable to fill its machines because at any moment some task has ended or
+        some machine has joined. Two such pools would give up machines in turn while their tasks wait.
+
+        Given a pool with 4 workers of 16 cores
+        When "groom" sends 8 submissions of 8 tasks of 1 core
+        And each worker has 8 cores and 0 MB in use for 400 ms
+        And 3 workers <change> 100 ms ago
+        Then its waiting tasks could use 8 cores
+
+        Examples:
+            | change     |
+            | ended runs |
+            | joined     |
--- a/src/scheduler/test/demand.steps.ts
+++ b/src/scheduler/test/demand.steps.ts
@@ -97,3 +97,18 @@
 Then("its waiting tasks could use {int} cores", function(this: World, cores: number) {
     assert.equal(measure(this).startableCpuMillis / 1000, cores);
 });
+
+When(
+    /^(\d+) workers (ended runs|joined) (\d+) ms ago$/,
+    function(this: World, count: number, change: string, agoMs: number) {
+        const atMs = this.nowMs - agoMs;
+        for (const worker of [...this.state.workers.values()].slice(0, count)) {
+            Object.assign(
+                worker,
+                change === "joined"
+                    ? { runList: { kind: "read", firstReadAtMs: atMs, askedAtMs: atMs } }
+                    : { idleSinceMs: atMs },
+            );
+        }
+    },
+);
