--- a/src/scheduler/measureDemand.ts
+++ b/src/scheduler/measureDemand.ts
@@ -14,6 +14,7 @@
     type Worker,
 } from "../schedule";
 import { unplaceableCpuMillis, unplaceableLongRunningCpuMillis } from "./findUnplaceable";
+import { measureStartable } from "./measureStartable";
 import { sumPoolUsage } from "./sumPoolUsage";
 
 export interface DemandOptions {
@@ -46,6 +47,10 @@
     cpuMillis: number;
     /** Remaining work of submissions without long-running steps, in core-milliseconds. */
     coreMs: number;
+    /** The part of `cpuMillis` that belongs to submissions within the rate of their account. */
+    conformingCpuMillis: number;
+    /** The same part of `coreMs`. */
+    conformingCoreMs: number;
     /** Cores that ready tasks wait for. */
     waitingCpuMillis: number;
     /** The part of `waitingCpuMillis` that belongs to submissions with long-running steps. */
@@ -74,15 +79,24 @@
     const usage = sumPoolUsage(workers.filter(acceptsNewWork));
     const availableCpuMillis = usage.cpuMillis - usage.longRunningCpuMillis;
     const comingCpuMillis = opts.comingCpuMillis(pool);
+    const arrivingCpuMillis = meter.forecastArrivingCpuMillis(pool, nowMs);
+    const forecast = { capacityCpuMillis: availableCpuMillis, comingCpuMillis, joinMs };
     const shortTaskCpuMillis = forecastNeedCpuMillis({
+        ...forecast,
         openCpuMillis: open.cpuMillis,
         openCoreMs: open.coreMs,
-        arrivingCpuMillis: meter.forecastArrivingCpuMillis(pool, nowMs),
-        capacityCpuMillis: availableCpuMillis,
-        comingCpuMillis,
-        joinMs,
+        arrivingCpuMillis,
+    });
+    // What arrives is assumed to be conforming in the proportion of what is open.
+    const conformingShare = open.cpuMillis > 0 ? open.conformingCpuMillis / open.cpuMillis : 1;
+    const conformingCpuMillis = forecastNeedCpuMillis({
+        ...forecast,
+        openCpuMillis: open.conformingCpuMillis,
+        openCoreMs: open.conformingCoreMs,
+        arrivingCpuMillis: arrivingCpuMillis * conformingShare,
     });
-    const neededCpuMillis = shortTaskCpuMillis + open.waitingLongRunningCpuMillis + replacementCpuMillis(workers);
+    const longRunningCpuMillis = open.waitingLongRunningCpuMillis + replacementCpuMillis(workers);
+    const neededCpuMillis = shortTaskCpuMillis + longRunningCpuMillis;
     // With a shortage this large, a machine is moved to the pool in any case. If no worker of the pool takes work, the
     // size of its machines is unknown. If such a pool counted as short, its tasks would not be checked for being
     // unplaceable, and a small task could wait for eleven seconds without a machine on its way.
@@ -96,6 +110,13 @@
         waitingCpuMillis: open.waitingCpuMillis,
         unplaceableCpuMillis: unplaceable + unplaceableLongRunningCpuMillis(workers, nowMs),
         neededCpuMillis,
+        conformingNeedCpuMillis: conformingCpuMillis + longRunningCpuMillis,
+        usedCpuMillis: usage.shortCpuMillis,
+        startableCpuMillis: Math.min(
+            open.waitingCpuMillis,
+            measureStartable(open.waitingSubmissions, workers, nowMs),
+        ),
+        machineCpuMillis: usage.largestCpuMillis,
         capacityCpuMillis: availableCpuMillis,
         comingCpuMillis,
         reserveCpuMillis: reservedSubmissions * meter.meanSubmissionCpuMillis(pool),
@@ -106,7 +127,15 @@
 }
 
 function createOpenWork(): OpenWork {
-    return { cpuMillis: 0, coreMs: 0, waitingCpuMillis: 0, waitingLongRunningCpuMillis: 0, waitingSubmissions: [] };
+    return {
+        cpuMillis: 0,
+        coreMs: 0,
+        conformingCpuMillis: 0,
+        conformingCoreMs: 0,
+        waitingCpuMillis: 0,
+        waitingLongRunningCpuMillis: 0,
+        waitingSubmissions: [],
+    };
 }
 
 function sumOpenWork(opts: DemandOptions): ReadonlyMap<string, OpenWork> {
@@ -135,8 +164,13 @@
     }
     const remaining = estimateRemaining(entry, opts.estimates, opts.nowMs);
     const deadlineAgeMs = targetAgeMs(queueOf(opts.policy, submission), remaining);
-    open.cpuMillis += desiredCpuMillis(remaining, deadlineAgeMs, opts.timeOfDayMs - submission.acceptedAtMs);
+    const desired = desiredCpuMillis(remaining, deadlineAgeMs, opts.timeOfDayMs - submission.acceptedAtMs);
+    open.cpuMillis += desired;
     open.coreMs += remaining.workCoreMs;
+    if (!entry.isExcess) {
+        open.conformingCpuMillis += desired;
+        open.conformingCoreMs += remaining.workCoreMs;
+    }
 }
 
 /**
--- a/src/scheduler/test/backlog.steps.ts
+++ b/src/scheduler/test/backlog.steps.ts
@@ -39,6 +39,10 @@
         waitingCpuMillis,
         unplaceableCpuMillis: 0,
         neededCpuMillis: 0,
+        conformingNeedCpuMillis: 0,
+        usedCpuMillis: 0,
+        startableCpuMillis: 0,
+        machineCpuMillis: 0,
         capacityCpuMillis: 0,
         comingCpuMillis: 0,
         reserveCpuMillis: 0,
@@ -130,6 +134,7 @@
             cpuMillis: cores * 1000,
             idleMs: 0,
             isEvacuated: false,
+            isReclaimed: false,
         }));
     },
 );
--- a/src/scheduler/test/classifier.feature
+++ b/src/scheduler/test/classifier.feature
@@ -1,3 +1,4 @@
+@classifier
 Feature: Submissions are classified by the rates of their client accounts
 
     Scenario: thousands of records at the beginning of a tenure, in order of their ids
--- a/src/scheduler/test/classifier.steps.ts
+++ b/src/scheduler/test/classifier.steps.ts
@@ -21,7 +21,7 @@
     recordCount: number;
 }
 
-Before(function(this: World) {
+Before({ tags: "@classifier" }, function(this: World) {
     this.clock = installClock();
     this.trackedState = createSchedulerState();
     this.appliedPolicy = undefined;
@@ -48,7 +48,7 @@
     });
 });
 
-After(function(this: World) {
+After({ tags: "@classifier" }, function(this: World) {
     this.clock.uninstall();
 });
 
