feat(store): prefix watchers that begin with known items; catch-up of a copy to a revision

A new leader reads whole prefixes that its standby could have known. A prefix watcher now takes initial items and continues from their revision, with a first watch that returns at once; onBatch follows only after its answer. catchUp brings a copied prefix to a required revision in at most three calls, or gives none. The fake store can hold watches at a revision and counts reads of whole prefixes.

--- a/src/store/createPrefixWatcher.ts
+++ b/src/store/createPrefixWatcher.ts
@@ -1,6 +1,12 @@
 import { pause } from "../clock";
 import type { Store, StoreItem } from "./store";
 
+/** Items under a prefix, with every change up to a revision of the store. Single items may be newer. */
+export interface PrefixSnapshot {
+    readonly items: ReadonlyMap<string, StoreItem>;
+    readonly revision: number;
+}
+
 export interface PrefixWatcherOptions {
     readonly store: Store;
     readonly prefix: string;
@@ -20,6 +26,11 @@
     onStoreRecovered?(): void;
     /** False if the caller stores what it needs from `onItem`: the view then keeps key revisions and empty texts. */
     readonly keepsText?: boolean;
+    /**
+     * Items that are known already. They are delivered first, without a call of `onBatch`. The watcher then asks for the
+     * changes since their revision, without a wait, instead of reading the whole prefix.
+     */
+    readonly initial?: PrefixSnapshot;
 }
 
 /** Keeps a local view of all keys under a prefix up to date. */
@@ -30,6 +41,8 @@
      * answer.
      */
     freshAtMs(): number | undefined;
+    /** Returns the view and its revision; `undefined` while the whole prefix has to be read. */
+    snapshot(): PrefixSnapshot | undefined;
     start(): void;
     stop(): void;
 }
@@ -48,6 +61,7 @@
 export function createPrefixWatcher(opts: PrefixWatcherOptions): PrefixWatcher {
     const items = new Map<string, StoreItem>();
     let revision: number | undefined;
+    let isFirstBatch = true;
     let freshAtMs: number | undefined;
     let isStopped = false;
     let isLost = false;
@@ -98,14 +112,20 @@
         }
         revision = result.revision;
         recordAnswer(sentAtMs);
+        reportBatch();
+    }
+
+    function reportBatch(): void {
+        isFirstBatch = false;
         opts.onBatch?.();
     }
 
     async function waitForChanges(after: number): Promise<void> {
         const sentAtMs = opts.nowMs();
         // After a loss, the watch returns at once, so that the first answer shows that the store is back. With a long
-        // poll, this entry would refuse requests and not act as leader for up to `waitMs` longer.
-        const firstResult = await opts.store.watch(opts.prefix, after, isLost ? 0 : opts.waitMs);
+        // poll, this entry would refuse requests and not act as leader for up to `waitMs` longer. After initial items, it
+        // returns at once too, because the caller waits for the first batch.
+        const firstResult = await opts.store.watch(opts.prefix, after, isLost || isFirstBatch ? 0 : opts.waitMs);
         // A healthy store may close a pending watch. The store counts as lost only if a watch without waiting fails
         // too.
         const isInterrupted = firstResult.kind === "unavailable" && !isLost;
@@ -130,14 +150,22 @@
                 }
                 revision = result.revision;
                 recordAnswer(sentAtMs);
-                if (result.events.length > 0) {
-                    opts.onBatch?.();
+                if (result.events.length > 0 || isFirstBatch) {
+                    reportBatch();
                     await pause(opts.pauseMs);
                 }
         }
     }
 
+    function deliverInitial({ items: initialItems, revision: initialRevision }: PrefixSnapshot): void {
+        initialItems.forEach((item) => apply(item.key, item));
+        revision = initialRevision;
+    }
+
     async function run(): Promise<void> {
+        if (opts.initial !== undefined) {
+            deliverInitial(opts.initial);
+        }
         while (!isStopped) {
             await (revision === undefined ? readAll() : waitForChanges(revision));
         }
@@ -146,6 +174,7 @@
     return {
         items,
         freshAtMs: () => freshAtMs,
+        snapshot: () => revision === undefined ? undefined : { items, revision },
         start() {
             void run();
         },
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -1,4 +1,5 @@
 /** Interface of the platform's store, relaying of store calls through other entries, and watched prefixes. */
-export { createPrefixWatcher, type PrefixWatcher } from "./createPrefixWatcher";
+export { catchUp } from "./catchUp";
+export { createPrefixWatcher, type PrefixSnapshot, type PrefixWatcher } from "./createPrefixWatcher";
 export { createRelayedStore, type RelayedStore } from "./createRelayedStore";
 export * from "./store";
--- a/src/store/test/store.feature
+++ b/src/store/test/store.feature
@@ -110,3 +110,76 @@
         And the store answers "entry-1"
         And 300 ms pass
         Then the watcher has reported the store as lost and recovered, once each
+
+    Scenario: a watcher begins with items that it is given
+        Guards against a new leader that decides on what it copied some time ago.
+
+        Given "a/1" is written as "old"
+        And "a/2" is written as "x"
+        And a watcher of prefix "a/" that is given the items so far
+        When "a/1" is written as "new"
+        And "a/2" is deleted
+        Then the watcher's view is ""
+        When the watcher is started
+        Then the watcher's view is "a/1=old a/2=x"
+        And 0 batches are reported
+        When 50 ms pass
+        Then the watcher's view is "a/1=new"
+        And 1 batch is reported
+        And 0 prefixes were read
+
+    Scenario: nothing has changed since the items that a watcher is given
+        Guards against a new leader that waits a whole long poll for its first batch.
+
+        Given "a/1" is written as "x"
+        And a watcher of prefix "a/" that is given the items so far
+        When the watcher is started
+        And 50 ms pass
+        Then the watcher's view is "a/1=x"
+        And 1 batch is reported
+
+    Scenario: the history since the items that a watcher is given is gone
+        Given "a/1" is written as "x"
+        And "a/2" is written as "y"
+        And a watcher of prefix "a/" that is given the items so far
+        When "a/1" is deleted
+        And the history is compacted
+        And the watcher is started
+        And 50 ms pass
+        Then the watcher's view is "a/2=y"
+        And 1 batch is reported
+        And 1 prefix was read
+
+    Scenario: the store does not answer a watcher that is given items
+        Given "a/1" is written as "x"
+        And a watcher of prefix "a/" that is given the items so far
+        When the store is "refused" for "entry-1"
+        And the watcher is started
+        And 500 ms pass
+        Then 0 batches are reported
+        When the store answers "entry-1"
+        And 300 ms pass
+        Then 1 batch is reported
+
+    Scenario Outline: a copy of a prefix is brought to a revision, where <what>
+        Guards against an old copy that counts as complete.
+
+        Given "a/1" is written as "old"
+        And "a/2" is written as "x"
+        And a copy of prefix "a/"
+        When "a/1" is written as "new"
+        And "a/2" is deleted
+        And <what>
+        Then the copy caught up with the store is "<copy>", after <calls> calls
+
+        Examples:
+            | what                                     | copy      | calls |
+            | nothing else happens                     | a/1=new   | 1     |
+            | the history is compacted                 | undefined | 1     |
+            | the store is "refused" for "entry-1"     | undefined | 3     |
+            | watches of "a/" do not show these writes | undefined | 3     |
+
+    Scenario: a copy that contains the revision already is not read again
+        Given "a/1" is written as "x"
+        And a copy of prefix "a/"
+        Then the copy caught up with the store is "a/1=x", after 0 calls
--- a/src/store/test/store.steps.ts
+++ b/src/store/test/store.steps.ts
@@ -3,7 +3,14 @@
 import { type Clock, installClock } from "../../../standins/dispatch";
 import { createFakeNetwork } from "../../../standins/fakes";
 import { createFakeStore, type FakeStore, type StoreFault } from "../../../standins/scheduling";
-import { createPrefixWatcher, createRelayedStore, type PrefixWatcher, type RelayedStore } from "../index";
+import {
+    catchUp,
+    createPrefixWatcher,
+    createRelayedStore,
+    type PrefixSnapshot,
+    type PrefixWatcher,
+    type RelayedStore,
+} from "../index";
 
 interface World {
     clock: Clock;
@@ -12,6 +19,8 @@
     lost: number;
     regained: number;
     entries: Map<string, RelayedStore>;
+    batches: number;
+    copy: PrefixSnapshot;
 }
 
 Before(function(this: World) {
@@ -21,6 +30,7 @@
     this.watcher = undefined;
     this.lost = 0;
     this.regained = 0;
+    this.batches = 0;
 });
 
 After(function(this: World) {
@@ -28,20 +38,87 @@
     this.clock.uninstall();
 });
 
-Given("a watcher of prefix {string}", function(this: World, prefix: string) {
-    this.watcher = createPrefixWatcher({
-        store: this.store.connect("entry-1"),
+function createWatcher(world: World, prefix: string, initial?: PrefixSnapshot): PrefixWatcher {
+    return createPrefixWatcher({
+        store: world.store.connect("entry-1"),
         prefix,
         waitMs: 1000,
         pauseMs: 0,
         nowMs: () => performance.now(),
         onItem() {},
-        onStoreLost: () => this.lost++,
-        onStoreRecovered: () => this.regained++,
+        onBatch: () => world.batches++,
+        onStoreLost: () => world.lost++,
+        onStoreRecovered: () => world.regained++,
+        ...initial === undefined ? {} : { initial },
     });
+}
+
+Given("a watcher of prefix {string}", function(this: World, prefix: string) {
+    this.watcher = createWatcher(this, prefix);
     this.watcher.start();
 });
 
+async function copyPrefix(world: World, prefix: string): Promise<PrefixSnapshot> {
+    const { result } = await finish(world, world.store.connect("copier").range(prefix));
+    assert.equal(result.kind, "items");
+    return { items: new Map(result.items.map((item) => [item.key, item])), revision: result.revision };
+}
+
+Given("a watcher of prefix {string} that is given the items so far", async function(this: World, prefix: string) {
+    this.watcher = createWatcher(this, prefix, await copyPrefix(this, prefix));
+});
+
+When("the watcher is started", function(this: World) {
+    this.watcher?.start();
+});
+
+Then("{int} batch(es) is/are reported", function(this: World, count: number) {
+    assert.equal(this.batches, count);
+});
+
+Then("{int} prefix(es) was/were read", function(this: World, count: number) {
+    assert.equal(this.store.rangeCalls("entry-1"), count);
+});
+
+Given("a copy of prefix {string}", async function(this: World, prefix: string) {
+    this.copy = await copyPrefix(this, prefix);
+});
+
+When("{string} is deleted", function(this: World, key: string) {
+    this.store.remove(key);
+});
+
+When("nothing else happens", function(this: World) {});
+
+When("the history is compacted", function(this: World) {
+    this.store.forgetHistory();
+});
+
+When("watches of {string} do not show these writes", function(this: World, prefix: string) {
+    this.store.holdWatches(prefix, this.copy.revision);
+});
+
+Then(
+    "the copy caught up with the store is {string}, after {int} calls",
+    async function(this: World, expected: string, calls: number) {
+        const { result: { revision } } = await finish(this, this.store.connect("copier").range("a/")) as {
+            result: { revision: number; };
+        };
+        const { result } = await finish(
+            this,
+            catchUp({
+                store: this.store.connect("entry-1"),
+                prefix: "a/",
+                snapshot: this.copy,
+                minRevision: revision,
+            }),
+        );
+        const items = result && [...result.items.values()].map(({ key, text }) => `${key}=${text}`).join(" ");
+        assert.equal(items ?? "undefined", expected);
+        assert.equal(this.store.calls("entry-1"), calls);
+    },
+);
+
 When("the store closes the watcher's pending watch", async function(this: World) {
     await this.clock.advance(100);
     this.store.cutWatches();
--- a/standins/scheduling/createFakeStore.ts
+++ b/standins/scheduling/createFakeStore.ts
@@ -43,11 +43,15 @@
     cutWatches(): void;
     /** Watches from before now are told that the history is gone. */
     forgetHistory(): void;
+    /** Watches of a prefix are told of nothing after a revision, as by a replica that lags; `undefined` ends that. */
+    holdWatches(prefix: string | undefined, atRevision?: number): void;
     /** Leases that have ended are removed; the scenario's clock calls it. */
     expireLeases(): void;
     /** Time that does not count for the leases that there are, in milliseconds, as in an outage. */
     pauseLeases(ms: number): void;
     calls(client: string): number;
+    /** Reads of a whole prefix by a client. */
+    rangeCalls(client: string): number;
     /** How long each call takes from now on, in milliseconds. */
     setAnswerMs(ms: number): void;
     /** Reads of a whole prefix take this much longer, as with many pages, in milliseconds. */
@@ -69,6 +73,7 @@
     const leases = new Map<number, Lease>();
     const faults = new Map<string, StoreFault>();
     const counts = new Map<string, number>();
+    const rangeCounts = new Map<string, number>();
     const rangeDelays = new Map<string, number>();
     const waiters = new Set<() => void>();
     let history: StoreEvent[] = [];
@@ -76,6 +81,7 @@
     let revision = 10;
     let nextLease = 1;
     let cuts = 0;
+    let held: { readonly prefix: string; readonly revision: number; } | undefined;
     let answerMs = usualAnswerMs;
 
     function write(key: string, text: string | undefined, lease = 0): void {
@@ -130,12 +136,12 @@
         return { kind: "committed", revision };
     }
 
-    function eventsAfter(prefix: string, after: number): readonly StoreEvent[] {
+    function eventsAfter(prefix: string, after: number, upTo: number): readonly StoreEvent[] {
         return history.filter((event) => {
             const [key, at] = event.kind === "put"
                 ? [event.item.key, event.item.revision]
                 : [event.key, event.revision];
-            return at > after && key.startsWith(prefix);
+            return at > after && at <= upTo && key.startsWith(prefix);
         });
     }
 
@@ -174,9 +180,10 @@
             if (after < oldestRevision) {
                 return { kind: "compacted" };
             }
-            const events = eventsAfter(prefix, after);
+            const visibleRevision = held?.prefix === prefix ? held.revision : revision;
+            const events = eventsAfter(prefix, after, visibleRevision);
             if (events.length > 0 || performance.now() >= endsAtMs) {
-                return { kind: "events", events, revision };
+                return { kind: "events", events, revision: visibleRevision };
             }
             await waitForChange(endsAtMs - performance.now());
         }
@@ -203,6 +210,7 @@
                     return item === undefined ? { kind: "missing" } : { kind: "found", item };
                 }, unavailable),
             async range(prefix) {
+                rangeCounts.set(client, (rangeCounts.get(client) ?? 0) + 1);
                 await pause(rangeDelays.get(prefix) ?? 0);
                 return call<RangeResult>(client, false, () => {
                     expireLeases();
@@ -274,11 +282,16 @@
             oldestRevision = revision;
             wake();
         },
+        holdWatches(prefix, atRevision = revision) {
+            held = prefix === undefined ? undefined : { prefix, revision: atRevision };
+            wake();
+        },
         expireLeases,
         pauseLeases: (ms) => leases.forEach((lease) => lease.endsAtMs += ms),
         slowDownRange: (prefix, ms) => void rangeDelays.set(prefix, ms),
         setAnswerMs: (ms) => void (answerMs = ms),
         calls: (client) => counts.get(client) ?? 0,
+        rangeCalls: (client) => rangeCounts.get(client) ?? 0,
     };
 }
 
