feat(scheduler): a designated standby keeps a copy of the state; a new leader begins with it

A new leader read progress, submissions and worker registrations from the store, one after the other, before its first start request. The designated standby now keeps them up to date by prefix watchers. At the beginning of the tenure each prefix is brought to at least the tenure's token, then delivered in the same order as before. Where that is not possible, everything is read as before. The catch-up covers submissions and workers too: a submission that is open in an old copy and has ended since has no progress record and would be started again.

Loading moved from createScheduler to createStateLoader. Machine orders are read at the same time as progress. New log events stateLoaded and firstStart, new histogram samphirepin_first_start_seconds. Until the list of standbys exists, the daemon derives the designation from the ranking of candidates. The entry of the scheduling stand-in moved to a file of its own.

--- a/scripts/searchSchedules.ts
+++ b/scripts/searchSchedules.ts
@@ -1,10 +1,11 @@
 import { parseArgs } from "node:util";
 import { searchSchedules } from "../standins/schedules";
 
-const usage = `npm run schedules -- [--first SEED] [--seeds N] [--evacuations] [--whole]
+const usage = `npm run schedules -- [--first SEED] [--seeds N] [--evacuations] [--copies] [--whole]
 
 Plays N seeded schedules of faults against the scheduler, on the paused clock, and prints the shortest story of each
-that breaks a promise; --whole prints it as it was, --evacuations adds evacuations of availability zones.
+that breaks a promise; --whole prints it as it was, --evacuations adds evacuations of availability zones,
+--copies lets standbys keep a copy of the state.
 `;
 
 /** Enough to try each part of a schedule a few times. */
@@ -15,6 +16,7 @@
         options: {
             first: { type: "string", default: "1" },
             seeds: { type: "string", default: "1" },
+            copies: { type: "boolean", default: false },
             evacuations: { type: "boolean", default: false },
             whole: { type: "boolean", default: false },
             help: { type: "boolean", default: false },
@@ -29,6 +31,7 @@
         first: Number(values.first),
         count: Number(values.seeds),
         maxTries: values.whole ? 0 : maxTries,
+        hasCopies: values.copies,
         hasEvacuations: values.evacuations,
     };
     for await (const result of searchSchedules(search)) {
--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -15,11 +15,13 @@
 } from "../../platform";
 import { createClocks, pause } from "../clock";
 import {
+    type Candidate,
     computeStrength,
     createLagMonitor,
     createLeaderElection,
     createLoadMeter,
     createPresence,
+    rankCandidates,
     type Tenure,
 } from "../duties";
 import type { Reporter } from "../logging";
@@ -27,7 +29,7 @@
 import { chooseLinks, createPeers, type Peer } from "../peers";
 import { createPolicyWatcher, isFreshEnoughToStart } from "../policy";
 import { createRelayedWorkerApi } from "../runs";
-import { createScheduler, type Scheduler } from "../scheduler";
+import { createScheduler, createStandbyCopy, type Scheduler } from "../scheduler";
 import { createRelayedStore } from "../store";
 import { createRecordWriter, createSubmissionApi } from "../submissions";
 import { createLeaderQueries } from "./createLeaderQueries";
@@ -149,17 +151,42 @@
             scheduler = undefined;
         },
     });
+    const candidate: Candidate = { ...self, strength: computeStrength(settings.cores, settings.linkMbps) };
+    let otherCandidates: readonly Candidate[] = [];
+    let isFirstCandidate = false;
     const presence = createPresence({
         store,
         clocks,
-        self: { ...self, strength: computeStrength(settings.cores, settings.linkMbps) },
+        self: candidate,
         election: leaderElection,
         onPeers(others) {
+            otherCandidates = others;
             const links = chooseLinks({ self: boot, others, leader: presence.leaderBoot() });
             peers.setAddresses(links.map(({ peerUrl }) => peerUrl));
         },
     });
 
+    /**
+     * Whether this entry is not the leader and would campaign first without the leader. While there is no leader the last
+     * answer holds, because the list still contains the former leader for the rest of its lease.
+     */
+    function isDesignatedStandby(): boolean {
+        const leader = presence.leaderBoot();
+        if (leader !== undefined) {
+            const rivals = otherCandidates.filter((other) => other.boot !== leader);
+            isFirstCandidate = leader !== boot && rankCandidates(candidate, rivals).rank === 0;
+        }
+        // The leader key may be read later than the answer to its own write.
+        return isFirstCandidate && leaderElection.tenure() === undefined;
+    }
+
+    const standbyCopy = createStandbyCopy({
+        store,
+        clocks,
+        workerPrefix: workerDecoder.prefix,
+        isDesignatedStandby,
+    });
+
     function beginTenure(tenure: Tenure): void {
         scheduler = createScheduler({
             store,
@@ -168,6 +195,7 @@
             advice: adviceClient,
             decoder: workerDecoder,
             tenure,
+            copy: standbyCopy.take(),
             holder: settings.instance,
             clocks,
             report,
@@ -259,6 +287,7 @@
             await Promise.all([broker.start(), peers.start()]);
             policyWatcher.start();
             presence.start();
+            standbyCopy.start();
             lagMonitor.start();
             loadMeter.start();
             leaderElection.start();
@@ -267,6 +296,7 @@
         async stop() {
             report({ kind: "stopping", runningTasks: openRequests });
             isStopping = true;
+            standbyCopy.stop();
             await leaderElection.resign();
             await pause(leaveRotationMs);
             await waitForOpenRequests();
--- a/src/duties/createPresence.ts
+++ b/src/duties/createPresence.ts
@@ -1,5 +1,4 @@
 import type { Clocks } from "../clock";
-import type { Peer } from "../peers";
 import { createPrefixWatcher, type Store, type StoreItem } from "../store";
 import { type LeaderElection, leaderKey } from "./createLeaderElection";
 import { type Candidate, rankCandidates } from "./rankCandidates";
@@ -14,7 +13,7 @@
     readonly self: Candidate;
     readonly election: LeaderElection;
     /** Called with the other entries that are up, according to the store. */
-    onPeers(peers: readonly Peer[]): void;
+    onPeers(peers: readonly Candidate[]): void;
 }
 
 export interface Presence {
--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -199,4 +199,26 @@
         readonly state: "lost" | "regained";
         readonly detail: string;
     }
+    /** A new leader has read what earlier leaders recorded, the submissions and the worker registrations. */
+    | {
+        readonly kind: "stateLoaded";
+        readonly token: number;
+        readonly source: "copy" | "store";
+        /** Items of each prefix. */
+        readonly progress: number;
+        readonly submissions: number;
+        readonly workers: number;
+        /** Age of the copy when the tenure began; `undefined` if there was no complete copy. */
+        readonly copyAgeMs: number | undefined;
+        /** Time since the tenure began. */
+        readonly tookMs: number;
+    }
+    /** A new leader sends its first start request. */
+    | {
+        readonly kind: "firstStart";
+        readonly token: number;
+        /** Submissions with a task to start, when all had been read. */
+        readonly waitingSubmissions: number;
+        readonly sinceGainedMs: number;
+    }
     | { readonly kind: "note"; readonly slice: string; readonly message: string; readonly detail?: string; };
--- a/src/metrics/createEventMetrics.ts
+++ b/src/metrics/createEventMetrics.ts
@@ -56,6 +56,12 @@
         buckets: submissionBucketsSeconds,
         registers,
     });
+    const firstStartTime = new Histogram({
+        name: "samphirepin_first_start_seconds",
+        help: "From gaining leadership to the first start request, where submissions waited",
+        buckets: waitBucketsSeconds,
+        registers,
+    });
     const poolCores = new Gauge({
         name: "samphirepin_pool_cores",
         help: "Processors of a pool: of its workers, in use, waited for, on their way",
@@ -128,6 +134,12 @@
                     poolCores.set({ pool: event.pool, part: "waiting" }, event.waitingCores);
                     poolCores.set({ pool: event.pool, part: "coming" }, event.comingCores);
                     return;
+                case "firstStart":
+                    // Without a backlog, the time depends on the next submission.
+                    if (event.waitingSubmissions > 0) {
+                        firstStartTime.observe(event.sinceGainedMs / 1000);
+                    }
+                    return;
                 default:
             }
         },
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -1,10 +1,10 @@
 import { type AdviceClient, createPermitCache } from "../advice";
-import { type Clocks, pause } from "../clock";
+import type { Clocks } from "../clock";
 import type { Tenure } from "../duties";
 import type { Reporter } from "../logging";
 import { createDemandMeter, createMachineOrders, type MachineApi } from "../machines";
 import type { Policy, Wave } from "../policy";
-import { createProgressWriter, decodeProgress, progressKey, progressPrefix } from "../progress";
+import { createProgressWriter, progressKey } from "../progress";
 import {
     applyEnd,
     collectDropEvidence,
@@ -24,11 +24,14 @@
     type SubmissionEntry,
     type Worker,
 } from "../schedule";
-import { createPrefixWatcher, maxCommitOperations, type Store } from "../store";
-import { submissionKey, submissionPrefix, type SubmissionState } from "../submissions";
+import { maxCommitOperations, type Store } from "../store";
+import { submissionKey, type SubmissionState } from "../submissions";
+import { createFirstStartReport } from "./createFirstStartReport";
 import { createFleetController } from "./createFleetController";
 import { createPacer } from "./createPacer";
 import { adviceStepName, createPlanner } from "./createPlanner";
+import type { StateCopy } from "./createStandbyCopy";
+import { createStateLoader } from "./createStateLoader";
 import { createSubmissionTracker } from "./createSubmissionTracker";
 import { createWatchdog } from "./createWatchdog";
 import { createWorkerTracker } from "./createWorkerTracker";
@@ -59,6 +62,8 @@
     readonly advice: AdviceClient;
     readonly decoder: WorkerDecoder;
     readonly tenure: Tenure;
+    /** Copy of the recorded state that this entry kept before the tenure; `undefined` for none. */
+    readonly copy?: StateCopy | undefined;
     readonly holder: string;
     readonly clocks: Clocks;
     readonly report: Reporter;
@@ -90,27 +95,9 @@
     policyChanged(): void;
 }
 
-/**
- * Pause that batches changes of submissions, in milliseconds. It saves a call for each change and delays it by at most
- * 25 ms.
- */
-const submissionBatchMs = 25;
-
-/**
- * Pause that batches changes of worker registrations, in milliseconds. Each worker writes about every second. A relevant
- * change, such as a new worker or a drain, may wait this long.
- */
-const workerBatchMs = 100;
-
-/** Long poll timeout of watches, in milliseconds. A silent connection is detected within this time. */
-const watchTimeoutMs = 2000;
-
 /** Interval of checks that depend on time alone, in milliseconds. */
 const tickIntervalMs = 100;
 
-/** Pause before the state of earlier leaders is read again, in milliseconds. */
-const loadRetryMs = 100;
-
 /**
  * Time that a machine needs to take work in addition to the move itself, in milliseconds: the next decision on moves, the
  * order, the worker's registration in the store and its first run list.
@@ -126,7 +113,6 @@
     const meter = createDemandMeter(joinMs);
     const startedAtMs = clocks.monotonicMs();
     let isStopped = false;
-    let isLoaded = false;
     let timer: NodeJS.Timeout | undefined;
 
     function onFenced(): void {
@@ -284,6 +270,7 @@
         for (const run of group) {
             if (run.worker.runs.has(run)) {
                 entry.hasStarted = true;
+                firstStart.recordStart();
                 void runControl.start(run);
                 polling.ensurePolling(run.worker);
             }
@@ -329,65 +316,28 @@
         }
     }
 
-    const submissionWatcher = createPrefixWatcher({
-        store,
-        prefix: submissionPrefix,
-        waitMs: watchTimeoutMs,
-        pauseMs: submissionBatchMs,
-        nowMs: clocks.suspendAwareMs,
-        onItem: submissionTracker.handleRecord,
-        onBatch() {
-            startWorkerWatcher();
-            planner.planSoon();
-        },
-        keepsText: false,
-    });
-    const workerWatcher = createPrefixWatcher({
+    const firstStart = createFirstStartReport({ state, clocks, report, token: tenure.token });
+    const loader = createStateLoader({
         store,
-        prefix: opts.decoder.prefix,
-        waitMs: watchTimeoutMs,
-        pauseMs: workerBatchMs,
-        nowMs: clocks.suspendAwareMs,
-        onItem: workerTracker.handleRegistration,
-        onBatch: () => planner.planSoon(),
+        tenure,
+        clocks,
+        report,
+        workerPrefix: opts.decoder.prefix,
+        copy: opts.copy,
+        loadOrders: orders.load,
+        restoreProgress: submissionTracker.restoreFrom,
+        onSubmission: submissionTracker.handleRecord,
+        onSubmissionsLoaded: firstStart.recordLoaded,
+        onWorker: workerTracker.handleRegistration,
+        onChange: planner.planSoon,
     });
 
-    /**
-     * Starts the worker watcher, and with it the polling of workers, only after all submissions have been read. If a
-     * worker listed an end of a submission that has not been read, the end would be treated as unknown and
-     * acknowledged. The task would then run a second time.
-     */
-    function startWorkerWatcher(): void {
-        if (!isLoaded) {
-            isLoaded = true;
-            workerWatcher.start();
-        }
-    }
-
-    /** Reads the progress that earlier leaders recorded. From now on no other leader can write it. */
-    async function loadState(): Promise<boolean> {
-        while (!isStopped && tenure.isValid()) {
-            const result = await store.range(progressPrefix);
-            if (result.kind === "items" && await orders.load()) {
-                submissionTracker.restoreFrom(
-                    new Map(result.items.map(({ key, text, revision }) => [
-                        key,
-                        { tasks: decodeProgress(text) ?? [], revision },
-                    ])),
-                );
-                return true;
-            }
-            await pause(loadRetryMs);
-        }
-        return false;
-    }
-
     return {
         async start() {
-            if (!await loadState() || isStopped) {
+            if (!await loader.load() || isStopped) {
                 return;
             }
-            submissionWatcher.start();
+            loader.watch();
             fleetController.start();
             timer = setInterval(tick, tickIntervalMs);
         },
@@ -396,13 +346,12 @@
             planner.stop();
             clearInterval(timer);
             polling.stop();
-            workerWatcher.stop();
-            submissionWatcher.stop();
+            loader.stop();
             fleetController.stop();
         },
         // Before all submissions have been read, a queue with a backlog would be reported as empty.
-        findState: (id) => isLoaded ? submissionTracker.findState(id) : undefined,
-        countPending: (route) => isLoaded ? submissionTracker.countPending(route) : undefined,
+        findState: (id) => loader.isLoaded() ? submissionTracker.findState(id) : undefined,
+        countPending: (route) => loader.isLoaded() ? submissionTracker.countPending(route) : undefined,
         policyChanged() {
             markEvacuated();
             planner.planSoon();
--- a/standins/schedules/plantDefect.ts
+++ b/standins/schedules/plantDefect.ts
@@ -1,4 +1,5 @@
 import type { WorkerApi } from "../../src/runs";
+import type { StateCopy } from "../../src/scheduler";
 
 /** A defect that the search has to find, planted between the scheduler and the workers. */
 export type Defect =
@@ -9,7 +10,9 @@
     /** Stops are taken and not carried out. */
     | "stopsDropped"
     /** No entry hears of evacuations. */
-    | "evacuationsUnheard";
+    | "evacuationsUnheard"
+    /** A standby's copy counts as complete although it was not caught up. */
+    | "copiesNotCaughtUp";
 
 export function plantDefect(api: WorkerApi, defect: Defect): WorkerApi {
     switch (defect) {
@@ -26,6 +29,9 @@
         case "evacuationsUnheard":
             // Planted in what entries hear of the operators' instructions.
             return api;
+        case "copiesNotCaughtUp":
+            // Planted by `skipCatchUp`.
+            return api;
         case "stopsDropped":
             return { ...api, stop: () => Promise.resolve({ kind: "noAnswer", detail: "a planted defect" }) };
     }
@@ -42,3 +48,13 @@
     }
     return result;
 }
+
+/** Makes an old copy look as if it contained everything up to the tenure's token. */
+export function skipCatchUp(copy: StateCopy | undefined, token: number): StateCopy | undefined {
+    return copy && {
+        ...copy,
+        progress: { ...copy.progress, revision: token },
+        submissions: { ...copy.submissions, revision: token },
+        workers: { ...copy.workers, revision: token },
+    };
+}
--- a/standins/schedules/runSchedule.ts
+++ b/standins/schedules/runSchedule.ts
@@ -4,12 +4,14 @@
 import { createCalm } from "./createCalm";
 import { createIdleWatch } from "./createIdleWatch";
 import { judgeRun, type Violation } from "./judgeRun";
-import { type Defect, plantDefect } from "./plantDefect";
+import { type Defect, plantDefect, skipCatchUp } from "./plantDefect";
 import { calmFrom, endOf, findStep, type Schedule, type SubmissionPlan } from "./schedule";
 
 export interface ScheduleResult {
     readonly violations: readonly Violation[];
     readonly starts: number;
+    /** Tenures that began with a standby's copy of the state. */
+    readonly tenuresWithCopy: number;
     /** What the workers did and the owners decided, for reading a failure. */
     readonly record: readonly string[];
 }
@@ -26,12 +28,26 @@
 /** What is settled is watched for this much longer, in milliseconds: a late order is carried out by then. */
 const watchOnMs = 3000;
 
+export interface RunOptions {
+    readonly defect?: Defect | undefined;
+    /** Whether standbys keep a copy of the state. */
+    readonly hasCopies?: boolean | undefined;
+    /** How long answers to the watches of these copies are held up, in milliseconds. */
+    readonly copyLagMs?: number | undefined;
+}
+
 /** Plays a schedule on the paused clock. */
-export async function runSchedule(schedule: Schedule, defect?: Defect): Promise<ScheduleResult> {
+export async function runSchedule(schedule: Schedule, opts: RunOptions = {}): Promise<ScheduleResult> {
+    const { defect } = opts;
     const clock = installClock();
     const world = createSchedulingWorld(
-        defect === undefined ? {} : { workerApiOf: (api) => plantDefect(api, defect) },
+        {
+            ...defect === undefined ? {} : { workerApiOf: (api) => plantDefect(api, defect) },
+            ...defect === "copiesNotCaughtUp" ? { copyOf: skipCatchUp } : {},
+        },
     );
+    world.areStandbysDesignated = opts.hasCopies === true;
+    world.copyLagMs = opts.copyLagMs ?? 0;
     world.areBusy = schedule.isBusy;
     world.areEvacuationsHeard = defect !== "evacuationsUnheard";
     world.workers.setWorkMs((task) => findStep(schedule, task)?.workMs ?? 0);
@@ -53,6 +69,9 @@
         return {
             violations: [...judgeRun(schedule, world, createCalm(schedule)), ...watch.violations],
             starts: world.workers.events.filter(({ kind }) => kind === "started").length,
+            tenuresWithCopy: world.events().filter((event) =>
+                event.kind === "stateLoaded" && event.source === "copy"
+            ).length,
             record: tellEvents(world),
         };
     }
--- a/standins/schedules/searchSchedules.ts
+++ b/standins/schedules/searchSchedules.ts
@@ -8,6 +8,8 @@
 export interface SearchResult {
     readonly seed: number;
     readonly starts: number;
+    /** Tenures that began with a standby's copy of the state. */
+    readonly tenuresWithCopy: number;
     /** What was broken, and the shortest schedule that still breaks it; empty where all was kept. */
     readonly broken: readonly string[];
     readonly story: readonly string[];
@@ -21,23 +23,34 @@
     readonly defect?: Defect;
     /** Schedules with evacuations of availability zones. */
     readonly hasEvacuations?: boolean;
+    /** Whether standbys keep a copy of the state. */
+    readonly hasCopies?: boolean;
 }
 
+/**
+ * Lags of the standbys' copies, one for each seed in turn, in milliseconds. Without a lag, a copy contains everything by
+ * the time at which a killed owner's lease has ended.
+ */
+const copyLagsMs = [0, 700, 3500];
+
 /** Plays the schedules of a range of seeds. */
 export async function* searchSchedules(opts: SearchOptions): AsyncGenerator<SearchResult> {
-    const { first, count, maxTries, defect } = opts;
+    const { first, count, maxTries, defect, hasCopies } = opts;
     for (let seed = first; seed < first + count; seed++) {
+        const copyLagMs = copyLagsMs[seed % copyLagsMs.length];
+        const run = (schedule: Schedule) => runSchedule(schedule, { defect, hasCopies, copyLagMs });
         const schedule = opts.hasEvacuations === true ? createEvacuationSchedule(seed) : createSchedule(seed);
-        const result = await runSchedule(schedule, defect);
+        const result = await run(schedule);
+        const common = { seed, starts: result.starts, tenuresWithCopy: result.tenuresWithCopy };
         const [violation] = result.violations;
         if (violation === undefined) {
-            yield { seed, starts: result.starts, broken: [], story: [] };
+            yield { ...common, broken: [], story: [] };
             continue;
         }
         const breaksSame = async (shorter: Schedule) =>
-            (await runSchedule(shorter, defect)).violations.some(({ rule }) => rule === violation.rule);
+            (await run(shorter)).violations.some(({ rule }) => rule === violation.rule);
         const shortest = await shrinkSchedule(schedule, maxTries, breaksSame);
-        yield { seed, starts: result.starts, ...tell(shortest, await runSchedule(shortest, defect)) };
+        yield { ...common, ...tell(shortest, await run(shortest)) };
     }
 }
 
--- a/standins/scheduling/createSchedulingWorld.ts
+++ b/standins/scheduling/createSchedulingWorld.ts
@@ -1,37 +1,17 @@
 import type { AdviceResult } from "../../src/advice";
-import { createLeaderElection, leaderKey } from "../../src/duties";
 import type { LogEvent } from "../../src/logging";
 import type { Machine, MachineApi, MachineOrderResult } from "../../src/machines";
 import type { Policy, Wave } from "../../src/policy";
-import { createRelayedWorkerApi, type WorkerApi } from "../../src/runs";
-import { createScheduler, type Scheduler, type WorkerDecoder, type WorkerRegistration } from "../../src/scheduler";
-import { createPrefixWatcher, type Store } from "../../src/store";
+import type { WorkerApi } from "../../src/runs";
+import type { StateCopy, WorkerRegistration } from "../../src/scheduler";
 import { encodeRecord, type Step, submissionKey } from "../../src/submissions";
 import { createFakeNetwork, type FakeNetwork } from "../fakes";
-import { createCallGate } from "./createCallGate";
 import { createFakeStore, type FakeStore } from "./createFakeStore";
 import { createFakeTaskWorkers, type FakeTaskWorkers } from "./createFakeTaskWorkers";
+import { createSchedulingEntry, restartMs, type SchedulingEntry, workerPrefix } from "./createSchedulingEntry";
 import { delayOrder, type MachineOrderFault } from "./delayOrder";
 import { plainPolicy, plainSubmission } from "./plainPolicy";
 
-/** One entry that competes for the duty. */
-export interface SchedulingEntry {
-    readonly name: string;
-    readonly store: Store;
-    scheduler(): Scheduler | undefined;
-    /** The process is gone; nothing is handed over. */
-    kill(): void;
-    /** Its calls and their answers are held until it wakes. */
-    freeze(): void;
-    wake(): void;
-    /** Whether it can do the work well; one that cannot gives the duty up. */
-    setFit(isFit: boolean): void;
-    /** The process is told to end and gives the duty up. */
-    stop(): void;
-    /** Events at the owner, as it logged them. */
-    readonly log: readonly LogEvent[];
-}
-
 export interface SchedulingWorldOptions {
     /** How workers write of themselves to the store; as the scenarios' decoder reads it where left out. */
     readonly entryOf?: (entry: WorkerRegistration) => { readonly key: string; readonly text: string; };
@@ -39,6 +19,8 @@
     readonly addressOf?: (id: string) => string;
     /** What entries call in place of the workers. */
     readonly workerApiOf?: (api: WorkerApi) => WorkerApi;
+    /** What an entry that becomes owner is given in place of its copy of the state. */
+    readonly copyOf?: (copy: StateCopy | undefined, token: number) => StateCopy | undefined;
 }
 
 export interface SchedulingWorld {
@@ -46,6 +28,10 @@
     readonly network: FakeNetwork;
     /** Whether entries have their peers call the workers. */
     areBusy: boolean;
+    /** Whether entries that don't own the duty are designated standbys, which keep a copy of the state. */
+    areStandbysDesignated: boolean;
+    /** How long answers to the standbys' watches are held up, in milliseconds, so that their copies are older. */
+    copyLagMs: number;
     /** The platform's interface for machines. */
     readonly machines: MachineApi;
     readonly store: FakeStore;
@@ -93,22 +79,13 @@
     ): void;
     cancel(id: string): void;
     owner(): SchedulingEntry | undefined;
+    /** Events of all entries, also of those that are gone. */
+    events(): readonly LogEvent[];
     /** Moves the stand-ins on; to be called each few milliseconds. */
     tick(): void;
     close(): void;
 }
 
-/** How long a machine is down for a move or an upkeep, in milliseconds. */
-const restartMs = 1500;
-
-const workerPrefix = "workers/";
-
-const decoder: WorkerDecoder = {
-    prefix: workerPrefix,
-    idOf: (key) => key.slice(workerPrefix.length),
-    decode: (_key, text) => JSON.parse(text) as WorkerRegistration,
-};
-
 /** Entries that schedule over a store, workers and machines in memory. */
 export function createSchedulingWorld(opts: SchedulingWorldOptions = {}): SchedulingWorld {
     const entryOf = opts.entryOf ?? ((entry) => ({ key: workerPrefix + entry.id, text: JSON.stringify(entry) }));
@@ -204,6 +181,8 @@
     const world: SchedulingWorld = {
         network: createFakeNetwork(),
         areBusy: false,
+        areStandbysDesignated: false,
+        copyLagMs: 0,
         machines,
         store,
         workers,
@@ -241,7 +220,7 @@
         setMachines: setList,
         listed: () => machineList,
         addEntry(name) {
-            const entry = createEntry(name, world, machines, workerApi);
+            const entry = createSchedulingEntry(name, world, machines, workerApi, opts.copyOf);
             entries.push(entry);
             return entry;
         },
@@ -274,6 +253,7 @@
             const item = store.get(submissionKey(id));
             store.put(submissionKey(id), JSON.stringify({ ...JSON.parse(item?.text ?? "{}"), isCancelled: true }));
         },
+        events: () => entries.flatMap(({ log }) => log),
         owner: () => entries.find((entry) => entry.scheduler() !== undefined),
         tick() {
             store.expireLeases();
@@ -283,106 +263,3 @@
     };
     return world;
 }
-
-function createEntry(
-    name: string,
-    world: SchedulingWorld,
-    machines: MachineApi,
-    directApi: WorkerApi,
-): SchedulingEntry {
-    const gate = createCallGate();
-    const store = gate.wrap(world.store.connect(name));
-    const log: LogEvent[] = [];
-    const clocks = { monotonicMs: () => performance.now(), suspendAwareMs: () => performance.now() };
-    let scheduler: Scheduler | undefined;
-    let isKilled = false;
-    let isFit = true;
-    const peer = { boot: name, instance: name, region: "north", zone: "zone-a", peerUrl: `ws://${name}` };
-    const workerApi = createRelayedWorkerApi({
-        direct: gate.wrap(directApi),
-        peers: world.network.connect(peer),
-        isBusy: () => world.areBusy,
-        nowMs: clocks.monotonicMs,
-    });
-    const duty = createLeaderElection({
-        store,
-        clocks,
-        holder: { boot: name, instance: name },
-        report: (event) => log.push(event),
-        minTtlMs: 1000,
-        fitness: () => isFit ? "fit" : "slow",
-        onGained(tenure) {
-            scheduler = createScheduler({
-                store,
-                workerApi,
-                machines,
-                advice: { ask: (_step, workerIds) => world.advise(workerIds) },
-                decoder,
-                tenure,
-                holder: name,
-                clocks,
-                report: (event) => log.push(event),
-                bounds: {
-                    maxLeaseMs: 6000,
-                    keepFinishedMs: 120_000,
-                    minMachineHandoverMs: 3000,
-                    maintenanceMs: restartMs,
-                    moveMs: restartMs,
-                    maxStopMs: 900,
-                    machineOrdersPerSecond: 64,
-                },
-                policy: () => world.policy,
-                waves: () => world.waves,
-                evacuatedZones: () => world.areEvacuationsHeard ? world.evacuatedZones : new Set(),
-                isPolicyFresh: () => world.isPolicyFresh,
-                reportWave: () => Promise.resolve(true),
-                onFenced: () => duty.onFenced(),
-            });
-            void scheduler.start();
-        },
-        onLost() {
-            scheduler?.stop();
-            scheduler = undefined;
-        },
-    });
-    const follower = createPrefixWatcher({
-        store,
-        prefix: leaderKey,
-        waitMs: 2000,
-        pauseMs: 0,
-        nowMs: clocks.monotonicMs,
-        onItem() {},
-        onBatch: () => duty.updateLeader(follower.items.get(leaderKey)),
-    });
-    follower.start();
-    duty.start();
-    return {
-        name,
-        store,
-        log,
-        scheduler: () => isKilled ? undefined : scheduler,
-        freeze() {
-            gate.freeze();
-            world.network.frozen.add(name);
-        },
-        wake() {
-            gate.wake();
-            world.network.wake(name);
-        },
-        setFit(next) {
-            isFit = next;
-        },
-        stop() {
-            isKilled = true;
-            void duty.resign();
-        },
-        kill() {
-            isKilled = true;
-            gate.close();
-            world.network.remove(name);
-            duty.stop();
-            follower.stop();
-            scheduler?.stop();
-        },
-    };
-}
--- a/standins/scheduling/index.ts
+++ b/standins/scheduling/index.ts
@@ -8,12 +8,8 @@
     type WorkerFault,
     workerFaults,
 } from "./createFakeTaskWorkers";
-export {
-    createSchedulingWorld,
-    type SchedulingEntry,
-    type SchedulingWorld,
-    type SchedulingWorldOptions,
-} from "./createSchedulingWorld";
+export type { SchedulingEntry } from "./createSchedulingEntry";
+export { createSchedulingWorld, type SchedulingWorld, type SchedulingWorldOptions } from "./createSchedulingWorld";
 export type { MachineOrderFault } from "./delayOrder";
 export { countOrderedAway, findDoubleRun } from "./judgeEvents";
 export { plainPolicy, plainRoute, plainStep, plainSubmission } from "./plainPolicy";
--- a/test/scheduling-schedules/scheduling-schedules.feature
+++ b/test/scheduling-schedules/scheduling-schedules.feature
@@ -10,6 +10,15 @@
 
         Then no promise is broken with evacuations and seeds 1 to 60
 
+    Scenario: no schedule with copies at the standbys breaks a promise
+        Guards against starts on the basis of a copy that lacks what the earlier owner wrote last.
+
+        Then no promise is broken with copies and seeds 1 to 60
+
+    Scenario: random schedules catch copies that are used without a catch-up
+        When schedules are searched from seed 1, where copies are used without a catch-up
+        Then some schedule breaks "twice"
+
     Scenario: random schedules catch owners that hear of no evacuation
         When schedules with evacuations are searched from seed 1, where no owner hears of them
         Then some schedule breaks "evacuated"
--- a/test/scheduling-schedules/scheduling-schedules.steps.ts
+++ b/test/scheduling-schedules/scheduling-schedules.steps.ts
@@ -10,8 +10,12 @@
     "a lost look ends a worker's life": "silenceEndsLife",
     "ends are acknowledged at once": "endsAckedAtOnce",
     "stops are dropped": "stopsDropped",
+    "copies are used without a catch-up": "copiesNotCaughtUp",
 };
 
+/** Defects that show only where standbys keep copies. */
+const defectsOfCopies: readonly Defect[] = ["copiesNotCaughtUp"];
+
 /** Seeds that are enough to find a planted defect. */
 const maxSeeds = 60;
 
@@ -29,6 +33,16 @@
     assert.ok(starts > 5 * (last - first), "hardly any work was judged");
 }
 
+Then("no promise is broken with copies and seeds {int} to {int}", async (first: number, last: number) => {
+    let tenures = 0;
+    const search = { first, count: last - first + 1, maxTries, hasCopies: true };
+    for await (const { broken, story, tenuresWithCopy } of searchSchedules(search)) {
+        tenures += tenuresWithCopy;
+        assert.deepEqual(broken, [], story.join("\n"));
+    }
+    assert.ok(tenures > (last - first) / 2, `only ${tenures} tenures began with a copy`);
+});
+
 Then("no promise is broken with seeds {int} to {int}", (first: number, last: number) => expectKept(first, last, false));
 
 Then(
@@ -37,7 +51,14 @@
 );
 
 async function searchBroken(first: number, defect: Defect, hasEvacuations: boolean): Promise<readonly string[]> {
-    const search = { first, count: maxSeeds, maxTries: 0, defect, hasEvacuations };
+    const search = {
+        first,
+        count: maxSeeds,
+        maxTries: 0,
+        defect,
+        hasEvacuations,
+        hasCopies: defectsOfCopies.includes(defect),
+    };
     for await (const { broken } of searchSchedules(search)) {
         if (broken.length > 0) {
             return broken;
