fix(scheduler): workers are polled only once their registrations have been read

Runs that an earlier leader recorded add their worker without an address. The tick then polled it before its registration was read, got no answer, and the next poll followed 250 ms later.

--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -290,7 +290,11 @@
             addDueOccurrences(entry, Date.now(), nowMs);
         }
         for (const worker of state.workers.values()) {
-            polling.ensurePolling(worker);
+            // The address of a worker that an earlier leader recorded is unknown until its registration has been read. A
+            // poll before that has no answer, and the next one follows only 250 ms later.
+            if (loader.areWorkersRead()) {
+                polling.ensurePolling(worker);
+            }
             if (!worker.isRegistered && worker.runs.size === 0) {
                 removeWorker(state, worker);
             }
--- a/test/scheduling/warm-standby.feature
+++ b/test/scheduling/warm-standby.feature
@@ -146,4 +146,4 @@
         Examples:
             | source    | standbys                           | from | to  | reads |
             | its copy  | standbys keep copies that lag 0 ms | 1    | 100 | 0     |
-            | the store | no standby is designated           | 180  | 500 | 3     |
+            | the store | no standby is designated           | 180  | 300 | 3     |
