--- a/src/scheduler/createStandbyCopy.ts
+++ b/src/scheduler/createStandbyCopy.ts
@@ -23,7 +23,7 @@
 /** Copy of the leader's state in the store, kept by the entry that is expected to lead next. */
 export interface StandbyCopy {
     start(): void;
-    /** Ends the copying and returns the copy; `undefined` if no prefix copy, or not all of them, is complete. */
+    /** Ends the copying and returns the copy; `undefined` unless all prefixes have been read. */
     take(): StateCopy | undefined;
     stop(): void;
 }
