--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -1,12 +1,12 @@
 import type { LoadMeasurement } from "../admission";
 import { type AdviceClient, createPermitCache } from "../advice";
-import { type Clocks, pause } from "../clock";
+import type { Clocks } from "../clock";
 import type { Tenure } from "../duties";
 import { type AccountRates, createAccountRates } from "../fairness";
 import type { Reporter } from "../logging";
 import { createDemandMeter, createMachineOrders, type MachineApi } from "../machines";
 import type { Policy, Wave } from "../policy";
-import { createProgressWriter, decodeProgress, progressKey, progressPrefix, SavePurpose } from "../progress";
+import { createProgressWriter, progressKey, SavePurpose } from "../progress";
 import {
     applyEnd,
     collectDropEvidence,
@@ -26,12 +26,15 @@
     type SubmissionEntry,
     type Worker,
 } from "../schedule";
-import { createPrefixWatcher, maxCommitOperations, type Store, type StoreItem } from "../store";
+import { maxCommitOperations, type Store, type StoreItem } from "../store";
 import { submissionKey, submissionPrefix, type SubmissionState } from "../submissions";
 import { createBacklogMeter } from "./createBacklogMeter";
+import { createFirstStartReport } from "./createFirstStartReport";
 import { createFleetController } from "./createFleetController";
 import { createPacer } from "./createPacer";
 import { adviceStepName, createPlanner } from "./createPlanner";
+import type { StateCopy } from "./createStandbyCopy";
+import { createStateLoader } from "./createStateLoader";
 import { createSubmissionClassifier } from "./createSubmissionClassifier";
 import { createSubmissionTracker } from "./createSubmissionTracker";
 import { createWatchdog } from "./createWatchdog";
@@ -63,6 +66,8 @@
     readonly advice: AdviceClient;
     readonly decoder: WorkerDecoder;
     readonly tenure: Tenure;
+    /** Copy of the recorded state that this entry kept before the tenure; `undefined` for none. */
+    readonly copy?: StateCopy | undefined;
     readonly holder: string;
     readonly clocks: Clocks;
     readonly report: Reporter;
@@ -101,27 +106,9 @@
     measureLoad(): LoadMeasurement | undefined;
 }
 
-/**
- * Pause that batches changes of submissions, in milliseconds. It saves a call for each change and delays it by at most
- * 25 ms.
- */
-const submissionBatchMs = 25;
-
-/**
- * Pause that batches changes of worker registrations, in milliseconds. Each worker writes about every second. A relevant
- * change, such as a new worker or a drain, may wait this long.
- */
-const workerBatchMs = 100;
-
-/** Long poll timeout of watches, in milliseconds. A silent connection is detected within this time. */
-const watchTimeoutMs = 2000;
-
 /** Interval of checks that depend on time alone, in milliseconds. */
 const tickIntervalMs = 100;
 
-/** Pause before the state of earlier leaders is read again, in milliseconds. */
-const loadRetryMs = 100;
-
 /**
  * Time that a machine needs to take work in addition to the move itself, in milliseconds: the next decision on moves, the
  * order, the worker's registration in the store and its first run list.
@@ -137,7 +124,6 @@
     const meter = createDemandMeter(joinMs);
     const startedAtMs = clocks.monotonicMs();
     let isStopped = false;
-    let isLoaded = false;
     let timer: NodeJS.Timeout | undefined;
 
     function onFenced(): void {
@@ -307,6 +293,7 @@
         for (const run of group) {
             if (run.worker.runs.has(run)) {
                 entry.hasStarted = true;
+                firstStart.recordStart();
                 void runControl.start(run);
                 polling.ensurePolling(run.worker);
             }
@@ -326,7 +313,11 @@
             addDueOccurrences(entry, Date.now(), nowMs);
         }
         for (const worker of state.workers.values()) {
-            polling.ensurePolling(worker);
+            // The address of a worker that an earlier leader recorded is unknown until its registration has been read. A
+            // poll before that has no answer, and the next one follows only 250 ms later.
+            if (loader.areWorkersRead()) {
+                polling.ensurePolling(worker);
+            }
             if (!worker.isRegistered && worker.runs.size === 0) {
                 removeWorker(state, worker);
             }
@@ -353,66 +344,36 @@
         }
     }
 
-    const submissionWatcher = createPrefixWatcher({
+    const firstStart = createFirstStartReport({ state, clocks, report, token: tenure.token });
+    const loader = createStateLoader({
         store,
-        prefix: submissionPrefix,
-        waitMs: watchTimeoutMs,
-        pauseMs: submissionBatchMs,
-        nowMs: clocks.suspendAwareMs,
-        onItem: submissionTracker.handleRecord,
-        onBatch() {
+        tenure,
+        clocks,
+        report,
+        workerPrefix: opts.decoder.prefix,
+        copy: opts.copy,
+        loadOrders: orders.load,
+        restoreProgress: submissionTracker.restoreFrom,
+        onSubmission: submissionTracker.handleRecord,
+        onSubmissionsLoaded() {
             classifier.classify();
-            startWorkerWatcher();
+            firstStart.recordLoaded();
+        },
+        onWorker: workerTracker.handleRegistration,
+        onChange() {
+            if (loader.isLoaded()) {
+                classifier.classify();
+            }
             planner.planSoon();
         },
-        keepsText: false,
-    });
-    const workerWatcher = createPrefixWatcher({
-        store,
-        prefix: opts.decoder.prefix,
-        waitMs: watchTimeoutMs,
-        pauseMs: workerBatchMs,
-        nowMs: clocks.suspendAwareMs,
-        onItem: workerTracker.handleRegistration,
-        onBatch: () => planner.planSoon(),
     });
 
-    /**
-     * Starts the worker watcher, and with it the polling of workers, only after all submissions have been read. If a
-     * worker listed an end of a submission that has not been read, the end would be treated as unknown and
-     * acknowledged. The task would then run a second time.
-     */
-    function startWorkerWatcher(): void {
-        if (!isLoaded) {
-            isLoaded = true;
-            workerWatcher.start();
-        }
-    }
-
-    /** Reads the progress that earlier leaders recorded. From now on no other leader can write it. */
-    async function loadState(): Promise<boolean> {
-        while (!isStopped && tenure.isValid()) {
-            const result = await store.range(progressPrefix);
-            if (result.kind === "items" && await orders.load()) {
-                submissionTracker.restoreFrom(
-                    new Map(result.items.map(({ key, text, revision }) => [
-                        key,
-                        { tasks: decodeProgress(text) ?? [], revision },
-                    ])),
-                );
-                return true;
-            }
-            await pause(loadRetryMs);
-        }
-        return false;
-    }
-
     return {
         async start() {
-            if (!await loadState() || isStopped) {
+            if (!await loader.load() || isStopped) {
                 return;
             }
-            submissionWatcher.start();
+            loader.watch();
             fleetController.start();
             timer = setInterval(tick, tickIntervalMs);
         },
@@ -421,29 +382,28 @@
             planner.stop();
             clearInterval(timer);
             polling.stop();
-            workerWatcher.stop();
-            submissionWatcher.stop();
+            loader.stop();
             fleetController.stop();
         },
         // Before all submissions have been read, a queue with a backlog would be reported as empty.
-        findState: (id) => isLoaded ? submissionTracker.findState(id) : undefined,
+        findState: (id) => loader.isLoaded() ? submissionTracker.findState(id) : undefined,
         rates,
         startsInFlight: startWindow.inFlightByPool,
-        countPending: (route) => isLoaded ? submissionTracker.countPending(route) : undefined,
+        countPending: (route) => loader.isLoaded() ? submissionTracker.countPending(route) : undefined,
         policyChanged() {
             markEvacuated();
             // Until all submissions have been read, they are not classified: their order would be lost.
-            if (isLoaded) {
+            if (loader.isLoaded()) {
                 classifier.classify();
             }
             planner.planSoon();
         },
         applyRecord(item) {
-            if (isLoaded && !isStopped && item.key.startsWith(submissionPrefix)) {
-                submissionWatcher.offer(item);
+            if (!isStopped && item.key.startsWith(submissionPrefix)) {
+                loader.offerSubmission(item);
             }
         },
-        measureLoad: () => isLoaded ? measureLoad() : undefined,
+        measureLoad: () => loader.isLoaded() ? measureLoad() : undefined,
     };
 }
 
--- a/src/store/test/store.steps.ts
+++ b/src/store/test/store.steps.ts
@@ -4,8 +4,10 @@
 import { createFakeNetwork } from "../../../standins/fakes";
 import { createFakeStore, type FakeStore, type StoreFault } from "../../../standins/scheduling";
 import {
+    catchUp,
     createPrefixWatcher,
     createRelayedStore,
+    type PrefixSnapshot,
     type PrefixWatcher,
     type RelayedStore,
     type StoreItem,
@@ -21,6 +23,8 @@
     applied: string[];
     firstItem: StoreItem | undefined;
     entries: Map<string, RelayedStore>;
+    batches: number;
+    copy: PrefixSnapshot;
 }
 
 Before(function(this: World) {
@@ -31,6 +35,7 @@
     this.lost = 0;
     this.regained = 0;
     this.applied = [];
+    this.batches = 0;
 });
 
 After(function(this: World) {
@@ -38,15 +43,12 @@
     this.clock.uninstall();
 });
 
-Given("a watcher of prefix {string}", function(this: World, prefix: string) {
-    startWatcher(this, prefix);
-});
-
 Given(
     "a watcher of prefix {string} on a store that answers in {int} ms",
     function(this: World, prefix: string, answerMs: number) {
         this.store.setAnswerMs(answerMs);
-        startWatcher(this, prefix);
+        this.watcher = createWatcher(this, prefix);
+        this.watcher.start();
     },
 );
 
@@ -70,20 +72,87 @@
     },
 );
 
-function startWatcher(world: World, prefix: string): void {
-    world.watcher = createPrefixWatcher({
+function createWatcher(world: World, prefix: string, initial?: PrefixSnapshot): PrefixWatcher {
+    return createPrefixWatcher({
         store: world.store.connect("entry-1"),
         prefix,
         waitMs: 1000,
         pauseMs: 0,
         nowMs: () => performance.now(),
         onItem: (_key, item) => void world.applied.push(item?.text ?? ""),
+        onBatch: () => world.batches++,
         onStoreLost: () => world.lost++,
         onStoreRecovered: () => world.regained++,
+        ...initial === undefined ? {} : { initial },
     });
-    world.watcher.start();
 }
 
+Given("a watcher of prefix {string}", function(this: World, prefix: string) {
+    this.watcher = createWatcher(this, prefix);
+    this.watcher.start();
+});
+
+async function copyPrefix(world: World, prefix: string): Promise<PrefixSnapshot> {
+    const { result } = await finish(world, world.store.connect("copier").range(prefix));
+    assert.equal(result.kind, "items");
+    return { items: new Map(result.items.map((item) => [item.key, item])), revision: result.revision };
+}
+
+Given("a watcher of prefix {string} that is given the items so far", async function(this: World, prefix: string) {
+    this.watcher = createWatcher(this, prefix, await copyPrefix(this, prefix));
+});
+
+When("the watcher is started", function(this: World) {
+    this.watcher?.start();
+});
+
+Then("{int} batch(es) is/are reported", function(this: World, count: number) {
+    assert.equal(this.batches, count);
+});
+
+Then("{int} prefix(es) was/were read", function(this: World, count: number) {
+    assert.equal(this.store.rangeCalls("entry-1"), count);
+});
+
+Given("a copy of prefix {string}", async function(this: World, prefix: string) {
+    this.copy = await copyPrefix(this, prefix);
+});
+
+When("{string} is deleted", function(this: World, key: string) {
+    this.store.remove(key);
+});
+
+When("nothing else happens", function(this: World) {});
+
+When("the history is compacted", function(this: World) {
+    this.store.forgetHistory();
+});
+
+When("watches of {string} do not show these writes", function(this: World, prefix: string) {
+    this.store.holdWatches(prefix, this.copy.revision);
+});
+
+Then(
+    "the copy caught up with the store is {string}, after {int} calls",
+    async function(this: World, expected: string, calls: number) {
+        const { result: { revision } } = await finish(this, this.store.connect("copier").range("a/")) as {
+            result: { revision: number; };
+        };
+        const { result } = await finish(
+            this,
+            catchUp({
+                store: this.store.connect("entry-1"),
+                prefix: "a/",
+                snapshot: this.copy,
+                minRevision: revision,
+            }),
+        );
+        const items = result && [...result.items.values()].map(({ key, text }) => `${key}=${text}`).join(" ");
+        assert.equal(items ?? "undefined", expected);
+        assert.equal(this.store.calls("entry-1"), calls);
+    },
+);
+
 When("the store closes the watcher's pending watch", async function(this: World) {
     await this.clock.advance(100);
     this.store.cutWatches();
