feat(duties): standbys, heartbeats, and takeover of the leader on evidence

A leader that is killed or whose zone is cut off was replaced only once its lease of 2 s had expired. The leader now sends heartbeats to the two strongest entries of each zone. A standby that misses them asks the others, and replaces the leader by a write conditional on the revision of its key once standbys of two zones confirm the silence.

A replaced leader may be unaware of it. Its renewals no longer extend its tenure once the leader key has another revision, so its tenure ends within a lease of the takeover; the successor counts leases of workers that it may still renew until then. Stops for maintenance and consolidation require that a standby has acknowledged a heartbeat within 300 ms.

--- a/bench/model/simulateFleet.ts
+++ b/bench/model/simulateFleet.ts
@@ -70,6 +70,7 @@
     const consolidator = createConsolidator({
         state,
         clocks: { monotonicMs: () => nowMs, suspendAwareMs: () => nowMs },
+        tenure: { mayInterrupt: () => true },
         maxStopMs,
         stop(run) {
             run.phase = "stopping";
--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -15,7 +15,9 @@
 } from "../../platform";
 import { createClocks, pause } from "../clock";
 import {
+    type Candidate,
     computeStrength,
+    createFailover,
     createLagMonitor,
     createLeaderElection,
     createLoadMeter,
@@ -85,6 +87,7 @@
         dutyToken: () => leaderElection.tenure()?.token,
         droppedLines,
         openRequests: () => openRequests,
+        longestLeaderSilenceMs: () => failover.longestSilenceMs(),
     });
     const report: Reporter = (event) => {
         metrics.record(event);
@@ -143,24 +146,36 @@
         report,
         minTtlMs: settings.minLeaseTtlMs,
         fitness: () => store.isRelayOnly() ? "turnedAway" : lagMonitor.isSlow() ? "slow" : "fit",
+        isHeard: () => failover.isHeard(),
+        isLinked: (other) => peers.connected().some((peer) => peer.boot === other),
         onGained: beginTenure,
         onLost() {
+            failover.endTenure();
             scheduler?.stop();
             scheduler = undefined;
         },
     });
+    const candidate: Candidate = { ...self, strength: computeStrength(settings.cores, settings.linkMbps) };
+    const failover = createFailover({ self: candidate, peers, clocks, election: leaderElection, report });
     const presence = createPresence({
         store,
         clocks,
-        self: { ...self, strength: computeStrength(settings.cores, settings.linkMbps) },
+        self: candidate,
         election: leaderElection,
+        failover,
         onPeers(others) {
-            const links = chooseLinks({ self: boot, others, leader: presence.leaderBoot() });
+            const links = chooseLinks({
+                self: boot,
+                others,
+                leader: presence.leaderBoot(),
+                standbys: failover.standbys(),
+            });
             peers.setAddresses(links.map(({ peerUrl }) => peerUrl));
         },
     });
 
     function beginTenure(tenure: Tenure): void {
+        failover.beginTenure(tenure);
         scheduler = createScheduler({
             store,
             workerApi,
@@ -271,6 +286,7 @@
             await pause(leaveRotationMs);
             await waitForOpenRequests();
             leaderElection.stop();
+            failover.stop();
             policyWatcher.stop();
             // Bounded, so that the process ends before the grace period does.
             await Promise.race([presence.stop(), pause(exitMarginMs / 2)]);
--- /dev/null
+++ b/src/duties/createHeartbeats.ts
@@ -0,0 +1,89 @@
+import { z } from "zod";
+import type { Clocks } from "../clock";
+import type { Peers } from "../peers";
+import type { Tenure } from "./leaderElection";
+
+export const heartbeatTopic = "leaderHeartbeat";
+export const heartbeatAckTopic = "leaderHeartbeatAck";
+
+/** Body of a heartbeat and of its acknowledgement, which returns it unchanged. */
+export const heartbeatSchema = z.object({
+    token: z.number().int(),
+    /** When the heartbeat was sent, on the leader's own clock, in milliseconds. */
+    sentAtMs: z.number(),
+});
+
+export interface HeartbeatsOptions {
+    readonly peers: Peers;
+    readonly clocks: Clocks;
+    /** Boots of the standbys, at the time of the call. */
+    readonly standbys: () => readonly string[];
+    /** Whether all entries that are up are in one availability zone. */
+    readonly isSingleZone: () => boolean;
+}
+
+/** The leader's heartbeats to its standbys. */
+export interface Heartbeats {
+    /** Sends heartbeats while the tenure lasts. */
+    begin(tenure: Tenure): void;
+    end(): void;
+    /**
+     * Whether a standby in another zone has acknowledged a recent heartbeat, or none has acknowledged any in this tenure.
+     * Without such a standby no other entry can take over on evidence.
+     */
+    isHeard(): boolean;
+}
+
+/** Interval of heartbeats, in milliseconds. */
+const heartbeatMs = 100;
+
+/**
+ * Age of the last acknowledged heartbeat up to which the leader counts as heard, in milliseconds. It is less than the
+ * silence that standbys have to observe before one of them takes over.
+ */
+const heardMs = 300;
+
+/**
+ * Creates the leader's side of the heartbeats.
+ *
+ * The age of an acknowledgement counts from the sending of its heartbeat. A leader that was suspended finds old
+ * acknowledgements waiting; by the time of their arrival it would count as heard although it has been replaced.
+ */
+export function createHeartbeats({ peers, clocks, standbys, isSingleZone }: HeartbeatsOptions): Heartbeats {
+    let tenure: Tenure | undefined;
+    /** When the latest heartbeat was sent that a standby has acknowledged. */
+    let acknowledgedSentAtMs: number | undefined;
+    let timer: NodeJS.Timeout | undefined;
+
+    peers.onMessage(heartbeatAckTopic, (from, body) => {
+        const { token, sentAtMs } = heartbeatSchema.parse(body);
+        const isWitness = from.zone !== peers.self.zone || isSingleZone();
+        if (isWitness && token === tenure?.token) {
+            acknowledgedSentAtMs = Math.max(acknowledgedSentAtMs ?? sentAtMs, sentAtMs);
+        }
+    });
+
+    function send(): void {
+        if (tenure?.isValid() === true) {
+            const body = { token: tenure.token, sentAtMs: clocks.suspendAwareMs() };
+            standbys().forEach((boot) => peers.send(boot, heartbeatTopic, body));
+        }
+    }
+
+    function end(): void {
+        clearInterval(timer);
+        tenure = undefined;
+    }
+
+    return {
+        begin(begun) {
+            end();
+            tenure = begun;
+            acknowledgedSentAtMs = undefined;
+            timer = setInterval(send, heartbeatMs);
+            send();
+        },
+        end,
+        isHeard: () => acknowledgedSentAtMs === undefined || clocks.suspendAwareMs() - acknowledgedSentAtMs <= heardMs,
+    };
+}
--- a/src/duties/createLeaderElection.ts
+++ b/src/duties/createLeaderElection.ts
@@ -1,61 +1,6 @@
-import { type Clocks, pause } from "../clock";
-import type { Reporter } from "../logging";
-import type { Store, StoreItem } from "../store";
-import type { Ranking } from "./rankCandidates";
-
-/** One leader's term: the right to schedule and to send requests to workers. At most one entry holds it at a time. */
-export interface Tenure {
-    /** Fencing token; rises with each tenure. Workers and machines refuse requests with a lower one than they have seen. */
-    readonly token: number;
-    /** Key and revision on which every write of this tenure has to be conditional. */
-    readonly condition: { readonly key: string; readonly revision: number; };
-    /** Whether the lease certainly still holds. Has to be checked right before each request. */
-    isValid(): boolean;
-}
-
-/** Value of the leader key in the store. */
-export interface LeaderRecord {
-    readonly boot: string;
-    readonly instance: string;
-}
-
-/**
- * Whether an entry is fit to lead.
- *
- * - `slow`: it gets too little processor time for its work.
- * - `turnedAway`: the store answers other entries directly, and this entry only through them.
- */
-export type Fitness = "fit" | "slow" | "turnedAway";
-
-export interface LeaderElectionOptions {
-    readonly store: Store;
-    readonly clocks: Clocks;
-    readonly holder: LeaderRecord;
-    readonly report: Reporter;
-    /** Shortest lease that the store grants, in milliseconds. */
-    readonly minTtlMs: number;
-    /** Whether this entry is fit to lead, at the time of the call. */
-    readonly fitness: () => Fitness;
-    /** This entry has become leader. */
-    onGained(tenure: Tenure): void;
-    /** The tenure has ended; no request may be sent any more. */
-    onLost(reason: string): void;
-}
-
-export interface LeaderElection {
-    /** Takes the current item of the leader key; `undefined` if there is no leader. */
-    updateLeader(item: StoreItem | undefined): void;
-    /** Takes this entry's rank among those that are up. */
-    updateRanking(ranking: Ranking): void;
-    /** The tenure of this entry; `undefined` while it is not leader. */
-    tenure(): Tenure | undefined;
-    /** Gives leadership up permanently and ends the lease, so that another entry need not wait for it to expire. */
-    resign(): Promise<void>;
-    /** A request was refused because its receiver has seen a higher token; ends the tenure. */
-    onFenced(): void;
-    start(): void;
-    stop(): void;
-}
+import { pause } from "../clock";
+import type { LeaderTerm } from "./createLeaderObservation";
+import type { LeaderElection, LeaderElectionOptions, LeaderRecord, TakeoverOutcome, Tenure } from "./leaderElection";
 
 export const leaderKey = "samphirepin/live/duty/all";
 
@@ -121,7 +66,12 @@
     let current: Held | undefined;
     /** The leader key in the store is of an expired tenure of this process, which knows when that tenure ended. */
     let isOwnExpired = false;
+    /** A campaign or a takeover is in progress; only one of them may write. */
     let isCampaigning = false;
+    /** A takeover failed, so the leader known from the watch may be outdated. */
+    let isHolderUncertain = false;
+    /** When a leader was replaced whose lease had not expired, on the monotonic clock. */
+    let replacedAtMs = Number.NEGATIVE_INFINITY;
     let isStopped = false;
     let isResigned = false;
     let campaignTimer: NodeJS.Timeout | undefined;
@@ -175,7 +125,8 @@
         }
         isCampaigning = true;
         try {
-            await tryAcquire();
+            const reason = holder === undefined ? "vacant" : "ownPast";
+            await tryAcquire(holder === undefined ? 0 : holderRevision, reason, () => true);
         }
         finally {
             isCampaigning = false;
@@ -185,38 +136,91 @@
         }
     }
 
-    async function tryAcquire(): Promise<void> {
-        const expectedRevision = holder === undefined ? 0 : holderRevision;
+    /** Whether the leader key is still at the revision of the leader to replace. Reads it after a failed takeover. */
+    async function isPresentLeader({ boot, token }: LeaderTerm): Promise<boolean> {
+        if (isHolderUncertain) {
+            const result = await store.read(leaderKey);
+            return result.kind === "found" && result.item.revision === token;
+        }
+        return holder?.boot === boot && holderRevision === token;
+    }
+
+    async function takeOver(leader: LeaderTerm, isLost: () => boolean): Promise<TakeoverOutcome> {
+        if (isCampaigning || isStopped || isResigned || current !== undefined || opts.fitness() !== "fit") {
+            return "notAllowed";
+        }
+        isCampaigning = true;
+        try {
+            if (!await isPresentLeader(leader)) {
+                return "notAllowed";
+            }
+            const outcome = await tryAcquire(leader.token, "evidence", isLost);
+            isHolderUncertain = outcome === "notWritten";
+            return outcome;
+        }
+        finally {
+            isCampaigning = false;
+            if (current === undefined) {
+                // The leader key may have become vacant during the takeover, which kept this entry from campaigning.
+                scheduleCampaign(rank * rankDelayMs);
+            }
+        }
+    }
+
+    async function tryAcquire(
+        expectedRevision: number,
+        reason: "vacant" | "ownPast" | "evidence",
+        isWanted: () => boolean,
+    ): Promise<TakeoverOutcome> {
         const sentAtMs = clocks.suspendAwareMs();
         const granting = store.grantLease(Math.max(ttlMs, opts.minTtlMs));
         // A lease that is granted too late has no key attached and expires by itself.
         const leased = await Promise.race([granting, pause(grantTimeoutMs)]);
         if (leased?.kind !== "leased") {
-            return;
+            return "notWritten";
+        }
+        if (!isWanted()) {
+            void store.endLease(leased.lease);
+            return "withdrawn";
         }
         const result = await store.commit({
             conditions: [{ key: leaderKey, revision: expectedRevision }],
             puts: [{ key: leaderKey, text: JSON.stringify(opts.holder), lease: leased.lease }],
             deletes: [],
         });
-        if (result.kind !== "committed") {
+        if (result.kind !== "committed" || isStopped || isResigned) {
             // A write without an answer may still be applied; ending its lease keeps its key from blocking others.
             void store.endLease(leased.lease);
-            return;
+            return "notWritten";
+        }
+        if (reason === "evidence") {
+            replacedAtMs = clocks.monotonicMs();
         }
-        beginTenure(leased.lease, result.revision, sentAtMs + leased.ttlMs - validityMarginMs);
+        beginTenure(leased.lease, result.revision, sentAtMs + leased.ttlMs - validityMarginMs, reason);
+        return "leading";
     }
 
-    function beginTenure(lease: number, token: number, validUntilMs: number): void {
+    /**
+     * Until when a replaced leader may take itself for the leader. It extends its tenure only by renewals sent before it
+     * was replaced (see `renew`), so its tenure ends within the length of a lease after that.
+     */
+    function findFormerLeaderUntilMs(): number | undefined {
+        const untilMs = replacedAtMs + Math.max(ttlMs, opts.minTtlMs);
+        return untilMs > clocks.monotonicMs() ? untilMs : undefined;
+    }
+
+    function beginTenure(lease: number, token: number, validUntilMs: number, reason: string): void {
         isOwnExpired = false;
         const held = { lease, validUntilMs, gainedAtMs: performance.now() } as Held;
         held.tenure = {
             token,
             condition: { key: leaderKey, revision: token },
             isValid: () => current === held && clocks.suspendAwareMs() < held.validUntilMs,
+            mayInterrupt: () => held.tenure.isValid() && (opts.isHeard?.() ?? true),
+            formerLeaderUntilMs: findFormerLeaderUntilMs(),
         };
         current = held;
-        report({ kind: "duty", change: "gained", token, reason: holder === undefined ? "vacant" : "ownPast" });
+        report({ kind: "duty", change: "gained", token, reason });
         renewTimer = setInterval(() => void renew(held), renewMs);
         opts.onGained(held.tenure);
     }
@@ -228,6 +232,7 @@
     function findStrongerLeader({ gainedAtMs }: Held): string | undefined {
         const isPastMinTenure = performance.now() - gainedAtMs > minTenureMs;
         return isPastMinTenure && muchStronger !== undefined && !resignedFor.has(muchStronger)
+                && (opts.isLinked?.(muchStronger) ?? true)
             ? muchStronger
             : undefined;
     }
@@ -268,10 +273,15 @@
             return;
         }
         const sentAtMs = clocks.suspendAwareMs();
-        const result = await store.renewLease(held.lease);
+        // A leader that was replaced on evidence keeps its lease, which no longer has the leader key attached.
+        const [result, key] = await Promise.all([store.renewLease(held.lease), store.read(leaderKey)]);
         if (current !== held) {
             return;
         }
+        if (key.kind === "found" && key.item.revision > held.tenure.token) {
+            endTenure("another entry holds the duty");
+            return;
+        }
         if (!held.tenure.isValid()) {
             // Writes due meanwhile have been abandoned, so the tenure must not become valid again.
             expire("the lease was renewed only after its end");
@@ -279,6 +289,9 @@
         }
         switch (result.kind) {
             case "leased":
+                if (key.kind !== "found") {
+                    return;
+                }
                 held.validUntilMs = Math.max(held.validUntilMs, sentAtMs + result.ttlMs - validityMarginMs);
                 return;
             case "leaseEnded":
@@ -296,9 +309,14 @@
             if (holder !== undefined && holder.boot !== opts.holder.boot) {
                 leaderLostAtMs = performance.now();
             }
+            const former = holder;
             knowsHolder = true;
             holder = item === undefined ? undefined : JSON.parse(item.text) as LeaderRecord;
             holderRevision = item?.revision ?? 0;
+            isHolderUncertain = false;
+            if (former !== undefined && holder !== undefined && former.instance !== holder.instance) {
+                replacedAtMs = clocks.monotonicMs();
+            }
             isOwnExpired &&= holder?.boot === opts.holder.boot;
             const isOther = item !== undefined && current !== undefined && item.revision > current.tenure.token;
             if (isOther) {
@@ -310,6 +328,7 @@
             rank = ranking.rank;
             muchStronger = ranking.strongerLeader;
         },
+        takeOver,
         tenure: () => current?.tenure,
         async resign() {
             isResigned = true;
--- /dev/null
+++ b/src/duties/createLeaderObservation.ts
@@ -0,0 +1,87 @@
+/** One leader's term, as other entries know it from the store or from its heartbeats. */
+export interface LeaderTerm {
+    /** Boot of the leader. */
+    readonly boot: string;
+    /** Fencing token, which is the revision of the leader key. */
+    readonly token: number;
+}
+
+/** What a standby observes of the leader's heartbeats. Times are arguments, on one clock, in milliseconds. */
+export interface LeaderObservation {
+    /** Takes the leader according to the store; `undefined` for none. */
+    updateLeader(term: LeaderTerm | undefined, nowMs: number): void;
+    /** Takes a heartbeat. Returns false if it is of a former leader. */
+    recordHeartbeat(term: LeaderTerm, nowMs: number): boolean;
+    /** Restarts the observation if this process has been suspended. To be called at short, regular intervals. */
+    recordTick(nowMs: number): void;
+    /** Time since the last heartbeat of a leader; `undefined` if none was received since the observation began. */
+    silentMs(boot: string, nowMs: number): number | undefined;
+    /** The leader, if it has been silent here for `thresholdMs` and may be replaced on evidence. */
+    findSilentLeader(nowMs: number, thresholdMs: number): LeaderTerm | undefined;
+    /** Longest silence that was observed of a leader, without the time in which this process was suspended. */
+    longestSilenceMs(): number;
+}
+
+/** A gap of this length in the process's own timer counts as a suspension, in milliseconds. */
+const suspendedGapMs = 250;
+
+/** No leader is replaced on evidence for this long after a change of leaders, so that leadership does not flap. */
+const settleMs = 5000;
+
+/** Creates the state of a standby's observation. */
+export function createLeaderObservation(): LeaderObservation {
+    let leader: LeaderTerm | undefined;
+    let leaderSinceMs = 0;
+    let hasHeard = false;
+    /** Last heartbeat since the observation began or was restarted. */
+    let heardAtMs: number | undefined;
+    let observedSinceMs = 0;
+    let tickedAtMs: number | undefined;
+    let longestMs = 0;
+
+    function setLeader(term: LeaderTerm | undefined, nowMs: number): void {
+        leader = term;
+        leaderSinceMs = nowMs;
+        hasHeard = false;
+        heardAtMs = undefined;
+        observedSinceMs = nowMs;
+    }
+
+    function measureSilence(nowMs: number): number {
+        return hasHeard ? Math.max(0, nowMs - (heardAtMs ?? observedSinceMs)) : 0;
+    }
+
+    return {
+        updateLeader(term, nowMs) {
+            // The watch may be behind the heartbeats.
+            const isOutdated = term !== undefined && leader !== undefined && term.token < leader.token;
+            if (!isOutdated && term?.token !== leader?.token) {
+                setLeader(term, nowMs);
+            }
+        },
+        recordHeartbeat(term, nowMs) {
+            if (leader !== undefined && term.token < leader.token) {
+                return false;
+            }
+            if (leader?.token !== term.token) {
+                setLeader(term, nowMs);
+            }
+            hasHeard = true;
+            heardAtMs = nowMs;
+            return true;
+        },
+        recordTick(nowMs) {
+            if (tickedAtMs !== undefined && nowMs - tickedAtMs > suspendedGapMs) {
+                heardAtMs = undefined;
+                observedSinceMs = nowMs;
+            }
+            tickedAtMs = nowMs;
+            longestMs = Math.max(longestMs, measureSilence(nowMs));
+        },
+        silentMs: (boot, nowMs) =>
+            leader?.boot === boot && heardAtMs !== undefined ? Math.max(0, nowMs - heardAtMs) : undefined,
+        findSilentLeader: (nowMs, thresholdMs) =>
+            hasHeard && nowMs - leaderSinceMs >= settleMs && measureSilence(nowMs) >= thresholdMs ? leader : undefined,
+        longestSilenceMs: () => longestMs,
+    };
+}
--- a/src/duties/createPresence.ts
+++ b/src/duties/createPresence.ts
@@ -1,7 +1,9 @@
 import type { Clocks } from "../clock";
 import type { Peer } from "../peers";
 import { createPrefixWatcher, type Store, type StoreItem } from "../store";
-import { type LeaderElection, leaderKey } from "./createLeaderElection";
+import type { Failover } from "./createFailover";
+import { leaderKey } from "./createLeaderElection";
+import type { LeaderElection } from "./leaderElection";
 import { type Candidate, rankCandidates } from "./rankCandidates";
 
 /** Keys under leases: the entries that are up, and the leader. */
@@ -13,6 +15,7 @@
     readonly clocks: Clocks;
     readonly self: Candidate;
     readonly election: LeaderElection;
+    readonly failover: Pick<Failover, "updateFleet" | "standbys">;
     /** Called with the other entries that are up, according to the store. */
     onPeers(peers: readonly Peer[]): void;
 }
@@ -36,7 +39,7 @@
 
 /** Keeps this entry's record in the store, watches those of the others, and feeds both to the leader election. */
 export function createPresence(opts: PresenceOptions): Presence {
-    const { store, self, election } = opts;
+    const { store, self, election, failover } = opts;
     const peers = new Map<string, Candidate>();
     let leaderBoot: string | undefined;
     let lease: number | undefined;
@@ -63,9 +66,16 @@
         onItem: updateItem,
         onBatch() {
             const others = [...peers.values()].filter(({ boot }) => boot !== self.boot);
+            const leaderItem = watcher.items.get(leaderKey);
+            failover.updateFleet(
+                others,
+                leaderBoot === undefined || leaderItem === undefined
+                    ? undefined
+                    : { boot: leaderBoot, token: leaderItem.revision },
+            );
             opts.onPeers(others);
-            election.updateRanking(rankCandidates(self, others));
-            election.updateLeader(watcher.items.get(leaderKey));
+            election.updateRanking(rankCandidates(self, others, failover.standbys()[0]));
+            election.updateLeader(leaderItem);
         },
     });
 
--- a/src/duties/rankCandidates.ts
+++ b/src/duties/rankCandidates.ts
@@ -33,15 +33,37 @@
     return cores * Math.min(1, linkMbps / ampleLinkMbps);
 }
 
-/** Ranks an entry among all that are up, by strength and then by boot id. */
-export function rankCandidates(self: Candidate, others: readonly Candidate[]): Ranking {
-    const isBefore = (a: Candidate, b: Candidate) =>
-        a.strength > b.strength || a.strength === b.strength && a.boot < b.boot;
-    const stronger = others.filter((other) => isBefore(other, self));
-    const strongest = stronger.reduce<Candidate | undefined>(
-        (best, other) => best === undefined || isBefore(other, best) ? other : best,
+/** Order of candidates for leadership: by strength, then by boot id. */
+export function isStronger(a: Candidate, b: Candidate): boolean {
+    return a.strength > b.strength || a.strength === b.strength && a.boot < b.boot;
+}
+
+/** Whether a leader resigns for the other entry. */
+function isMuchStronger(other: Candidate, self: Candidate): boolean {
+    return other.strength >= self.strength * muchStrongerFactor;
+}
+
+function findStrongest(candidates: readonly Candidate[]): Candidate | undefined {
+    return candidates.reduce<Candidate | undefined>(
+        (best, each) => best === undefined || isStronger(each, best) ? each : best,
         undefined,
     );
-    const isMuchStronger = strongest !== undefined && strongest.strength >= self.strength * muchStrongerFactor;
-    return { rank: stronger.length, strongerLeader: isMuchStronger ? strongest.boot : undefined };
+}
+
+/**
+ * Ranks an entry among all that are up, by strength and then by boot id.
+ *
+ * @param designated boot of the designated standby, which campaigns first. It is ranked like the others if it is so weak
+ *     that it would soon resign for the strongest entry: that would cost a second change of leaders.
+ */
+export function rankCandidates(self: Candidate, others: readonly Candidate[], designated?: string): Ranking {
+    const strongest = findStrongest(others.filter((other) => isStronger(other, self)));
+    const strongestOfAll = strongest ?? self;
+    const preferred = [self, ...others].find(({ boot }) => boot === designated);
+    const first = preferred === undefined || isMuchStronger(strongestOfAll, preferred) ? strongestOfAll : preferred;
+    const before = others.filter((other) => other === first || self !== first && isStronger(other, self));
+    return {
+        rank: before.length,
+        strongerLeader: strongest !== undefined && isMuchStronger(strongest, self) ? strongest.boot : undefined,
+    };
 }
--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -199,4 +199,23 @@
         readonly state: "lost" | "regained";
         readonly detail: string;
     }
+    /** A standby has missed the leader's heartbeats and has asked the other standbys about them. */
+    | {
+        readonly kind: "leaderSilence";
+        /** Boot and fencing token of the leader. */
+        readonly leader: string;
+        readonly token: number;
+        /** Time since this standby received a heartbeat; `undefined` if it has been suspended since the last one. */
+        readonly silentMs: number | undefined;
+        /** Position of this standby in the list, 0 for the designated one. */
+        readonly position: number;
+        readonly asked: number;
+        /** The silence that each standby answered, in milliseconds, as `instance/zone=silence`; `never` for no heartbeat. */
+        readonly answers: string;
+        /** Time since the question was sent. */
+        readonly answersAgeMs: number;
+        readonly silentStandbys: number;
+        readonly silentZones: number;
+        readonly decision: "lost" | "heard" | "tooFew";
+    }
     | { readonly kind: "note"; readonly slice: string; readonly message: string; readonly detail?: string; };
--- a/src/metrics/createEventMetrics.ts
+++ b/src/metrics/createEventMetrics.ts
@@ -11,6 +11,8 @@
     dutyToken(): number | undefined;
     droppedLines(): number;
     openRequests(): number;
+    /** Longest silence of a leader that this entry has observed as a standby, in milliseconds. */
+    longestLeaderSilenceMs(): number;
 }
 
 export interface EventMetrics {
@@ -84,6 +86,12 @@
     );
     gauge("log_lines_dropped", "Log lines left out since the start", readings.droppedLines);
     gauge("open_requests", "Clients' requests under way", readings.openRequests);
+    const takeovers = counter("takeovers", "Times that this entry has become leader, by cause", "cause");
+    gauge(
+        "leader_silence_longest_seconds",
+        "Longest silence of a leader that this entry has observed as a standby",
+        () => readings.longestLeaderSilenceMs() / 1000,
+    );
 
     return {
         record(event) {
@@ -117,6 +125,9 @@
                     return;
                 case "duty":
                     duties.inc({ change: event.change });
+                    if (event.change === "gained") {
+                        takeovers.inc({ cause: event.reason });
+                    }
                     return;
                 case "dependency":
                     dependencies.inc({ state: event.state });
--- a/src/peers/chooseLinks.ts
+++ b/src/peers/chooseLinks.ts
@@ -11,6 +11,8 @@
     readonly others: readonly Peer[];
     /** Boot of the leader; `undefined` if there is none. */
     readonly leader: string | undefined;
+    /** Boots of the leader's standbys. They are linked with each other, to compare what they hear of the leader. */
+    readonly standbys?: readonly string[];
 }
 
 /**
@@ -23,7 +25,7 @@
  * positions ahead. Boots are random, so the linked entries lie in all zones, and any two entries are connected over a
  * few links.
  */
-export function chooseLinks({ self, others, leader }: ChooseLinksOptions): readonly Peer[] {
+export function chooseLinks({ self, others, leader, standbys = [] }: ChooseLinksOptions): readonly Peer[] {
     if (others.length <= fullMeshPeers || leader === self) {
         return others;
     }
@@ -36,6 +38,7 @@
             chosen.add(peer);
         }
     }
-    others.filter(({ boot }) => boot === leader).forEach((peer) => chosen.add(peer));
+    const needed = [leader, ...standbys.includes(self) ? standbys : []];
+    others.filter(({ boot }) => needed.includes(boot)).forEach((peer) => chosen.add(peer));
     return [...chosen];
 }
--- a/src/runs/createWorkerPolling.ts
+++ b/src/runs/createWorkerPolling.ts
@@ -76,7 +76,7 @@
     const bounds: LeaseBounds = {
         leaseMs: Math.min(runLeaseMs, opts.maxLeaseMs),
         maxLeaseMs: opts.maxLeaseMs,
-        tenureStartedAtMs: clocks.monotonicMs(),
+        earlierLeadersUntilMs: tenure.formerLeaderUntilMs ?? clocks.monotonicMs(),
     };
     /** Workers for which an immediate poll is scheduled. */
     const pollsScheduled = new Set<Worker>();
--- a/src/runs/test/workerLease.steps.ts
+++ b/src/runs/test/workerLease.steps.ts
@@ -33,7 +33,7 @@
 }
 
 Given("a tenure that grants leases of {int} ms", function(this: World, leaseMs: number) {
-    this.bounds = { leaseMs, maxLeaseMs, tenureStartedAtMs };
+    this.bounds = { leaseMs, maxLeaseMs, earlierLeadersUntilMs: tenureStartedAtMs };
     this.leaseWorker = createWorker("worker-1", 1);
 });
 
--- a/src/runs/test/workerPolling.steps.ts
+++ b/src/runs/test/workerPolling.steps.ts
@@ -56,7 +56,7 @@
     };
     return createWorkerPolling({
         api,
-        tenure: { token: 1, condition: { key: "", revision: 1 }, isValid: () => true },
+        tenure: { token: 1, condition: { key: "", revision: 1 }, isValid: () => true, mayInterrupt: () => true },
         clocks: { monotonicMs: () => performance.now(), suspendAwareMs: () => performance.now() },
         state: world.state,
         report() {},
--- a/src/runs/workerLease.ts
+++ b/src/runs/workerLease.ts
@@ -7,8 +7,11 @@
     readonly leaseMs: number;
     /** Longest lease that a worker allows, in milliseconds. */
     readonly maxLeaseMs: number;
-    /** When the tenure began, on the monotonic clock. */
-    readonly tenureStartedAtMs: number;
+    /**
+     * Time on the monotonic clock after which no earlier leader sends requests: when the tenure began, or when the tenure of
+     * a leader that was replaced on evidence certainly ends.
+     */
+    readonly earlierLeadersUntilMs: number;
 }
 
 /**
@@ -57,8 +60,8 @@
 /**
  * Whether all leases on an unresponsive worker have expired, even by the slowest clock that it may have.
  *
- * Until the worker has listed its runs, leases of earlier leaders are bounded only by the age of the tenure. A reading of
- * its clock, which any answer contains, tells nothing about them.
+ * Until the worker has listed its runs, leases of earlier leaders are bounded only by the time since these leaders
+ * sent their last requests. A reading of its clock, which any answer contains, tells nothing about them.
  */
 export function areLeasesExpired(worker: Worker, bounds: LeaseBounds, nowMs: number): boolean {
     const workerMs = earliestWorkerMs(worker, nowMs);
@@ -66,7 +69,8 @@
         && areInheritedExpired(worker, bounds, nowMs);
     switch (worker.runList.kind) {
         case "unread": {
-            const earlierLeftMs = maxLocalMs(bounds.leaseMs + inFlightRequestsMs) - (nowMs - bounds.tenureStartedAtMs);
+            const earlierLeftMs = maxLocalMs(bounds.leaseMs + inFlightRequestsMs)
+                - (nowMs - bounds.earlierLeadersUntilMs);
             return areKnownExpired && earlierLeftMs < 0;
         }
         case "read":
--- a/src/scheduler/chooseEvictions.ts
+++ b/src/scheduler/chooseEvictions.ts
@@ -6,6 +6,8 @@
 
 export interface EvictionOptions {
     readonly state: SchedulerState;
+    /** Whether this leader may stop tasks that could continue; see `Tenure.mayInterrupt`. If not, none are chosen. */
+    readonly mayInterrupt: boolean;
     /** Tasks are stopped even if no other worker can take them. */
     readonly isUrgent: boolean;
     readonly nowMs: number;
@@ -23,6 +25,9 @@
  */
 export function chooseEvictions(worker: Worker, opts: EvictionOptions): readonly Run[] {
     const { state, nowMs } = opts;
+    if (!opts.mayInterrupt) {
+        return [];
+    }
     const others = (groupByPool(state).get(worker.pool) ?? []).filter((other) => other !== worker);
     const chosen: Run[] = [];
     for (const run of worker.runs) {
--- a/src/scheduler/createConsolidator.ts
+++ b/src/scheduler/createConsolidator.ts
@@ -1,4 +1,5 @@
 import type { Clocks } from "../clock";
+import type { Tenure } from "../duties";
 import { findShortage, type PoolDemand } from "../machines";
 import { groupByPool, type Run, type SchedulerState, type Worker } from "../schedule";
 import { chooseConsolidation } from "./chooseConsolidation";
@@ -7,6 +8,7 @@
 export interface ConsolidatorOptions {
     readonly state: SchedulerState;
     readonly clocks: Clocks;
+    readonly tenure: Pick<Tenure, "mayInterrupt">;
     /** Longest time that a worker takes to stop a task, in milliseconds. */
     readonly maxStopMs: number;
     stop(run: Run, reason: string): void;
@@ -53,7 +55,9 @@
             worker.isReserved = false;
             return;
         }
-        for (const run of chooseEvictions(worker, { state, isUrgent: false, nowMs, maxStopMs: opts.maxStopMs })) {
+        const mayInterrupt = opts.tenure.mayInterrupt();
+        const { maxStopMs } = opts;
+        for (const run of chooseEvictions(worker, { state, mayInterrupt, isUrgent: false, nowMs, maxStopMs })) {
             opts.stop(run, "its task is consolidated onto a worker in use");
         }
     }
--- a/src/scheduler/createWaveController.ts
+++ b/src/scheduler/createWaveController.ts
@@ -1,4 +1,5 @@
 import type { Clocks } from "../clock";
+import type { Tenure } from "../duties";
 import {
     canDeferMaintenance,
     chooseMaintenance,
@@ -15,6 +16,7 @@
 export interface WaveControllerOptions {
     readonly state: SchedulerState;
     readonly clocks: Clocks;
+    readonly tenure: Pick<Tenure, "mayInterrupt">;
     readonly view: FleetView;
     readonly orders: MachineOrders;
     readonly waves: () => readonly Wave[];
@@ -99,7 +101,9 @@
         const sinceMs = emptyingSinceMs.get(id) ?? nowMs;
         emptyingSinceMs.set(id, sinceMs);
         const isUrgent = nowMs - sinceMs > maxEmptyingMs;
-        for (const run of chooseEvictions(worker, { state, isUrgent, nowMs, maxStopMs: opts.maxStopMs })) {
+        const mayInterrupt = opts.tenure.mayInterrupt();
+        const { maxStopMs } = opts;
+        for (const run of chooseEvictions(worker, { state, mayInterrupt, isUrgent, nowMs, maxStopMs })) {
             opts.stop(run, "its machine is due for maintenance");
         }
     }
