--- a/src/runs/test/workerLease.feature
+++ b/src/runs/test/workerLease.feature
@@ -18,6 +18,20 @@
             | answered a stop and got a lease of 4500 ms at 2000 ms | 6580  | not expired |
             | answered a stop and got a lease of 4500 ms at 2000 ms | 6700  | expired     |
 
+    Scenario Outline: a worker that has answered nothing since a leader was replaced on evidence
+        Guards against a task that runs twice: the replaced leader renews leases on its side of a cut until its own lease ends.
+
+        Given a tenure that grants leases of 4500 ms
+        And an earlier leader that may send requests until 2000 ms of the tenure
+        When it does not answer until <ageMs> ms of the tenure
+        Then its leases have <state>
+
+        Examples:
+            | ageMs | state       |
+            | 5700  | not expired |
+            | 7600  | not expired |
+            | 7700  | expired     |
+
     Scenario Outline: a worker that has listed its runs
         Given a tenure that grants leases of 4500 ms
         And a worker that has listed its runs at 1000 ms
--- a/src/runs/test/workerLease.steps.ts
+++ b/src/runs/test/workerLease.steps.ts
@@ -37,6 +37,10 @@
     this.leaseWorker = createWorker("worker-1", 1);
 });
 
+Given("an earlier leader that may send requests until {int} ms of the tenure", function(this: World, ageMs: number) {
+    this.bounds = { ...this.bounds, earlierLeadersUntilMs: tenureStartedAtMs + ageMs };
+});
+
 Given("a worker that has answered nothing", function(this: World) {
     assert.equal(this.leaseWorker.clock, undefined);
 });
--- a/standins/scheduling/createSchedulingWorld.ts
+++ b/standins/scheduling/createSchedulingWorld.ts
@@ -75,6 +75,8 @@
     /** Begins or ends an evacuation and tells the owner. */
     evacuate(zone: string, isOn: boolean): void;
     areEvacuationsHeard: boolean;
+    /** Whether standbys acknowledge the leader's heartbeats. */
+    isLeaderHeard: boolean;
     /** Whether entries hear what operators ask for. */
     isPolicyFresh: boolean;
     /** Availability zones of workers, by id; `zone-a` where none is given. */
@@ -227,6 +229,7 @@
             entries.forEach((entry) => entry.scheduler()?.policyChanged());
         },
         areEvacuationsHeard: true,
+        isLeaderHeard: true,
         isPolicyFresh: true,
         zones: new Map(),
         advise: (workerIds) =>
@@ -311,6 +314,7 @@
         report: (event) => log.push(event),
         minTtlMs: 1000,
         fitness: () => isFit ? "fit" : "slow",
+        isHeard: () => world.isLeaderHeard,
         onGained(tenure) {
             scheduler = createScheduler({
                 store,
--- a/test/scheduling/scheduling.feature
+++ b/test/scheduling/scheduling.feature
@@ -398,6 +398,20 @@
         Then each machine went down once
         And at most 1 task was away by order at once
 
+    Scenario: a machine is due for a wave while no standby hears the leader
+        Guards against two leaders that stop tasks of one step at the same time: this one may have been replaced.
+
+        Given 1 entry and 10 workers
+        When a submission comes whose 4 tasks serve on, and 1 may be away
+        And 2000 ms pass
+        And no standby hears the leader
+        And a wave over machines 1 to 4, 1 at once
+        And 3000 ms pass
+        Then no task is stopped
+        When standbys hear the leader again
+        And 20000 ms pass
+        Then each machine went down once
+
     Scenario: a machine is due for a wave while a task of its step sits on a silent worker
         A worker loses power. Until its leases have run out its task counts as one that may run there, but it serves nobody.
         Taken for at work, a second task of its step would be stopped for the wave, and the users of the step would find
--- a/test/scheduling/scheduling.steps.ts
+++ b/test/scheduling/scheduling.steps.ts
@@ -43,6 +43,14 @@
     this.world.store.slowDownRange("samphirepin/sub/", ms);
 });
 
+When("no standby hears the leader", function(this: World) {
+    this.world.isLeaderHeard = false;
+});
+
+When("standbys hear the leader again", function(this: World) {
+    this.world.isLeaderHeard = true;
+});
+
 Given("every entry is busy", function(this: World) {
     this.world.areBusy = true;
 });
