--- a/src/peers/test/peers.feature
+++ b/src/peers/test/peers.feature
@@ -63,3 +63,9 @@
             | 9       | 8     | 1    |
             | 97      | 8     | 5    |
             | 400     | 10    | 6    |
+
+    Scenario: the standbys of a large fleet are linked with each other
+        Guards against standbys that can't compare what they hear of the leader, so that its lease has to expire.
+
+        Given 97 entries of a fleet, one of them the leader
+        Then the entries 50, 51 and 52 link to each other and to the leader as its standbys
--- a/src/peers/test/peers.steps.ts
+++ b/src/peers/test/peers.steps.ts
@@ -255,3 +255,19 @@
     }
     others.forEach((boot) => assert.ok(reached.has(boot), boot));
 });
+
+Then(
+    "the entries {int}, {int} and {int} link to each other and to the leader as its standbys",
+    function(this: World, first: number, second: number, third: number) {
+        const boots = this.fleet.map(({ boot }) => boot);
+        const [leader] = boots;
+        const standbys = [first, second, third].map((number) => boots[number] ?? "");
+        for (const self of standbys) {
+            const others = this.fleet.filter(({ boot }) => boot !== self);
+            const linked = chooseLinks({ self, others, leader, standbys }).map(({ boot }) => boot);
+            [leader, ...standbys].filter((boot) => boot !== self).forEach((boot) =>
+                assert.ok(linked.includes(boot ?? ""), boot)
+            );
+        }
+    },
+);
