fix(duties, runs): stops sent again, standbys that have left, lower tokens

Found in a review. A stop for a wave or consolidation without an answer was sent again without the check whether the leader may interrupt (RunControl.interrupt marks these runs). A leader whose other zones have all left never interrupted again: only present standbys count. A standby acknowledged a former leader's heartbeat while the leader key was vacant. A renewal extends the tenure only at exactly its own revision.

--- a/src/duties/createHeartbeats.ts
+++ b/src/duties/createHeartbeats.ts
@@ -28,8 +28,8 @@
     begin(tenure: Tenure): void;
     end(): void;
     /**
-     * Whether a standby in another zone has acknowledged a recent heartbeat, or none has acknowledged any in this tenure.
-     * Without such a standby no other entry can take over on evidence.
+     * Whether a standby in another zone has acknowledged a recent heartbeat, or none of the present standbys there has
+     * acknowledged any in this tenure. Without such a standby no other entry can take over on evidence.
      */
     isHeard(): boolean;
 }
@@ -51,15 +51,15 @@
  */
 export function createHeartbeats({ peers, clocks, standbys, isSingleZone }: HeartbeatsOptions): Heartbeats {
     let tenure: Tenure | undefined;
-    /** When the latest heartbeat was sent that a standby has acknowledged. */
-    let acknowledgedSentAtMs: number | undefined;
+    /** By boot of a standby, when the latest heartbeat was sent that it has acknowledged. */
+    const acknowledgedSentAtMs = new Map<string, number>();
     let timer: NodeJS.Timeout | undefined;
 
     peers.onMessage(heartbeatAckTopic, (from, body) => {
         const { token, sentAtMs } = heartbeatSchema.parse(body);
         const isWitness = from.zone !== peers.self.zone || isSingleZone();
         if (isWitness && token === tenure?.token) {
-            acknowledgedSentAtMs = Math.max(acknowledgedSentAtMs ?? sentAtMs, sentAtMs);
+            acknowledgedSentAtMs.set(from.boot, Math.max(acknowledgedSentAtMs.get(from.boot) ?? sentAtMs, sentAtMs));
         }
     });
 
@@ -79,11 +79,14 @@
         begin(begun) {
             end();
             tenure = begun;
-            acknowledgedSentAtMs = undefined;
+            acknowledgedSentAtMs.clear();
             timer = setInterval(send, heartbeatMs);
             send();
         },
         end,
-        isHeard: () => acknowledgedSentAtMs === undefined || clocks.suspendAwareMs() - acknowledgedSentAtMs <= heardMs,
+        isHeard() {
+            const sentAtMs = standbys().flatMap((boot) => acknowledgedSentAtMs.get(boot) ?? []);
+            return sentAtMs.length === 0 || clocks.suspendAwareMs() - Math.max(...sentAtMs) <= heardMs;
+        },
     };
 }
--- a/src/duties/createLeaderElection.ts
+++ b/src/duties/createLeaderElection.ts
@@ -289,7 +289,7 @@
         }
         switch (result.kind) {
             case "leased":
-                if (key.kind !== "found") {
+                if (key.kind !== "found" || key.item.revision !== held.tenure.token) {
                     return;
                 }
                 held.validUntilMs = Math.max(held.validUntilMs, sentAtMs + result.ttlMs - validityMarginMs);
--- a/src/duties/createLeaderObservation.ts
+++ b/src/duties/createLeaderObservation.ts
@@ -32,6 +32,8 @@
 export function createLeaderObservation(): LeaderObservation {
     let leader: LeaderTerm | undefined;
     let leaderSinceMs = 0;
+    /** Highest token known, also while there is no leader. */
+    let highestToken = 0;
     let hasHeard = false;
     /** Last heartbeat since the observation began or was restarted. */
     let heardAtMs: number | undefined;
@@ -41,6 +43,7 @@
 
     function setLeader(term: LeaderTerm | undefined, nowMs: number): void {
         leader = term;
+        highestToken = Math.max(highestToken, term?.token ?? 0);
         leaderSinceMs = nowMs;
         hasHeard = false;
         heardAtMs = undefined;
@@ -54,13 +57,13 @@
     return {
         updateLeader(term, nowMs) {
             // The watch may be behind the heartbeats.
-            const isOutdated = term !== undefined && leader !== undefined && term.token < leader.token;
+            const isOutdated = term !== undefined && term.token < highestToken;
             if (!isOutdated && term?.token !== leader?.token) {
                 setLeader(term, nowMs);
             }
         },
         recordHeartbeat(term, nowMs) {
-            if (leader !== undefined && term.token < leader.token) {
+            if (term.token < highestToken) {
                 return false;
             }
             if (leader?.token !== term.token) {
--- a/src/duties/test/failoverDecisions.feature
+++ b/src/duties/test/failoverDecisions.feature
@@ -64,3 +64,5 @@
     Scenario: a heartbeat of a former leader
         Given a standby that ticks each 25 ms and hears the leader until 6000 ms
         Then a heartbeat with a lower token is not acknowledged
+        When the leader key becomes vacant
+        Then a heartbeat with a lower token is not acknowledged
--- a/src/duties/test/failoverDecisions.steps.ts
+++ b/src/duties/test/failoverDecisions.steps.ts
@@ -96,6 +96,10 @@
     assert.equal(this.observation.longestSilenceMs(), longestMs);
 });
 
+When("the leader key becomes vacant", function(this: World) {
+    this.observation.updateLeader(undefined, this.heardMs);
+});
+
 Then("a heartbeat with a lower token is not acknowledged", function(this: World) {
     assert.equal(this.observation.recordHeartbeat({ boot: "b1", token: 6 }, this.heardMs), false);
     assert.equal(this.observation.silentMs("b1", this.heardMs), undefined);
--- a/src/runs/createRunControl.ts
+++ b/src/runs/createRunControl.ts
@@ -33,6 +33,8 @@
     start(run: Run): Promise<void>;
     /** Stops a run; its capacity stays taken until the worker lists the end. */
     stop(run: Run, reason: string): void;
+    /** Stops a run that could continue; requests are sent only while the tenure may interrupt tasks. */
+    interrupt(run: Run, reason: string): void;
     /** Sends again the stop requests that had no answer. */
     sendStops(worker: Worker): void;
 }
@@ -164,6 +166,16 @@
     }
 
     function stop(run: Run, reason: string): void {
+        run.isInterruption = false;
+        requestStop(run, reason);
+    }
+
+    function interrupt(run: Run, reason: string): void {
+        run.isInterruption ||= run.phase !== "stopping";
+        requestStop(run, reason);
+    }
+
+    function requestStop(run: Run, reason: string): void {
         if (run.phase === "recording") {
             opts.drop(run, DropCause.notOrdered, reason);
             return;
@@ -177,7 +189,7 @@
     }
 
     async function sendStop(run: Run): Promise<void> {
-        if (run.isStopSent || !tenure.isValid()) {
+        if (run.isStopSent || !tenure.isValid() || run.isInterruption && !tenure.mayInterrupt()) {
             return;
         }
         run.isStopSent = true;
@@ -221,6 +233,7 @@
     return {
         start,
         stop,
+        interrupt,
         sendStops(worker) {
             for (const run of worker.runs) {
                 if (run.phase === "stopping" && !run.isStopSent) {
--- a/src/schedule/runs.ts
+++ b/src/schedule/runs.ts
@@ -24,6 +24,7 @@
         pacePercent: 100,
         stopReason: undefined,
         isStopSent: false,
+        isInterruption: false,
     };
     task.runs.push(run);
     task.lastRun = Math.max(task.lastRun, number);
--- a/src/schedule/schedulerState.ts
+++ b/src/schedule/schedulerState.ts
@@ -43,6 +43,8 @@
     /** Why the run is being stopped; `undefined`: it is not. */
     stopReason: string | undefined;
     isStopSent: boolean;
+    /** The run is being stopped although it could continue. */
+    isInterruption: boolean;
 }
 
 export type TaskPhase = "waiting" | "done" | "failed";
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -271,7 +271,7 @@
         maxStopMs: opts.bounds.maxStopMs,
         ordersPerSecond: opts.bounds.machineOrdersPerSecond,
         reportWave: opts.reportWave,
-        stop: runControl.stop,
+        stop: runControl.interrupt,
         pollNow: polling.pollNow,
         onIncarnationEnded: handleIncarnationEnded,
         onChange: () => planner.planSoon(),
--- a/standins/fakes/createFakeNetwork.ts
+++ b/standins/fakes/createFakeNetwork.ts
@@ -6,6 +6,8 @@
     delayMs: number;
     /** Pairs `fromBoot>toBoot` over which nothing arrives. */
     readonly cuts: Set<string>;
+    /** Pairs `fromBoot>toBoot` over which nothing arrives although the link counts as connected. */
+    readonly silences: Set<string>;
     /** Boots that handle nothing; what arrives waits until they are woken. */
     readonly frozen: Set<string>;
     /** Runs what has waited for a boot that was frozen. */
@@ -27,6 +29,7 @@
     const network: FakeNetwork = {
         delayMs: 1,
         cuts: new Set(),
+        silences: new Set(),
         frozen: new Set(),
         wake(boot) {
             network.frozen.delete(boot);
@@ -43,7 +46,7 @@
     function deliver(from: string, to: string, run: (node: Node) => void): void {
         setTimeout(() => {
             const node = nodes.get(to);
-            if (node === undefined || !passes(from, to)) {
+            if (node === undefined || !passes(from, to) || network.silences.has(`${from}>${to}`)) {
                 return;
             }
             if (network.frozen.has(to)) {
--- a/test/failover/failover.feature
+++ b/test/failover/failover.feature
@@ -25,6 +25,25 @@
         And b1 counts on requests of its predecessor for as long as it may send them
         And b1 leads
 
+    Scenario: the links of the leader's zone are silent without a reset
+        Guards against an entry that waits long for answers of standbys that it still counts as connected.
+
+        Given two entries in each of three zones, led by a1
+        When the links of zone a to the others are silent
+        And the store is "silent" for a
+        Then b1 leads after 400 to 800 ms
+        And the former leader may not interrupt tasks
+
+    Scenario: all standbys of other zones have left
+        Guards against maintenance that stops for good in a fleet whose other zones are gone.
+
+        Given two entries in each of three zones, led by a1
+        When the entries of zones b and c are killed
+        And 1000 ms pass
+        Then the former leader may not interrupt tasks
+        When 12000 ms pass
+        Then a1 may interrupt tasks
+
     Scenario: the leader's zone is cut off from the others, and the store answers it
         Guards against a replaced leader that renews its lease for good, since the lease has not ended.
 
--- a/test/failover/failover.steps.ts
+++ b/test/failover/failover.steps.ts
@@ -90,6 +90,18 @@
     }
 });
 
+When("the links of zone {word} to the others are silent", function(this: World, zone: string) {
+    for (const one of boots.filter((boot) => boot.startsWith(zone))) {
+        for (const other of boots.filter((boot) => !boot.startsWith(zone))) {
+            this.network.silences.add(`${one}>${other}`).add(`${other}>${one}`);
+        }
+    }
+});
+
+When("the entries of zones b and c are killed", function(this: World) {
+    ["b1", "b2", "c1", "c2"].forEach((boot) => find(this, boot).kill());
+});
+
 When("the store is {string} for {word}", function(this: World, fault: StoreFault, zoneOrBoot: string) {
     const affected = boots.filter((boot) => zoneOrBoot === "all" || boot.startsWith(zoneOrBoot));
     affected.forEach((boot) => this.store.setFault(boot, fault));
