--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -25,11 +25,11 @@
 import {
     type Candidate,
     computeStrength,
+    createFailover,
     createLagMonitor,
     createLeaderElection,
     createLoadMeter,
     createPresence,
-    rankCandidates,
     type Tenure,
 } from "../duties";
 import type { Reporter } from "../logging";
@@ -108,6 +108,7 @@
         openRequests: () => openRequests,
         startsInFlight: () => scheduler?.startsInFlight() ?? new Map(),
         loadSummaryAgeMs: () => admission.summaryAgeMs(clocks.monotonicMs()),
+        longestLeaderSilenceMs: () => failover.longestSilenceMs(),
     });
     const report: Reporter = (event) => {
         metrics.record(event);
@@ -188,49 +189,44 @@
         report,
         minTtlMs: settings.minLeaseTtlMs,
         fitness: () => store.isRelayOnly() ? "turnedAway" : lagMonitor.isSlow() ? "slow" : "fit",
+        isHeard: () => failover.isHeard(),
+        isLinked: (other) => peers.connected().some((peer) => peer.boot === other),
         onGained: beginTenure,
         onLost() {
+            failover.endTenure();
             scheduler?.stop();
             scheduler = undefined;
         },
     });
     const candidate: Candidate = { ...self, strength: computeStrength(settings.cores, settings.linkMbps) };
-    let otherCandidates: readonly Candidate[] = [];
-    let isFirstCandidate = false;
+    const failover = createFailover({ self: candidate, peers, clocks, election: leaderElection, report });
     const presence = createPresence({
         store,
         clocks,
         self: candidate,
         election: leaderElection,
+        failover,
         onPeers(others) {
-            otherCandidates = others;
-            const links = chooseLinks({ self: boot, others, leader: presence.leaderBoot() });
+            const links = chooseLinks({
+                self: boot,
+                others,
+                leader: presence.leaderBoot(),
+                standbys: failover.standbys(),
+            });
             peers.setAddresses(links.map(({ peerUrl }) => peerUrl));
         },
     });
 
-    /**
-     * Whether this entry is not the leader and would campaign first without the leader. While there is no leader the last
-     * answer holds, because the list still contains the former leader for the rest of its lease.
-     */
-    function isDesignatedStandby(): boolean {
-        const leader = presence.leaderBoot();
-        if (leader !== undefined) {
-            const rivals = otherCandidates.filter((other) => other.boot !== leader);
-            isFirstCandidate = leader !== boot && rankCandidates(candidate, rivals).rank === 0;
-        }
-        // The leader key may be read later than the answer to its own write.
-        return isFirstCandidate && leaderElection.tenure() === undefined;
-    }
-
     const standbyCopy = createStandbyCopy({
         store,
         clocks,
         workerPrefix: workerDecoder.prefix,
-        isDesignatedStandby,
+        // The leader key may be read later than the answer to its own write.
+        isDesignatedStandby: () => failover.isDesignatedStandby() && leaderElection.tenure() === undefined,
     });
 
     function beginTenure(tenure: Tenure): void {
+        failover.beginTenure(tenure);
         scheduler = createScheduler({
             store,
             workerApi,
@@ -382,6 +378,7 @@
             await waitForOpenRequests();
             leaderElection.stop();
             loadBroadcaster.stop();
+            failover.stop();
             policyWatcher.stop();
             // Bounded, so that the process ends before the grace period does.
             await Promise.race([presence.stop(), pause(exitMarginMs / 2)]);
--- a/src/metrics/createEventMetrics.ts
+++ b/src/metrics/createEventMetrics.ts
@@ -15,6 +15,8 @@
     startsInFlight(): ReadonlyMap<string, number>;
     /** Age of the leader's latest load summary, in milliseconds; `undefined` before the first. */
     loadSummaryAgeMs(): number | undefined;
+    /** Longest silence of a leader that this entry has observed as a standby, in milliseconds. */
+    longestLeaderSilenceMs(): number;
 }
 
 export interface EventMetrics {
@@ -139,6 +141,12 @@
         "Age of the leader's load summary; -1 before the first",
         () => (readings.loadSummaryAgeMs() ?? -1000) / 1000,
     );
+    const takeovers = counter("takeovers", "Times that this entry has become leader, by cause", "cause");
+    gauge(
+        "leader_silence_longest_seconds",
+        "Longest silence of a leader that this entry has observed as a standby",
+        () => readings.longestLeaderSilenceMs() / 1000,
+    );
 
     return {
         record(event) {
@@ -178,6 +186,9 @@
                     return;
                 case "duty":
                     duties.inc({ change: event.change });
+                    if (event.change === "gained") {
+                        takeovers.inc({ cause: event.reason });
+                    }
                     return;
                 case "dependency":
                     dependencies.inc({ state: event.state });
--- a/src/progress/test/progress.steps.ts
+++ b/src/progress/test/progress.steps.ts
@@ -131,6 +131,7 @@
                 token: revision,
                 condition: { key: leaderKey, revision },
                 isValid: () => true,
+                mayInterrupt: () => true,
             },
             report() {},
             onFenced: () => assert.fail("the leader key has not changed"),
--- a/src/runs/test/workerLease.steps.ts
+++ b/src/runs/test/workerLease.steps.ts
@@ -33,10 +33,14 @@
 }
 
 Given("a tenure that grants leases of {int} ms", function(this: World, leaseMs: number) {
-    this.bounds = { leaseMs, maxLeaseMs, tenureStartedAtMs };
+    this.bounds = { leaseMs, maxLeaseMs, earlierLeadersUntilMs: tenureStartedAtMs };
     this.leaseWorker = createWorker("worker-1", 1);
 });
 
+Given("an earlier leader that may send requests until {int} ms of the tenure", function(this: World, ageMs: number) {
+    this.bounds = { ...this.bounds, earlierLeadersUntilMs: tenureStartedAtMs + ageMs };
+});
+
 Given("a worker that has answered nothing", function(this: World) {
     assert.equal(this.leaseWorker.clock, undefined);
 });
--- a/standins/scheduling/createCompetitionWorld.ts
+++ b/standins/scheduling/createCompetitionWorld.ts
@@ -257,7 +257,9 @@
         state,
         clocks: { monotonicMs: () => Date.now(), suspendAwareMs: () => Date.now() },
         report: (event) => world.log.push(event),
-        tenure: { token: 1, isValid: () => true } as Parameters<typeof createFleetController>[0]["tenure"],
+        tenure: { token: 1, isValid: () => true, mayInterrupt: () => true } as Parameters<
+            typeof createFleetController
+        >[0]["tenure"],
         machines: {
             list: () => Promise.resolve({ kind: "machines", machines: [...machines.values()] }),
             move: () => Promise.reject(new Error("orders are sent only through MachineOrders")),
--- a/standins/scheduling/createSchedulingEntry.ts
+++ b/standins/scheduling/createSchedulingEntry.ts
@@ -86,6 +86,7 @@
         report: (event) => log.push(event),
         minTtlMs: 1000,
         fitness: () => isFit ? "fit" : "slow",
+        isHeard: () => world.isLeaderHeard,
         onGained(tenure) {
             scheduler = createScheduler({
                 store,
--- a/standins/scheduling/createSchedulingWorld.ts
+++ b/standins/scheduling/createSchedulingWorld.ts
@@ -61,6 +61,8 @@
     /** Begins or ends an evacuation and tells the owner. */
     evacuate(zone: string, isOn: boolean): void;
     areEvacuationsHeard: boolean;
+    /** Whether standbys acknowledge the leader's heartbeats. */
+    isLeaderHeard: boolean;
     /** Whether entries hear what operators ask for. */
     isPolicyFresh: boolean;
     /** Availability zones of workers, by id; `zone-a` where none is given. */
@@ -206,6 +208,7 @@
             entries.forEach((entry) => entry.scheduler()?.policyChanged());
         },
         areEvacuationsHeard: true,
+        isLeaderHeard: true,
         isPolicyFresh: true,
         zones: new Map(),
         advise: (workerIds) =>
