--- a/bench/decide/decisions.ts
+++ b/bench/decide/decisions.ts
@@ -83,6 +83,62 @@
             patched("long", "75 ms: fewer calls"),
         ],
     },
+    {
+        name: "failover",
+        question: "when a standby replaces a leader that it no longer receives heartbeats of",
+        variants: [
+            stands("on-evidence", "when standbys of two zones observe the silence"),
+            patched("by-lease", "never: leadership passes on when the leader's lease ends"),
+        ],
+    },
+    {
+        name: "copy",
+        question: "which entry keeps a copy of what a new leader reads",
+        variants: [
+            stands("designated", "the standby that takes over first"),
+            patched("none", "no entry; a new leader reads the store"),
+        ],
+    },
+    {
+        name: "rates",
+        question: "which submissions are conforming",
+        variants: [
+            stands("by-weight", "those within the rate of their client account"),
+            patched("none", "all, so that none is ranked last or refused for load as excess"),
+        ],
+    },
+    {
+        name: "starts",
+        question: "how the window of starts in flight is divided over the pools",
+        variants: [
+            stands("by-pool", "an equal share each, and what a pool leaves by rank"),
+            patched("by-rank", "by rank alone"),
+        ],
+    },
+    {
+        name: "entitlements",
+        question: "which pool gets machines while the pools need more than there are",
+        variants: [
+            stands("max-min", "the one farthest below its entitlement; machines above an entitlement are reclaimed"),
+            patched("none", "the one that lacks most processors; no machine is reclaimed"),
+        ],
+    },
+    {
+        name: "admission",
+        question: "which submissions are refused for load",
+        variants: [
+            stands("late-excess", "those beyond their account's rate that would be late"),
+            patched("none", "none"),
+        ],
+    },
+    {
+        name: "commits",
+        question: "how many commits of progress are in flight",
+        variants: [
+            stands("by-answer-time", "4 while the store is fast, up to 24 in proportion to its answer time"),
+            patched("four", "4"),
+        ],
+    },
 ];
 
 /** The file of a variant's patch, relative to the repository. */
