fix(duties): a resumed standby reports no silence before its first tick

After a suspension, requests and answers that waited on other links may be handled before the standby's timer and before the leader's waiting heartbeats. The standby then confirmed its own suspension as silence of the leader, or completed a takeover on it. Overdue ticks now make the silence unknown, also in findSilentLeader.

--- a/src/duties/createLeaderObservation.ts
+++ b/src/duties/createLeaderObservation.ts
@@ -50,6 +50,11 @@
         observedSinceMs = nowMs;
     }
 
+    /** Whether the process may have been suspended since the last tick, so that the time since then shows no silence. */
+    function isTickOverdue(nowMs: number): boolean {
+        return tickedAtMs !== undefined && nowMs - tickedAtMs > suspendedGapMs;
+    }
+
     function measureSilence(nowMs: number): number {
         return hasHeard ? Math.max(0, nowMs - (heardAtMs ?? observedSinceMs)) : 0;
     }
@@ -74,17 +79,25 @@
             return true;
         },
         recordTick(nowMs) {
-            if (tickedAtMs !== undefined && nowMs - tickedAtMs > suspendedGapMs) {
+            if (isTickOverdue(nowMs)) {
                 heardAtMs = undefined;
                 observedSinceMs = nowMs;
             }
             tickedAtMs = nowMs;
             longestMs = Math.max(longestMs, measureSilence(nowMs));
         },
-        silentMs: (boot, nowMs) =>
-            leader?.boot === boot && heardAtMs !== undefined ? Math.max(0, nowMs - heardAtMs) : undefined,
-        findSilentLeader: (nowMs, thresholdMs) =>
-            hasHeard && nowMs - leaderSinceMs >= settleMs && measureSilence(nowMs) >= thresholdMs ? leader : undefined,
+        silentMs(boot, nowMs) {
+            if (leader?.boot !== boot || heardAtMs === undefined) {
+                return undefined;
+            }
+            const silentMs = Math.max(0, nowMs - heardAtMs);
+            // Requests that waited during a suspension may be handled before the tick and before the leader's heartbeats.
+            return silentMs > suspendedGapMs && isTickOverdue(nowMs) ? undefined : silentMs;
+        },
+        findSilentLeader(nowMs, thresholdMs) {
+            const isSettled = hasHeard && nowMs - leaderSinceMs >= settleMs;
+            return isSettled && !isTickOverdue(nowMs) && measureSilence(nowMs) >= thresholdMs ? leader : undefined;
+        },
         longestSilenceMs: () => longestMs,
     };
 }
--- a/src/duties/test/failoverDecisions.feature
+++ b/src/duties/test/failoverDecisions.feature
@@ -61,6 +61,21 @@
             | 4000    | 0      | 0    | 5000  | observed | 1000      |
             | -1      | 0      | 0    | 9000  | unknown  | 0         |
 
+    Scenario Outline: a standby that resumes and has not ticked yet
+        Guards against a resumed standby that confirms a silence to others, or completes a takeover, before its timer or the
+        waiting heartbeats have been handled.
+
+        Given a standby that ticks each 25 ms and hears the leader until 6000 ms
+        When it is suspended from <fromMs> to 9000 ms
+        Then at <nowMs> ms a silence of 500 ms is unknown
+        And at <nowMs> ms it reports a silence of <silence>
+
+        Examples:
+            | fromMs | nowMs | silence |
+            | 6025   | 7000  | unknown |
+            | 6300   | 6475  | 475 ms  |
+            | 5700   | 6200  | 200 ms  |
+
     Scenario: a heartbeat of a former leader
         Given a standby that ticks each 25 ms and hears the leader until 6000 ms
         Then a heartbeat with a lower token is not acknowledged
--- a/src/duties/test/failoverDecisions.steps.ts
+++ b/src/duties/test/failoverDecisions.steps.ts
@@ -96,6 +96,11 @@
     assert.equal(this.observation.longestSilenceMs(), longestMs);
 });
 
+Then(/^at (\d+) ms it reports a silence of (.+)$/, function(this: World, nowMs: string, silence: string) {
+    const silentMs = this.observation.silentMs(term.boot, Number(nowMs));
+    assert.equal(silentMs === undefined ? "unknown" : `${silentMs} ms`, silence);
+});
+
 When("the leader key becomes vacant", function(this: World) {
     this.observation.updateLeader(undefined, this.heardMs);
 });
