fix(duties): acknowledgements of the leader's own zone stop counting when another zone joins

An acknowledgement was judged when it arrived: in a fleet with one zone those of the leader's own zone counted. Once an entry of a second zone was present, they were no longer renewed and the last one stayed. If the new entry acknowledged nothing (an old build, or no link), isHeard stayed false, so that this leader could not interrupt tasks for maintenance or consolidation until an entry changed. Zones are now compared when isHeard is asked.

--- a/src/duties/createHeartbeats.ts
+++ b/src/duties/createHeartbeats.ts
@@ -51,15 +51,15 @@
  */
 export function createHeartbeats({ peers, clocks, standbys, isSingleZone }: HeartbeatsOptions): Heartbeats {
     let tenure: Tenure | undefined;
-    /** By boot of a standby, when the latest heartbeat was sent that it has acknowledged. */
-    const acknowledgedSentAtMs = new Map<string, number>();
+    /** By boot of a standby, its zone and when the latest heartbeat was sent that it has acknowledged. */
+    const acknowledged = new Map<string, { readonly zone: string; readonly sentAtMs: number; }>();
     let timer: NodeJS.Timeout | undefined;
 
     peers.onMessage(heartbeatAckTopic, (from, body) => {
         const { token, sentAtMs } = heartbeatSchema.parse(body);
-        const isWitness = from.zone !== peers.self.zone || isSingleZone();
-        if (isWitness && token === tenure?.token) {
-            acknowledgedSentAtMs.set(from.boot, Math.max(acknowledgedSentAtMs.get(from.boot) ?? sentAtMs, sentAtMs));
+        if (token === tenure?.token) {
+            const latestMs = Math.max(acknowledged.get(from.boot)?.sentAtMs ?? sentAtMs, sentAtMs);
+            acknowledged.set(from.boot, { zone: from.zone, sentAtMs: latestMs });
         }
     });
 
@@ -79,14 +79,17 @@
         begin(begun) {
             end();
             tenure = begun;
-            acknowledgedSentAtMs.clear();
+            acknowledged.clear();
             timer = setInterval(send, heartbeatMs);
             send();
         },
         end,
         isHeard() {
-            const sentAtMs = standbys().flatMap((boot) => acknowledgedSentAtMs.get(boot) ?? []);
-            return sentAtMs.length === 0 || clocks.suspendAwareMs() - Math.max(...sentAtMs) <= heardMs;
+            // Zones are compared now: an entry of another zone may have joined a fleet with one zone.
+            const isWitness = ({ zone }: { readonly zone: string; }) => zone !== peers.self.zone || isSingleZone();
+            const witnesses = standbys().flatMap((boot) => acknowledged.get(boot) ?? []).filter(isWitness);
+            const heardAtMs = Math.max(...witnesses.map(({ sentAtMs }) => sentAtMs));
+            return witnesses.length === 0 || clocks.suspendAwareMs() - heardAtMs <= heardMs;
         },
     };
 }
--- a/test/failover/failover.feature
+++ b/test/failover/failover.feature
@@ -183,3 +183,11 @@
         Given three entries in one zone, led by a1
         When the leader is killed
         Then a2 leads after 400 to 700 ms
+
+    Scenario: an old entry of a second zone joins a fleet with one zone
+        Guards against maintenance that stops for good once acknowledgements of the leader's own zone no longer count.
+
+        Given three entries in one zone, led by a1
+        When b1 joins with an old build
+        And 1000 ms pass
+        Then a1 may interrupt tasks
--- a/test/failover/failover.steps.ts
+++ b/test/failover/failover.steps.ts
@@ -50,6 +50,10 @@
     await begin(this, ["a1", "a2", "a3"], "");
 });
 
+When("{word} joins with an old build", function(this: World, boot: string) {
+    addEntry(this, boot, 1, true);
+});
+
 When("the leader is killed", function(this: World) {
     this.former.kill();
 });
