fix(duties): heartbeats and questions of other builds with other fields are ignored

The handlers of leaderHeartbeat, leaderHeartbeatAck and leaderSilence threw on a body that their schema refuses, for example a heartbeat without sentAtMs. The links catch that, but write a note for each of ten messages a second. An unreadable question is now answered without a silence, which is no evidence.

--- a/src/duties/createFailover.ts
+++ b/src/duties/createFailover.ts
@@ -79,7 +79,10 @@
     });
 
     peers.onMessage(heartbeatTopic, (from, body) => {
-        const heartbeat = heartbeatSchema.parse(body);
+        const heartbeat = heartbeatSchema.safeParse(body).data;
+        if (heartbeat === undefined) {
+            return;
+        }
         const term = { boot: from.boot, token: heartbeat.token };
         // A former leader gets no acknowledgement, so that it stops interrupting tasks.
         if (observation.recordHeartbeat(term, clocks.suspendAwareMs())) {
@@ -87,8 +90,8 @@
         }
     });
     peers.onRequest(silenceTopic, (_from, body) => {
-        const { boot } = silenceRequestSchema.parse(body);
-        const silentMs = observation.silentMs(boot, clocks.suspendAwareMs());
+        const boot = silenceRequestSchema.safeParse(body).data?.boot;
+        const silentMs = boot === undefined ? undefined : observation.silentMs(boot, clocks.suspendAwareMs());
         return Promise.resolve(silentMs === undefined ? {} : { silentMs });
     });
 
--- a/src/duties/createHeartbeats.ts
+++ b/src/duties/createHeartbeats.ts
@@ -56,8 +56,9 @@
     let timer: NodeJS.Timeout | undefined;
 
     peers.onMessage(heartbeatAckTopic, (from, body) => {
-        const { token, sentAtMs } = heartbeatSchema.parse(body);
-        if (token === tenure?.token) {
+        const heartbeat = heartbeatSchema.safeParse(body).data;
+        if (heartbeat !== undefined && heartbeat.token === tenure?.token) {
+            const { sentAtMs } = heartbeat;
             const latestMs = Math.max(acknowledged.get(from.boot)?.sentAtMs ?? sentAtMs, sentAtMs);
             acknowledged.set(from.boot, { zone: from.zone, sentAtMs: latestMs });
         }
--- a/test/failover/failover.feature
+++ b/test/failover/failover.feature
@@ -191,3 +191,25 @@
         When b1 joins with an old build
         And 1000 ms pass
         Then a1 may interrupt tasks
+
+    Scenario Outline: a message of another build has other fields
+        Guards against handlers that throw on messages that they can't read.
+
+        Given two entries in each of three zones, led by a1
+        When a1 sends b1 the message "<topic>" with the body <body>
+        And b1 sends a1 the message "<topic>" with the body <body>
+        And 2000 ms pass
+        Then a1 leads
+        And a1 may interrupt tasks
+
+        Examples:
+            | topic              | body                          |
+            | leaderHeartbeat    | {"token":1}                   |
+            | leaderHeartbeat    | "x"                           |
+            | leaderHeartbeatAck | {"token":1}                   |
+            | leaderHeartbeatAck | {"token":"1","sentAtMs":null} |
+
+    Scenario: a question of another build has other fields
+        Given two entries in each of three zones, led by a1
+        When c1 asks b1 for "leaderSilence" with the body {"leader":"a1"}
+        Then the answer is {}
--- a/test/failover/failover.steps.ts
+++ b/test/failover/failover.steps.ts
@@ -54,6 +54,28 @@
     addEntry(this, boot, 1, true);
 });
 
+When(
+    /^(\w+) sends (\w+) the message "(\w+)" with the body (.+)$/,
+    async function(this: World, from: string, to: string, topic: string, body: string) {
+        find(this, from).peers.send(to, topic, JSON.parse(body));
+        // An exception of a handler is thrown here.
+        await pass(this, 50);
+    },
+);
+
+When(
+    /^(\w+) asks (\w+) for "(\w+)" with the body (.+)$/,
+    async function(this: World, from: string, to: string, topic: string, body: string) {
+        const asking = find(this, from).peers.request(to, topic, JSON.parse(body), 1000);
+        await pass(this, 50);
+        this.answer = (await asking).orDefault(undefined);
+    },
+);
+
+Then(/^the answer is (\{.*\})$/, function(this: World, answer: string) {
+    assert.deepEqual(this.answer, JSON.parse(answer));
+});
+
 When("the leader is killed", function(this: World) {
     this.former.kill();
 });
--- a/test/failover/world.ts
+++ b/test/failover/world.ts
@@ -21,6 +21,7 @@
     readonly self: Candidate;
     readonly election: LeaderElection;
     readonly failover: Failover;
+    readonly peers: Peers;
     readonly log: LogEvent[];
     isUp: boolean;
     /** When it last sent a message to another entry. */
@@ -39,10 +40,12 @@
     entries: Map<string, Entry>;
     former: Entry;
     outcomes: readonly string[];
+    /** Answer to a request between entries. */
+    answer: unknown;
     mayInterruptOnResume: boolean;
 }
 
-export function createWorld(): Omit<World, "former" | "outcomes" | "mayInterruptOnResume"> {
+export function createWorld(): Omit<World, "former" | "outcomes" | "answer" | "mayInterruptOnResume"> {
     const clock = installClock();
     return { clock, store: createFakeStore(), network: createFakeNetwork(), entries: new Map() };
 }
@@ -101,6 +104,7 @@
         self,
         election,
         failover,
+        peers,
         log,
         isUp: true,
         sentAtMs: 0,
