fix(daemon): the leader checks the fields of submissionAccepted

The body was passed to the scheduler unchecked. A revision that is no number would become part of the conditions of the submission's final state, and a missing text or key made the handler throw.

Run: npm test -- src/daemon (4 of 7 before the fix, 7 of 7 after).

--- a/src/daemon/createAcceptanceNotifier.ts
+++ b/src/daemon/createAcceptanceNotifier.ts
@@ -1,8 +1,10 @@
+import { z } from "zod";
 import type { Peers } from "../peers";
 import type { Scheduler } from "../scheduler";
 import type { StoreItem } from "../store";
 
 const acceptedTopic = "submissionAccepted";
+const acceptedSchema = z.object({ key: z.string(), text: z.string(), revision: z.number().int() });
 
 /**
  * Answer time of the store from which on the leader is notified, in milliseconds. A fast store delivers the record by its
@@ -30,7 +32,12 @@
  */
 export function createAcceptanceNotifier(opts: AcceptanceNotifierOptions): AcceptanceNotifier {
     const { peers } = opts;
-    peers.onMessage(acceptedTopic, (_from, body) => opts.scheduler()?.applyRecord(body as StoreItem));
+    peers.onMessage(acceptedTopic, (_from, body) => {
+        const item = acceptedSchema.safeParse(body).data;
+        if (item !== undefined) {
+            opts.scheduler()?.applyRecord(item);
+        }
+    });
 
     return {
         onStored(item, tookMs) {
--- a/src/daemon/test/acceptanceNotifier.feature
+++ b/src/daemon/test/acceptanceNotifier.feature
@@ -17,3 +17,16 @@
         Given entries "entry-1" and "entry-2", of which none is leader
         When "entry-2" has stored a submission in 200 ms
         Then the leader has been given 0 records
+
+    Scenario Outline: a notification of another build has other fields
+        Guards against a submission whose revision no write can be conditional on.
+
+        Given entries "entry-1" and "entry-2", of which "entry-1" is leader
+        When "entry-2" notifies "entry-1" with <body>
+        Then the leader has been given 0 records
+
+        Examples:
+            | body                                                       |
+            | {"key":"samphirepin/sub/1","text":"{}","revision":"12"}    |
+            | {"key":"samphirepin/sub/1","revision":12}                  |
+            | "samphirepin/sub/1"                                        |
--- a/src/daemon/test/acceptanceNotifier.steps.ts
+++ b/src/daemon/test/acceptanceNotifier.steps.ts
@@ -1,19 +1,21 @@
 import { After, Before, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { type Clock, installClock } from "../../../standins/dispatch";
-import { createFakeNetwork } from "../../../standins/fakes";
+import { createFakeNetwork, type FakeNetwork } from "../../../standins/fakes";
 import type { Scheduler } from "../../scheduler";
 import type { StoreItem } from "../../store";
 import { type AcceptanceNotifier, createAcceptanceNotifier } from "../createAcceptanceNotifier";
 
 interface World {
     clock: Clock;
+    network: FakeNetwork;
     notifiers: Map<string, AcceptanceNotifier>;
     given: StoreItem[];
 }
 
 Before(function(this: World) {
     this.clock = installClock();
+    this.network = createFakeNetwork();
     this.notifiers = new Map();
     this.given = [];
 });
@@ -23,9 +25,8 @@
 });
 
 async function addEntries(world: World, names: readonly string[], leader: string | undefined): Promise<void> {
-    const network = createFakeNetwork();
     for (const boot of names) {
-        const peers = network.connect({ boot, instance: boot, region: "r", zone: "z", peerUrl: `ws://${boot}` });
+        const peers = world.network.connect({ boot, instance: boot, region: "r", zone: "z", peerUrl: `ws://${boot}` });
         await peers.start();
         const scheduler = { applyRecord: (item: StoreItem) => void world.given.push(item) } as Scheduler;
         const notifier = createAcceptanceNotifier({
@@ -57,6 +58,15 @@
     await this.clock.advance(50);
 });
 
+When(
+    /^"(.+)" notifies "(.+)" with (.+)$/,
+    async function(this: World, from: string, to: string, body: string) {
+        this.network.connect({ boot: from, instance: from, region: "r", zone: "z", peerUrl: `ws://${from}` })
+            .send(to, "submissionAccepted", JSON.parse(body));
+        await this.clock.advance(50);
+    },
+);
+
 Then("the leader has been given {int} records", function(this: World, count: number) {
     assert.equal(this.given.length, count);
 });
