fix(store): an offered item that was deleted since is not applied

An item that a watcher's view lacks counted as new, whatever its revision. If an entry was suspended between the answer to its write and its notification for longer than finished submissions are kept, the leader added the finished submission again as open and would start its tasks a second time. Offered items now have to be newer than the view.

--- a/src/store/createPrefixWatcher.ts
+++ b/src/store/createPrefixWatcher.ts
@@ -41,7 +41,7 @@
      * answer.
      */
     freshAtMs(): number | undefined;
-    /** Applies an item that was received by another way, if it is newer than the one in the view. */
+    /** Applies an item that was received by another way, if it is newer than the view. */
     offer(item: StoreItem): void;
     /** Returns the view and its revision; `undefined` while the whole prefix has to be read. */
     snapshot(): PrefixSnapshot | undefined;
@@ -186,8 +186,11 @@
         items,
         freshAtMs: () => freshAtMs,
         offer(item) {
-            applyNewer(item);
-            opts.onBatch?.();
+            // The view contains all changes up to its revision: an older item that it lacks has been deleted since.
+            if (revision !== undefined && item.revision > revision) {
+                applyNewer(item);
+                opts.onBatch?.();
+            }
         },
         snapshot: () => revision === undefined ? undefined : { items, revision },
         start() {
--- a/src/store/test/store.feature
+++ b/src/store/test/store.feature
@@ -132,6 +132,17 @@
         And the first record of "k/1" is offered to the watcher
         Then the watcher has applied "k/1" once, as "final"
 
+    Scenario: an item that is offered after it was deleted
+        Guards against a finished and removed submission that starts again, when its entry was suspended before it notified
+        the leader.
+
+        Given a watcher of prefix "k" on a store that answers in 4 ms
+        When "k/1" is written as "open"
+        And "k/1" is deleted
+        And 100 ms pass
+        And the first record of "k/1" is offered to the watcher
+        Then the watcher's view is ""
+
     Scenario: a watcher begins with items that it is given
         Guards against a new leader that decides on what it copied some time ago.
 
