fix(store): an older deletion does not remove an offered item

The watch reported a deletion that preceded an offered item, and the view lost the item until the watch reported it again, as new. Deletions are now compared with the revision in the view, as puts are.

--- a/src/store/createPrefixWatcher.ts
+++ b/src/store/createPrefixWatcher.ts
@@ -155,7 +155,7 @@
                         // An offered item may be newer than the event.
                         applyNewer(event.item);
                     }
-                    else {
+                    else if ((items.get(event.key)?.revision ?? 0) <= event.revision) {
                         apply(event.key, undefined);
                     }
                 }
--- a/src/store/test/store.feature
+++ b/src/store/test/store.feature
@@ -143,6 +143,17 @@
         And the first record of "k/1" is offered to the watcher
         Then the watcher's view is ""
 
+    Scenario: an item that is offered after its key was deleted and written again
+        Guards against the watch removing the new record by the earlier deletion, and adding it a second time.
+
+        Given a watcher of prefix "k" on a store that answers in 200 ms
+        When "k/1" is written as "first"
+        And 1000 ms pass
+        And "k/1" is deleted
+        And "k/1" is written as "second" and offered to the watcher
+        And 2000 ms pass
+        Then the watcher has applied "k/1" twice, as "second"
+
     Scenario: a watcher begins with items that it is given
         Guards against a new leader that decides on what it copied some time ago.
 
