fix(progress): a refused call halves the number of commits in flight, not only its maximum

The limit of a fast store is 4. A refusal halved the maximum of 24, so the first two refusals changed nothing, contrary to the design of the slow store.

--- a/src/progress/createCommitLimit.ts
+++ b/src/progress/createCommitLimit.ts
@@ -35,18 +35,20 @@
     let meanAnswerMs = 0;
     let ceiling = maxConcurrentCommits;
 
+    function current(): number {
+        const wanted = Math.ceil(minCommits * meanAnswerMs / fastAnswerMs);
+        return Math.floor(Math.min(ceiling, Math.max(minCommits, wanted)));
+    }
+
     return {
-        current() {
-            const wanted = Math.ceil(minCommits * meanAnswerMs / fastAnswerMs);
-            return Math.floor(Math.min(ceiling, Math.max(minCommits, wanted)));
-        },
+        current,
         meanAnswerMs: () => meanAnswerMs,
         recordAnswer(tookMs) {
             meanAnswerMs += newestWeight * (tookMs - meanAnswerMs);
             ceiling = Math.min(maxConcurrentCommits, ceiling + 1);
         },
         recordRateLimited() {
-            ceiling = Math.max(1, ceiling * rateLimitedFactor);
+            ceiling = Math.max(1, current() * rateLimitedFactor);
         },
     };
 }
--- a/src/progress/test/progress.feature
+++ b/src/progress/test/progress.feature
@@ -24,6 +24,16 @@
         When 10 commits are answered after 200 ms each
         Then 16 commits may be in flight
 
+    Scenario: a fast store that refuses a call for their number gets fewer commits at once
+        Guards against a limit that refusals reduce only after it has fallen from its maximum, which a fast store never needs.
+
+        Given a commit limit
+        When 10 commits are answered after 5 ms each
+        And 1 commits are refused because of too many calls
+        Then 2 commits may be in flight
+        When 2 commits are answered after 5 ms each
+        Then 4 commits may be in flight
+
     Scenario: starts and final states are written before ends
         Guards against tasks that wait to start behind ends that nobody waits for.
 
