fix(store): a probe through a peer counts only an answer that the store gave

An answer without a body made the probe throw, so that the rejection was unhandled and no later probe was sent. An answer without a known result counted as an answer of the store.

--- a/src/store/createRelayedStore.ts
+++ b/src/store/createRelayedStore.ts
@@ -152,7 +152,8 @@
     async function probePeer({ boot }: Peer, timeoutMs: number): Promise<boolean> {
         const call: RelayedCall = { call: "read", key: probeKey };
         const answer = await peers.request(boot, relayTopic, call, timeoutMs);
-        return answer.map((given) => (given as ReadResult).kind !== "unavailable").orDefault(false);
+        const kind = answer.map((given) => (given as ReadResult | undefined)?.kind).orDefault(undefined);
+        return kind === "found" || kind === "missing";
     }
 
     /** Hashes the pair of boots, so that different entries relay through different peers. */
--- a/src/store/test/store.feature
+++ b/src/store/test/store.feature
@@ -44,6 +44,18 @@
         Then "entry-1" is relay-only
         And "entry-2" is not relay-only
 
+    Scenario Outline: a peer answers a probe with <answer>
+        Guards against a probe that throws, or that takes an answer without a result for one of the store.
+
+        Given entries "entry-1" and "entry-2" are linked peers
+        When "entry-2" answers relayed calls with <answer>
+        Then no peer of "entry-1" has an answer of the store
+
+        Examples:
+            | answer  |
+            | nothing |
+            | {}      |
+
     Scenario: relayed calls do not wait for the direct path
         Guards against tasks that start seconds late. Each write of a leader that was cut off from the store first
         waited for the timeout of the direct call.
--- a/src/store/test/store.steps.ts
+++ b/src/store/test/store.steps.ts
@@ -3,6 +3,7 @@
 import { type Clock, installClock } from "../../../standins/dispatch";
 import { createFakeNetwork } from "../../../standins/fakes";
 import { createFakeStore, type FakeStore, type StoreFault } from "../../../standins/scheduling";
+import type { Peers } from "../../peers";
 import {
     catchUp,
     createPrefixWatcher,
@@ -23,6 +24,7 @@
     applied: string[];
     firstItem: StoreItem | undefined;
     entries: Map<string, RelayedStore>;
+    peers: Map<string, Peers>;
     batches: number;
     copy: PrefixSnapshot;
 }
@@ -31,6 +33,7 @@
     this.clock = installClock();
     this.store = createFakeStore();
     this.entries = new Map();
+    this.peers = new Map();
     this.watcher = undefined;
     this.lost = 0;
     this.regained = 0;
@@ -180,11 +183,20 @@
         const peer = { boot, instance: boot, region: "r", zone: "z", peerUrl: `ws://${boot}` };
         const peers = network.connect(peer);
         await peers.start();
+        this.peers.set(boot, peers);
         const direct = this.store.connect(boot);
         this.entries.set(boot, createRelayedStore({ direct, peers, nowMs: () => performance.now() }));
     }
 });
 
+When(/^"(.+)" answers relayed calls with (nothing|\{\})$/, function(this: World, name: string, answer: string) {
+    this.peers.get(name)?.onRequest("store", () => Promise.resolve(answer === "nothing" ? undefined : {}));
+});
+
+Then("no peer of {string} has an answer of the store", async function(this: World, name: string) {
+    assert.equal((await finish(this, findEntry(this, name).probePeers(300))).result, false);
+});
+
 When("{string} is written as {string}", function(this: World, key: string, text: string) {
     this.store.put(key, text);
     this.firstItem ??= this.store.get(key);
