fix(runs): inherited leases are bounded from the end of a replaced leader's tenure

Runs that a later incarnation of a worker took over may hold the longest lease that the worker allows, counted from the last request to the earlier incarnation. A leader that was replaced on evidence may send such requests for another 2 s after its successor has found the later incarnation, but the successor counted from that moment and could restart a task up to 2 s too early.

--- a/src/runs/test/workerLease.feature
+++ b/src/runs/test/workerLease.feature
@@ -32,6 +32,22 @@
             | 7600  | not expired |
             | 7700  | expired     |
 
+    Scenario Outline: a later incarnation is found while a replaced leader still calls the earlier one
+        Guards against a task that runs twice: the replaced leader's requests may grant the longest lease of 10 s, since their
+        expiry is on the earlier incarnation's clock.
+
+        Given a tenure that grants leases of 4500 ms
+        And an earlier leader that may send requests until 2000 ms of the tenure
+        And a worker that has taken over runs of an earlier incarnation at 0 ms
+        When it does not answer until <ageMs> ms of the tenure
+        Then its leases have <state>
+
+        Examples:
+            | ageMs | state       |
+            | 11500 | not expired |
+            | 13000 | not expired |
+            | 13300 | expired     |
+
     Scenario Outline: a worker that has listed its runs
         Given a tenure that grants leases of 4500 ms
         And a worker that has listed its runs at 1000 ms
--- a/src/runs/test/workerLease.steps.ts
+++ b/src/runs/test/workerLease.steps.ts
@@ -41,6 +41,13 @@
     this.bounds = { ...this.bounds, earlierLeadersUntilMs: tenureStartedAtMs + ageMs };
 });
 
+Given(
+    "a worker that has taken over runs of an earlier incarnation at {int} ms",
+    function(this: World, ageMs: number) {
+        this.leaseWorker.inheritedAtMs = tenureStartedAtMs + ageMs;
+    },
+);
+
 Given("a worker that has answered nothing", function(this: World) {
     assert.equal(this.leaseWorker.clock, undefined);
 });
--- a/src/runs/workerLease.ts
+++ b/src/runs/workerLease.ts
@@ -81,8 +81,12 @@
 /**
  * Whether leases from requests that were sent to an earlier incarnation have expired. Their expiry is a time on that
  * incarnation's clock, which may be far ahead of the present one's, so they may have granted the longest lease that a
- * worker allows.
+ * worker allows. A replaced leader may send such requests after this one has learned of the later incarnation.
  */
-function areInheritedExpired({ inheritedAtMs }: Worker, { maxLeaseMs }: LeaseBounds, nowMs: number): boolean {
-    return inheritedAtMs === undefined || nowMs - inheritedAtMs > maxLocalMs(maxLeaseMs + inFlightRequestsMs);
+function areInheritedExpired({ inheritedAtMs }: Worker, bounds: LeaseBounds, nowMs: number): boolean {
+    if (inheritedAtMs === undefined) {
+        return true;
+    }
+    const lastSentAtMs = Math.max(inheritedAtMs, bounds.earlierLeadersUntilMs);
+    return nowMs - lastSentAtMs > maxLocalMs(bounds.maxLeaseMs + inFlightRequestsMs);
 }
