--- a/src/store/test/store.feature
+++ b/src/store/test/store.feature
@@ -44,6 +44,18 @@
         Then "entry-1" is relay-only
         And "entry-2" is not relay-only
 
+    Scenario Outline: a peer answers a probe with <answer>
+        Guards against a probe that throws, or that takes an answer without a result for one of the store.
+
+        Given entries "entry-1" and "entry-2" are linked peers
+        When "entry-2" answers relayed calls with <answer>
+        Then no peer of "entry-1" has an answer of the store
+
+        Examples:
+            | answer  |
+            | nothing |
+            | {}      |
+
     Scenario: relayed calls do not wait for the direct path
         Guards against tasks that start seconds late. Each write of a leader that was cut off from the store first
         waited for the timeout of the direct call.
@@ -132,6 +144,28 @@
         And the first record of "k/1" is offered to the watcher
         Then the watcher has applied "k/1" once, as "final"
 
+    Scenario: an item that is offered after it was deleted
+        Guards against a finished and removed submission that starts again, when its entry was suspended before it notified
+        the leader.
+
+        Given a watcher of prefix "k" on a store that answers in 4 ms
+        When "k/1" is written as "open"
+        And "k/1" is deleted
+        And 100 ms pass
+        And the first record of "k/1" is offered to the watcher
+        Then the watcher's view is ""
+
+    Scenario: an item that is offered after its key was deleted and written again
+        Guards against the watch removing the new record by the earlier deletion, and adding it a second time.
+
+        Given a watcher of prefix "k" on a store that answers in 200 ms
+        When "k/1" is written as "first"
+        And 1000 ms pass
+        And "k/1" is deleted
+        And "k/1" is written as "second" and offered to the watcher
+        And 2000 ms pass
+        Then the watcher has applied "k/1" twice, as "second"
+
     Scenario: a watcher begins with items that it is given
         Guards against a new leader that decides on what it copied some time ago.
 
