fix(admission): an entry refills and uses tokens as the leader's bucket does

An entry capped the refilled tokens at the bucket's capacity and then subtracted everything that it had accepted since the summary. So a full bucket that was used at once gained no tokens until the next summary (0.1 to 0.4 s): submissions within the rate were refused with 429. Accepted submissions beyond the rate took tokens too, which they don't at the leader, so the tokens went far below 0 and clients were asked to retry after up to 30 s.

The entry now keeps a bucket for each account, set by each summary.

--- a/src/admission/decideAdmission.ts
+++ b/src/admission/decideAdmission.ts
@@ -1,16 +1,12 @@
-import { bucketCapacity } from "./bucketCapacity";
-
 export interface AdmissionInput {
     /** Time since the summary arrived, in milliseconds; `undefined` if there is none. */
     readonly summaryAgeMs: number | undefined;
     /** Wait of a new excess submission in the queue's pool, in milliseconds; 0 if the summary doesn't name the pool. */
     readonly excessWaitMs: number;
-    /** Tokens of the account in the summary; `undefined` if it isn't named, that is, its bucket was full. */
-    readonly summaryTokens: number | undefined;
+    /** Tokens of the account now. Not used without a rate. */
+    readonly tokens: number;
     /** Submissions per second to which the account is entitled; 0 if it has no rate. */
     readonly weightPerSecond: number;
-    /** Submissions of the account that this entry has accepted since the summary arrived. */
-    readonly acceptedSince: number;
     /** Submissions that run until they are cancelled, and those that wait for a time of day, are always accepted. */
     readonly isAlwaysAccepted: boolean;
     /** Time that the submission may wait and still meet its target, in milliseconds. */
@@ -42,14 +38,13 @@
  * waiting would make it miss its target.
  */
 export function decideAdmission(input: AdmissionInput): AdmissionDecision {
-    const { summaryAgeMs, excessWaitMs, weightPerSecond } = input;
+    const { summaryAgeMs, excessWaitMs, tokens, weightPerSecond } = input;
     if (
         input.isAlwaysAccepted || weightPerSecond <= 0 || summaryAgeMs === undefined
         || summaryAgeMs >= summaryLifetimeMs
     ) {
         return { kind: "accept" };
     }
-    const tokens = currentTokens(input, summaryAgeMs);
     const slackMs = Math.max(0, input.slackMs);
     if (tokens >= 1 || excessWaitMs <= slackMs) {
         return { kind: "accept" };
@@ -64,9 +59,3 @@
         retryAfterMs: Math.min(maxRetryAfterMs, Math.max(minRetryAfterMs, retryAfterMs)),
     };
 }
-
-function currentTokens(input: AdmissionInput, summaryAgeMs: number): number {
-    const capacity = bucketCapacity(input.weightPerSecond);
-    const refilled = (input.summaryTokens ?? capacity) + input.weightPerSecond * summaryAgeMs / 1000;
-    return Math.min(capacity, refilled) - input.acceptedSince;
-}
--- a/src/admission/test/admission.feature
+++ b/src/admission/test/admission.feature
@@ -41,6 +41,26 @@
         And a summary without the account and a wait of 5000 ms
         Then 11 of 20 submissions with 900 ms of slack are accepted
 
+    Scenario: an account uses its full bucket at once and sends at its rate from then on
+        Guards against an entry that refuses what the leader counts as within the rate, because tokens were refilled only
+        up to the full bucket of the summary, before what was accepted since was taken from it.
+
+        Given an account with 10 submissions a second
+        And a summary without the account and a wait of 5000 ms
+        Then 11 of 20 submissions with 900 ms of slack are accepted
+        When 400 ms pass since the summary
+        Then 4 of 20 submissions with 900 ms of slack are accepted
+
+    Scenario: accepted submissions beyond the rate
+        Guards against refusals, with 30 s until the retry, of an account whose excess was accepted in a pool without a wait.
+
+        Given an account with 10 submissions a second
+        And a summary with 2 tokens and a wait of 5000 ms
+        When 30 submissions for a pool without a wait are accepted
+        Then the client is asked to retry after 4100 to 8200 ms
+        When 200 ms pass since the summary
+        Then 2 of 20 submissions with 900 ms of slack are accepted
+
     Scenario: two entries admit submissions of one account at the same time
         Guards against an account whose excess grows with the number of entries: the leader's next summary holds the sum.
 
--- a/src/admission/test/admission.steps.ts
+++ b/src/admission/test/admission.steps.ts
@@ -71,7 +71,7 @@
     const account = { name, weight: world.weight };
     const decision = admission.decide({ account, pool, isAlwaysAccepted: false, slackMs }, world.nowMs);
     if (decision.kind === "accept") {
-        admission.recordAccepted(name);
+        admission.recordAccepted(account, world.nowMs);
     }
     return decision;
 }
@@ -115,6 +115,17 @@
     },
 );
 
+When("{int} submissions for a pool without a wait are accepted", function(this: World, count: number) {
+    const account = { name, weight: this.weight };
+    for (const admission of this.admissions) {
+        for (let sent = 0; sent < count; sent++) {
+            const request = { account, pool: "idle", isAlwaysAccepted: false, slackMs: 900 };
+            assert.equal(admission.decide(request, this.nowMs).kind, "accept");
+            admission.recordAccepted(account, this.nowMs);
+        }
+    }
+});
+
 When("the leader's next summary has {int} tokens", function(this: World, tokens: number) {
     this.nowMs += 100;
     receiveAll(this, createSummary(this.token, tokens, 5000));
--- a/src/submissions/createLoadCheck.ts
+++ b/src/submissions/createLoadCheck.ts
@@ -58,7 +58,7 @@
     }
 
     function pass(id: string, reason: PassReason, basis: AdmissionBasis, account: Tenant | undefined): undefined {
-        admission.recordAccepted(account?.name);
+        admission.recordAccepted(account, nowMs());
         opts.report({
             kind: "refusalSkipped",
             submission: id,
@@ -81,7 +81,7 @@
                 slackMs: queue.targetLatencyMs + (queue.stretch - 1) * declaredCriticalPathMs(request.steps),
             }, nowMs());
             if (decision.kind === "accept") {
-                admission.recordAccepted(account?.name);
+                admission.recordAccepted(account, nowMs());
                 return undefined;
             }
             const earlier = await findEarlier(request.id);
