fix(submissions): no answer "not stored" for a submission that an earlier attempt may have stored

A client whose first attempt had no answer (504) sends the submission again. While the store counted as lost, or where the second attempt was not sent, the entry answered 503 "nothing was stored", although the first write may have arrived and its tasks run.

It now answers 504 for these submissions.

--- a/src/submissions/createLoadCheck.ts
+++ b/src/submissions/createLoadCheck.ts
@@ -29,6 +29,8 @@
     ): Promise<AcceptResult | undefined>;
     /** Stores a submission that `check` has let through, and remembers the attempt. */
     track(id: string, store: () => Promise<AcceptResult>): Promise<AcceptResult>;
+    /** Whether an attempt of this entry, in progress or one of the last seconds, may have stored the submission. */
+    mayBeStored(id: string): boolean;
 }
 
 /** Why a submission that the load speaks against is stored all the same. */
@@ -106,6 +108,7 @@
             attempts.end(id, result.kind !== "storeUnavailable");
             return result;
         },
+        mayBeStored: attempts.mayBeStored,
     };
 }
 
--- a/src/submissions/createSubmissionApi.ts
+++ b/src/submissions/createSubmissionApi.ts
@@ -138,6 +138,13 @@
         return opts.loadCheck === undefined ? storing() : opts.loadCheck.track(request.id, storing);
     }
 
+    /** An answer "not stored" would be untrue if an earlier attempt of the client was stored, because its tasks run then. */
+    function considerEarlierAttempt(id: string, result: AcceptResult): AcceptResult {
+        return result.kind === "storeUnavailable" && opts.loadCheck?.mayBeStored(id) === true
+            ? { kind: "unknown", detail: `an earlier attempt may have been stored; ${result.detail}` }
+            : result;
+    }
+
     /** Reads the record of a submission, with retries until the client's timeout. */
     async function readRecord(context: RequestContext, id: string) {
         const deadlineMs = deadlineOf(context, undefined);
@@ -217,16 +224,11 @@
             if (problem !== undefined) {
                 return logRequest<AcceptResult>(context, "accept", request.id, { kind: "invalid", detail: problem });
             }
-            if (policySource.isStoreLost()) {
-                // An attempt would keep the client waiting until its timeout, with an unknown outcome.
-                return logRequest<AcceptResult>(
-                    context,
-                    "accept",
-                    request.id,
-                    unavailable(storeLostDetail),
-                );
-            }
-            return logRequest(context, "accept", request.id, await admit(context, request, authorized));
+            // While the store is lost, an attempt would keep the client waiting until its timeout, with an unknown outcome.
+            const result = policySource.isStoreLost()
+                ? unavailable(storeLostDetail)
+                : await admit(context, request, authorized);
+            return logRequest(context, "accept", request.id, considerEarlierAttempt(request.id, result));
         },
         async state(context, id) {
             const authorized = authorize(context);
--- a/src/submissions/test/storeLoss.feature
+++ b/src/submissions/test/storeLoss.feature
@@ -26,6 +26,24 @@
         And 1 client submits, and 1 ms passes
         Then 1 answer is "storeUnavailable"
 
+    Scenario Outline: a submission is sent again while the store is lost
+        Guards against the answer "not stored" for a submission whose first write may have arrived, so that it runs.
+
+        Given an entry that observes the store
+        And its requests are checked <check> the loss
+        And the store is "silent"
+        When 1 client submits, and 800 ms pass
+        Then 1 answer is "unknown"
+        When the same client submits again, and 1 ms passes
+        Then 1 answer is "unknown"
+        When 1 client submits, and 1 ms passes
+        Then 1 answer is "storeUnavailable"
+
+        Examples:
+            | check  |
+            | after  |
+            | before |
+
     Scenario: a settled write is not sent again
         Guards against a submission that is answered as not stored and runs after the outage.
 
--- a/src/submissions/test/storeLoss.steps.ts
+++ b/src/submissions/test/storeLoss.steps.ts
@@ -2,8 +2,10 @@
 import assert from "node:assert/strict";
 import type { Clock } from "../../../standins/dispatch";
 import { type FakeStore, plainPolicy, plainStep } from "../../../standins/scheduling";
+import { createAdmission } from "../../admission";
 import { createStoreHealth } from "../../store";
 import {
+    createLoadCheck,
     createRecordWriter,
     createSubmissionApi,
     type RecordWriter,
@@ -33,6 +35,10 @@
 function submitAsClient(world: World): void {
     const id = world.submitted.length.toString(16).padStart(16, "0");
     world.submitted.push(id);
+    sendSubmission(world, id);
+}
+
+function sendSubmission(world: World, id: string): void {
     const schedule = { repeats: 0, startAtMs: 0, intervalMs: 0 };
     void world.observedApi.accept(contextOf(id), { id, payload: "", steps: [plainStep], schedule })
         .then(({ kind }) => world.outcomes.push(kind));
@@ -59,14 +65,21 @@
         store,
         writer,
         leader: { findState: () => Promise.resolve(undefined), countPending: () => Promise.resolve(undefined) },
+        loadCheck: createLoadCheck({
+            admission: createAdmission(() => 0),
+            store,
+            isStoreSlow: health.isSlow,
+            report() {},
+            nowMs: steadyMs,
+        }),
         report() {},
         steadyMs,
         revokeMs: 5000,
     });
 });
 
-Given("its requests are checked before the loss", function(this: World) {
-    this.isLossKnown = false;
+Given(/^its requests are checked (before|after) the loss$/, function(this: World, check: string) {
+    this.isLossKnown = check === "after";
 });
 
 Given("the store takes {int} ms for each call", function(this: World, ms: number) {
@@ -79,6 +92,14 @@
     await this.clock.advance(Number(ms));
 });
 
+When("the same client submits again, and {int} ms passes", async function(this: World, ms: number) {
+    this.outcomes = [];
+    const id = this.submitted.at(-1);
+    assert.ok(id !== undefined);
+    sendSubmission(this, id);
+    await this.clock.advance(ms);
+});
+
 When(
     "{int} clients submit in {int} ms, and {int} ms pass",
     async function(this: World, count: number, inMs: number, ms: number) {
