fix(submissions): the check for load counts against the client's timeout

The deadline of the write was computed after the check, which reads the store for up to 200 ms. A client with a timeout of 1 s could get its answer after 1.1 s, when it had given up.

Run: new scenario, which fails without the change (39 of 40 passed); npm test src/submissions 40/40, format, lint, typecheck.

--- a/src/submissions/createSubmissionApi.ts
+++ b/src/submissions/createSubmissionApi.ts
@@ -101,15 +101,11 @@
         return steadyMs() + (context.timeoutMs ?? queue?.timeoutMs ?? defaultTimeoutMs) - answerMarginMs;
     }
 
-    async function storeSubmission(
-        context: RequestContext,
-        queue: QueueConfig,
-        submission: Submission,
-    ): Promise<AcceptResult> {
+    async function storeSubmission(submission: Submission, deadlineMs: number): Promise<AcceptResult> {
         const text = encodeRecord({ kind: "open", submission, isCancelled: false });
         const write = { key: submissionKey(submission.id), revision: 0, text };
         const sentAtMs = steadyMs();
-        const outcome = await writer.write(write, deadlineOf(context, queue));
+        const outcome = await writer.write(write, deadlineMs);
         switch (outcome.kind) {
             case "written":
                 opts.onStored?.({ key: write.key, text, revision: outcome.revision }, steadyMs() - sentAtMs);
@@ -130,11 +126,13 @@
         authorized: { readonly queue: QueueConfig; readonly tenant: Tenant | undefined; },
     ): Promise<AcceptResult> {
         const { queue, tenant } = authorized;
+        // The check may take a part of the client's timeout.
+        const deadlineMs = deadlineOf(context, queue);
         const answer = await opts.loadCheck?.check(request, queue, tenant);
         if (answer !== undefined) {
             return answer;
         }
-        const storing = () => storeSubmission(context, queue, toSubmission(request, authorized));
+        const storing = () => storeSubmission(toSubmission(request, authorized), deadlineMs);
         return opts.loadCheck === undefined ? storing() : opts.loadCheck.track(request.id, storing);
     }
 
--- a/src/submissions/test/overload.feature
+++ b/src/submissions/test/overload.feature
@@ -59,6 +59,16 @@
         And the answer took at most 300 ms
         And the skipped refusal is logged as "noAnswer"
 
+    Scenario: the read before the refusal takes a part of the client's timeout
+        Guards against an answer after the client has given up, 1000 ms after its request.
+
+        Given an overloaded entry
+        And the store does not answer reads
+        And the store refuses all calls
+        When submission "a" arrives
+        Then the last answer is "storeUnavailable"
+        And the answer took at most 1000 ms
+
     Scenario: the store counts as slow
         Given an overloaded entry
         And the store counts as slow
