fix(fairness): token buckets follow a leader's clock that is set back

After a step back the buckets got no tokens until the clock had caught up. All submissions of all accounts with a weight were excess in that time, and refused under load. The bucket's time now goes back with the clock, with the tokens that the bucket has.

--- a/src/fairness/createAccountRates.ts
+++ b/src/fairness/createAccountRates.ts
@@ -21,7 +21,7 @@
 interface Bucket {
     weightPerSecond: number;
     tokens: number;
-    /** Time up to which the bucket is filled; it never goes back. */
+    /** Time up to which the bucket is filled; it goes back only with the leader's clock. */
     filledAtMs: number;
 }
 
@@ -36,6 +36,7 @@
         if (bucket.weightPerSecond === weightPerSecond) {
             return;
         }
+        followClock(bucket, nowMs);
         Object.assign(bucket, fill(bucket, nowMs), { weightPerSecond });
         bucket.tokens = Math.min(bucket.tokens, capacityOf(bucket));
     }
@@ -62,6 +63,7 @@
             if (bucket === undefined) {
                 return SubmissionClass.conforming;
             }
+            followClock(bucket, nowMs);
             // A time ahead of this clock, from an entry whose clock is wrong, would stop the bucket until that time.
             Object.assign(bucket, fill(bucket, Math.min(acceptedAtMs, nowMs)));
             if (bucket.tokens < 1) {
@@ -72,7 +74,11 @@
         },
         tokens(account, nowMs) {
             const bucket = buckets.get(account);
-            return bucket === undefined ? Number.POSITIVE_INFINITY : fill(bucket, nowMs).tokens;
+            if (bucket === undefined) {
+                return Number.POSITIVE_INFINITY;
+            }
+            followClock(bucket, nowMs);
+            return fill(bucket, nowMs).tokens;
         },
     };
 }
@@ -86,6 +92,11 @@
     return weightPerSecond + 1;
 }
 
+/** After the leader's clock was set back, the bucket would get no tokens until the clock has caught up. */
+function followClock(bucket: Bucket, nowMs: number): void {
+    bucket.filledAtMs = Math.min(bucket.filledAtMs, nowMs);
+}
+
 /** Tokens of a bucket at a time; at an earlier time than that of the bucket they are unchanged. */
 function fill(bucket: Bucket, atMs: number): Pick<Bucket, "tokens" | "filledAtMs"> {
     const { weightPerSecond, tokens, filledAtMs } = bucket;
--- a/src/fairness/test/accountRates.feature
+++ b/src/fairness/test/accountRates.feature
@@ -38,6 +38,19 @@
         And "giza" sends 100 submissions at 10 per second
         Then 0 of them are excess
 
+    Scenario: the leader's clock is set back
+        Guards against buckets that get no tokens until the clock has caught up, so that all submissions are excess.
+
+        Given account "giza" with weight 10
+        When "giza" sends 50 submissions at 10 per second
+        And the leader's clock is set back by 60000 ms
+        And "giza" sends 100 submissions at 10 per second through entries with clocks 300 ms apart
+        Then 0 of them are excess
+        When "giza" sends 12 submissions at once
+        And the leader's clock is set back by 60000 ms
+        Then "giza" has less than 2 tokens 100 ms later
+        And "giza" has 11 tokens 2000 ms later
+
     Scenario: a weight is raised and lowered
         Given account "giza" with weight 10
         When "giza" sends 11 submissions at once
--- a/src/fairness/test/accountRates.steps.ts
+++ b/src/fairness/test/accountRates.steps.ts
@@ -74,6 +74,11 @@
     },
 );
 
+When("the leader's clock is set back by {int} ms", function(this: World, ms: number) {
+    this.nowMs -= ms;
+    this.rates.tokens("giza", this.nowMs);
+});
+
 When("{int} ms pass", function(this: World, ms: number) {
     this.nowMs += ms;
 });
