fix(store): a store that refuses a probe because of the rate of calls is not lost

One silent call and a probe that was answered with 429 made the store count as lost: the entry refused all submissions and sent five probes a second, which count against the same limit, until one was let through.

Run: new scenario, which fails without the change (30 of 31 passed); npm test src/store 31/31, format, lint, typecheck.

--- a/src/store/createStoreHealth.ts
+++ b/src/store/createStoreHealth.ts
@@ -24,7 +24,7 @@
     observe(direct: Store): Store;
     /** The store answers neither directly nor through a peer. */
     isLost(): boolean;
-    /** A direct call was answered within the last `freshMs`. */
+    /** A direct call or a probe was answered within the last `freshMs`. */
     isAnswering(): boolean;
     /** The store is lost, a call to it is overdue, or its answers have taken more than `slowAnswerMs` on average. */
     isSlow(): boolean;
@@ -82,7 +82,8 @@
     async function probe(): Promise<boolean> {
         const sentAtMs = nowMs();
         const results = [
-            opts.probe().then(({ kind }) => kind !== "unavailable"),
+            // A store that limits the rate of calls answers; as a lost one, it would get five more calls a second.
+            opts.probe().then((result) => result.kind !== "unavailable" || result.isRateLimited === true),
             opts.probePeers(storeProbeTimeoutMs),
         ].map((result) =>
             result.then((isAnswered) => {
--- a/src/store/test/storeHealth.feature
+++ b/src/store/test/storeHealth.feature
@@ -25,6 +25,15 @@
         When a call of "a" is never answered, and 3000 ms pass
         Then "a" has never counted the store as lost
 
+    Scenario: the store limits the rate of calls
+        Guards against an entry that refuses everything because its probe is refused by a store that answers. Its probes, five a
+        second, would keep the rate high.
+
+        Given observed entries "a" and "b"
+        And probes of "a" are refused because of the rate of calls
+        When a call of "a" is never answered, and 3000 ms pass
+        Then "a" has never counted the store as lost
+
     Scenario: the store calls of an entry are relayed through a peer
         Guards against refused submissions on an entry that the store alone does not answer. It can store through its peers.
 
--- a/src/store/test/storeHealth.steps.ts
+++ b/src/store/test/storeHealth.steps.ts
@@ -14,6 +14,7 @@
     /** Commits of the entry are never answered. */
     isCommitSilent: boolean;
     hasPeers: boolean;
+    isRateLimited: boolean;
 }
 
 interface World {
@@ -44,7 +45,9 @@
     const health = createStoreHealth({
         probe() {
             entry.probes++;
-            return client.read("probe");
+            return entry.isRateLimited
+                ? Promise.resolve({ kind: "unavailable", detail: "status 429", isRateLimited: true })
+                : client.read("probe");
         },
         probePeers: (timeoutMs) => entry.hasPeers ? entry.store.probePeers(timeoutMs) : Promise.resolve(false),
         relayedAtMs: () => entry.store.relayedAtMs(),
@@ -65,6 +68,7 @@
         probes: 0,
         isCommitSilent: false,
         hasPeers: true,
+        isRateLimited: false,
     };
     world.observed.set(boot, entry);
 }
@@ -84,6 +88,10 @@
     findEntry(this, name).hasPeers = false;
 });
 
+Given("probes of {string} are refused because of the rate of calls", function(this: World, name: string) {
+    Object.assign(findEntry(this, name), { isRateLimited: true, hasPeers: false });
+});
+
 Given("the store does not answer {string}", function(this: World, name: string) {
     this.store.setFault(name, "silent");
 });
