--- a/src/submissions/createLoadCheck.ts
+++ b/src/submissions/createLoadCheck.ts
@@ -29,6 +29,8 @@
     ): Promise<AcceptResult | undefined>;
     /** Stores a submission that `check` has let through, and remembers the attempt. */
     track(id: string, store: () => Promise<AcceptResult>): Promise<AcceptResult>;
+    /** Whether an attempt of this entry, in progress or one of the last seconds, may have stored the submission. */
+    mayBeStored(id: string): boolean;
 }
 
 /** Why a submission that the load speaks against is stored all the same. */
@@ -58,7 +60,7 @@
     }
 
     function pass(id: string, reason: PassReason, basis: AdmissionBasis, account: Tenant | undefined): undefined {
-        admission.recordAccepted(account?.name);
+        admission.recordAccepted(account, nowMs());
         opts.report({
             kind: "refusalSkipped",
             submission: id,
@@ -81,7 +83,7 @@
                 slackMs: queue.targetLatencyMs + (queue.stretch - 1) * declaredCriticalPathMs(request.steps),
             }, nowMs());
             if (decision.kind === "accept") {
-                admission.recordAccepted(account?.name);
+                admission.recordAccepted(account, nowMs());
                 return undefined;
             }
             const earlier = await findEarlier(request.id);
@@ -106,6 +108,7 @@
             attempts.end(id, result.kind !== "storeUnavailable");
             return result;
         },
+        mayBeStored: attempts.mayBeStored,
     };
 }
 
--- a/src/submissions/createSubmissionApi.ts
+++ b/src/submissions/createSubmissionApi.ts
@@ -101,15 +101,11 @@
         return steadyMs() + (context.timeoutMs ?? queue?.timeoutMs ?? defaultTimeoutMs) - answerMarginMs;
     }
 
-    async function storeSubmission(
-        context: RequestContext,
-        queue: QueueConfig,
-        submission: Submission,
-    ): Promise<AcceptResult> {
+    async function storeSubmission(submission: Submission, deadlineMs: number): Promise<AcceptResult> {
         const text = encodeRecord({ kind: "open", submission, isCancelled: false });
         const write = { key: submissionKey(submission.id), revision: 0, text };
         const sentAtMs = steadyMs();
-        const outcome = await writer.write(write, deadlineOf(context, queue));
+        const outcome = await writer.write(write, deadlineMs);
         switch (outcome.kind) {
             case "written":
                 opts.onStored?.({ key: write.key, text, revision: outcome.revision }, steadyMs() - sentAtMs);
@@ -130,14 +126,23 @@
         authorized: { readonly queue: QueueConfig; readonly tenant: Tenant | undefined; },
     ): Promise<AcceptResult> {
         const { queue, tenant } = authorized;
+        // The check may take a part of the client's timeout.
+        const deadlineMs = deadlineOf(context, queue);
         const answer = await opts.loadCheck?.check(request, queue, tenant);
         if (answer !== undefined) {
             return answer;
         }
-        const storing = () => storeSubmission(context, queue, toSubmission(request, authorized));
+        const storing = () => storeSubmission(toSubmission(request, authorized), deadlineMs);
         return opts.loadCheck === undefined ? storing() : opts.loadCheck.track(request.id, storing);
     }
 
+    /** An answer "not stored" would be untrue if an earlier attempt of the client was stored, because its tasks run then. */
+    function considerEarlierAttempt(id: string, result: AcceptResult): AcceptResult {
+        return result.kind === "storeUnavailable" && opts.loadCheck?.mayBeStored(id) === true
+            ? { kind: "unknown", detail: `an earlier attempt may have been stored; ${result.detail}` }
+            : result;
+    }
+
     /** Reads the record of a submission, with retries until the client's timeout. */
     async function readRecord(context: RequestContext, id: string) {
         const deadlineMs = deadlineOf(context, undefined);
@@ -217,16 +222,11 @@
             if (problem !== undefined) {
                 return logRequest<AcceptResult>(context, "accept", request.id, { kind: "invalid", detail: problem });
             }
-            if (policySource.isStoreLost()) {
-                // An attempt would keep the client waiting until its timeout, with an unknown outcome.
-                return logRequest<AcceptResult>(
-                    context,
-                    "accept",
-                    request.id,
-                    unavailable(storeLostDetail),
-                );
-            }
-            return logRequest(context, "accept", request.id, await admit(context, request, authorized));
+            // While the store is lost, an attempt would keep the client waiting until its timeout, with an unknown outcome.
+            const result = policySource.isStoreLost()
+                ? unavailable(storeLostDetail)
+                : await admit(context, request, authorized);
+            return logRequest(context, "accept", request.id, considerEarlierAttempt(request.id, result));
         },
         async state(context, id) {
             const authorized = authorize(context);
