fix(scheduler): an open record of a submission that has ended is ignored

A final state is written after a conflict with a cancellation that the watch has not reported yet. If the watch then reported the cancellation before the final record, the submission was added again, as cancelled, and its state in the store changed from complete to cancelled. The guard holds for any open record that arrives after the leader's own final one.

--- a/src/scheduler/createSubmissionTracker.ts
+++ b/src/scheduler/createSubmissionTracker.ts
@@ -98,6 +98,10 @@
             }
             return;
         }
+        if (finalStates.has(id)) {
+            // The watch may deliver an open record that this leader has already replaced by the final one.
+            return;
+        }
         const nowMs = steadyMs();
         const entry = addSubmission(schedulerState, record.submission, item.revision, record.isCancelled, nowMs);
         const stored = storedProgress.get(progressKey(id));
--- a/test/scheduling/scheduling.feature
+++ b/test/scheduling/scheduling.feature
@@ -321,6 +321,23 @@
         Then nothing runs
         And the submission is shown as "cancelled"
 
+    Scenario: a cancellation is reported after the submission has ended
+        Guards against a complete submission that is added again as cancelled, with a store whose watches answer late.
+
+        Given 1 entry and 2 workers
+        When 1 submission of 2 tasks of 700 ms comes
+        And 300 ms pass
+        And watches of "samphirepin/sub/" are told nothing new
+        And the submission is cancelled
+        And 2000 ms pass
+        Then the store has the submission as "complete"
+        When watches of "samphirepin/sub/" are told of the cancellation
+        And 1000 ms pass
+        And watches are told everything
+        And 1000 ms pass
+        Then the store has the submission as "complete"
+        And the submission is shown as "complete"
+
     Scenario: a task that can never be done
         Given 1 entry and 3 workers
         When every worker is "failing"
--- a/test/scheduling/scheduling.steps.ts
+++ b/test/scheduling/scheduling.steps.ts
@@ -278,6 +278,11 @@
 
 When("the submission is cancelled", function(this: World) {
     this.world.cancel(this.ids[0] ?? "");
+    this.cancelledRevision = this.world.store.get(submissionKey(this.ids[0] ?? ""))?.revision;
+});
+
+When("watches of {string} are told of the cancellation", function(this: World, prefix: string) {
+    this.world.store.holdWatches(prefix, this.cancelledRevision);
 });
 
 Then("the new owner says nothing of a queue that it has not read", async function(this: World) {
--- a/test/scheduling/world.ts
+++ b/test/scheduling/world.ts
@@ -9,6 +9,8 @@
     ids: string[];
     workMs: Map<string, number>;
     slow?: string;
+    /** Revision of the record that marks the submission as cancelled. */
+    cancelledRevision?: number | undefined;
 }
 
 /** Stand-ins move on each few milliseconds. */
