--- a/src/scheduler/createStateLoader.ts
+++ b/src/scheduler/createStateLoader.ts
@@ -34,7 +34,7 @@
     watch(): void;
     /** Whether all submissions have been read. */
     isLoaded(): boolean;
-    /** Delivers a submission's record that was received by another way; ignored until all submissions have been read. */
+    /** Delivers a submission's record that was not received by the watch; ignored until all submissions have been read. */
     offerSubmission(item: StoreItem): void;
     /** Whether all worker registrations have been read. */
     areWorkersRead(): boolean;
--- a/src/store/createPrefixWatcher.ts
+++ b/src/store/createPrefixWatcher.ts
@@ -41,7 +41,7 @@
      * answer.
      */
     freshAtMs(): number | undefined;
-    /** Applies an item that was received by another way, if it is newer than the view. */
+    /** Applies an item that was not received by the watch, if it is newer than the view. */
     offer(item: StoreItem): void;
     /** Returns the view and its revision; `undefined` while the whole prefix has to be read. */
     snapshot(): PrefixSnapshot | undefined;
--- a/src/store/createStoreHealth.ts
+++ b/src/store/createStoreHealth.ts
@@ -10,7 +10,7 @@
     probePeers(timeoutMs: number): Promise<boolean>;
     /** When a peer last relayed a call successfully, on the clock `nowMs`; negative infinity if never. */
     relayedAtMs(): number;
-    /** Reads the monotonic clock, in milliseconds. */
+    /** Clock that also counts time during which this process was suspended, in milliseconds. */
     readonly nowMs: () => number;
     /** Called when the store counts as lost, once until it answers again. */
     onLost?(detail: string): void;
