fix(scheduler): the load is measured only once all workers have been read

A new leader reads the submissions before the workers. Where reading the workers took until after the settling time of 1 s, the pools seemed to consist of the machines on their way: 8 of 32 cores in the scenario. Entries would have refused submissions by that.

--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -403,7 +403,8 @@
                 loader.offerSubmission(item);
             }
         },
-        measureLoad: () => loader.isLoaded() ? measureLoad() : undefined,
+        // Before all workers have been read, pools would seem to have hardly any processors, and work to wait for long.
+        measureLoad: () => loader.areWorkersRead() ? measureLoad() : undefined,
     };
 }
 
--- a/test/scheduling/account-rates.feature
+++ b/test/scheduling/account-rates.feature
@@ -21,3 +21,15 @@
         And the 2 accounts send at nine times their rate and the others at theirs for 5000 ms
         Then both leaders classified alike, except for at most 2 submissions
         And each submission within the rate that came after the new leader began has started within 500 ms
+
+    Scenario: a new leader has read the submissions and not the workers
+        Guards against refusals because the pool seems to consist of the machines on their way to it, while the workers'
+        registrations are being read.
+
+        Given 2 entries and 8 workers
+        And 2 idle machines are in the standby pool beside those of the workers
+        And no standby is designated
+        And reading all workers takes 3000 ms
+        When 30 submissions of 8 tasks of 500 ms come
+        And the owner is killed
+        Then the next owner measures no load before it has read all workers
--- a/test/scheduling/accountRates.steps.ts
+++ b/test/scheduling/accountRates.steps.ts
@@ -123,3 +123,16 @@
     assert.ok(both.length > 50, `${both.length} submissions were open at the change`);
     assert.ok(different.length <= most, `${different.length} of ${both.length} differ`);
 });
+
+Given("reading all workers takes {int} ms", function(this: World, ms: number) {
+    this.world.store.slowDownRange("workers/", ms);
+});
+
+Then("the next owner measures no load before it has read all workers", async function(this: World) {
+    const areWorkersRead = () => this.world.owner()?.log.some(({ kind }) => kind === "stateLoaded") === true;
+    for (let waitedMs = 0; !areWorkersRead(); waitedMs += stepMs) {
+        assert.ok(waitedMs < 10_000);
+        assert.equal(this.world.owner()?.scheduler()?.measureLoad(), undefined);
+        await pass(this, stepMs);
+    }
+});
