--- a/src/scheduler/index.ts
+++ b/src/scheduler/index.ts
@@ -2,8 +2,9 @@
 export { createCompetition } from "./createCompetition";
 export { createConsolidator } from "./createConsolidator";
 export { createFleetController } from "./createFleetController";
-export { createScheduler, type Scheduler, type SchedulerBounds } from "./createScheduler";
+export { createScheduler } from "./createScheduler";
 export { createStandbyCopy, type StandbyCopy, type StateCopy } from "./createStandbyCopy";
 export { type BacklogOptions, measureBacklog } from "./measureBacklog";
 export { measureDemand } from "./measureDemand";
+export type { Scheduler, SchedulerBounds } from "./scheduler";
 export type { WorkerDecoder, WorkerRegistration } from "./workerRegistration";
