fix(progress): ends wait behind starts for at most a second

Starts were always written before ends. With more starts than the store records, for example while it is slow or refuses calls for their number, an end was never written. Its worker is not polled until then, so that the leases of the worker's other runs expire after 4.5 s.

--- a/src/progress/createProgressWriter.ts
+++ b/src/progress/createProgressWriter.ts
@@ -77,7 +77,10 @@
     }
 
     function takePending(): readonly PendingSave[] {
-        const batch = takeBatch([...pending.values()].filter(({ entry }) => !committing.has(entry)));
+        const batch = takeBatch(
+            [...pending.values()].filter(({ entry }) => !committing.has(entry)),
+            performance.now(),
+        );
         batch.forEach(({ entry }) => {
             pending.delete(entry);
             committing.add(entry);
@@ -241,7 +244,7 @@
             new Promise((resolve) => {
                 const known = pending.get(entry);
                 if (known === undefined) {
-                    pending.set(entry, { entry, purpose, waiters: [resolve] });
+                    pending.set(entry, { entry, sinceMs: performance.now(), purpose, waiters: [resolve] });
                 }
                 else {
                     known.waiters.push(resolve);
--- a/src/progress/test/progress.feature
+++ b/src/progress/test/progress.feature
@@ -49,6 +49,14 @@
         When 160 submissions a second are each saved 20 times for 3 s
         Then 95 of 100 starts are recorded within 500 ms
 
+    Scenario: more starts than a slow store can record
+        Load: 600 submissions with starts a second, of which the store records 450. Guards against an end that is never
+        written: its worker is not polled meanwhile, and the leases of its other runs expire.
+
+        Given a leader that records progress, and a store that answers in 800 ms
+        When 600 starts a second are saved for 6 s, and an end after the first second
+        Then the end is recorded within 4000 ms
+
     Scenario: a final state is decided while a commit is sent again
         Guards against a commit with more operations than the store takes, which it would refuse forever.
 
--- a/src/progress/test/progress.steps.ts
+++ b/src/progress/test/progress.steps.ts
@@ -24,6 +24,7 @@
     writer: ProgressWriter;
     entries: SubmissionEntry[];
     startTimesMs: number[];
+    endTimeMs: number | undefined;
     mostOperations: number;
 }
 
@@ -88,13 +89,14 @@
             Array.from({ length: count }, () => {
                 const entry = addEntry(this);
                 entry.finalState = isComplete ? "complete" : undefined;
-                return { entry, purpose, waiters: [] };
+                return { entry, sinceMs: performance.now(), purpose, waiters: [] };
             });
-        this.batch = takeBatch([
+        const pending = [
             ...add(ends, SavePurpose.end, false),
             ...add(starts, SavePurpose.start, false),
             ...add(complete, SavePurpose.end, true),
-        ]);
+        ];
+        this.batch = takeBatch(pending, performance.now());
     },
 );
 
@@ -155,6 +157,28 @@
     },
 );
 
+When(
+    "{int} starts a second are saved for {int} s, and an end after the first second",
+    async function(this: World, perSecond: number, seconds: number) {
+        for (let atMs = 0; atMs < seconds * 1000; atMs += saveIntervalMs) {
+            for (let start = 0; start < perSecond * saveIntervalMs / 1000; start++) {
+                void this.writer.save(addEntry(this), SavePurpose.start);
+            }
+            if (atMs === 1000) {
+                const sentAtMs = performance.now();
+                void this.writer.save(addEntry(this), SavePurpose.end).then(() =>
+                    this.endTimeMs = performance.now() - sentAtMs
+                );
+            }
+            await this.clock.advance(saveIntervalMs);
+        }
+    },
+);
+
+Then("the end is recorded within {int} ms", function(this: World, ms: number) {
+    assert.ok((this.endTimeMs ?? Number.POSITIVE_INFINITY) <= ms, String(this.endTimeMs));
+});
+
 /** Every second save is one of a start. */
 function saveOnce(world: World, entry: SubmissionEntry, save: number): void {
     const purpose = save % 2 === 0 ? SavePurpose.start : SavePurpose.end;
