fix(scheduler): idle cores that are too few for a waiting gang don't show that a pool is limited by starts

Idle cores counted for a gang as soon as one of its tasks would fit. A pool whose gang waited for more machines seemed unable to fill those that it had, so while pools compete its need was limited to what it used plus one machine, and the gang could not start.

--- a/src/scheduler/measureStartable.ts
+++ b/src/scheduler/measureStartable.ts
@@ -27,9 +27,7 @@
     const checked = waiting.filter((_, index) => index % stride === 0).slice(0, checkedSubmissions);
     const sums = checked.map((entry) => {
         const task = findWaitingTask(entry, nowMs);
-        return task === undefined
-            ? 0
-            : unused.reduce((sum, worker) => sum + startableCpuMillis(worker, task, nowMs), 0);
+        return task === undefined ? 0 : sumStartable(task, unused, nowMs);
     });
     return Math.max(0, ...sums);
 }
@@ -55,6 +53,13 @@
         && nowMs - task.waitingSinceMs > minWaitMs;
 }
 
+function sumStartable(task: Task, workers: readonly Worker[], nowMs: number): number {
+    const { isGang, count, size } = task.step;
+    const sum = workers.reduce((cpuMillis, worker) => cpuMillis + startableCpuMillis(worker, task, nowMs), 0);
+    // A gang that needs more than what is idle waits for machines.
+    return isGang && sum < count * size.cpuMillis ? 0 : sum;
+}
+
 function startableCpuMillis(worker: Worker, task: Task, nowMs: number): number {
     const { capacity, used } = worker;
     const { cpuMillis, memoryMb, accelerators } = task.step.size;
--- a/src/scheduler/test/demand.feature
+++ b/src/scheduler/test/demand.feature
@@ -30,6 +30,20 @@
             | 5     | 0    | 64000  | 0         |
             | 1     | 12   | 0      | 16        |
 
+    Scenario Outline: idle cores count for a gang only where all of its tasks could start
+        Guards against a pool that counts as limited by starts while a gang waits for more machines: while pools compete, its
+        need would be limited to a machine, and the gang would never start.
+
+        Given a pool with 4 workers of 16 cores
+        When "groom" sends a gang of <tasks> tasks of 1 core
+        And each worker has 8 cores and 0 MB in use for 400 ms
+        Then its waiting tasks could use <startable> cores
+
+        Examples:
+            | tasks | startable |
+            | 32    | 32        |
+            | 33    | 0         |
+
     Scenario Outline: cores that have just become free don't count for waiting tasks
         Guards against a large pool that counts as unable to fill its machines because at any moment some task has ended or
         some machine has joined. Two such pools would give up machines in turn while their tasks wait.
--- a/src/scheduler/test/demand.steps.ts
+++ b/src/scheduler/test/demand.steps.ts
@@ -11,6 +11,7 @@
     createWorker,
     type SchedulerState,
 } from "../../schedule";
+import type { Step } from "../../submissions";
 import { measureDemand } from "../index";
 
 interface World {
@@ -49,10 +50,13 @@
     setCap(this, name, cores);
 });
 
-function addSubmissions(world: World, tenant: string, count: number, tasks: number, cores: number): void {
+function sizeOf(cores: number): Step["size"] {
+    return { cpuMillis: cores * 1000, memoryMb: 100, accelerators: 0 };
+}
+
+function addSubmissions(world: World, tenant: string, count: number, step: Partial<Step>): void {
     for (let at = 0; at < count; at++) {
-        const size = { cpuMillis: cores * 1000, memoryMb: 100, accelerators: 0 };
-        const submission = plainSubmission(`${tenant}-${at}`, [{ count: tasks, size }]);
+        const submission = plainSubmission(`${tenant}-${at}`, [step]);
         const entry = addSubmission(world.state, { ...submission, tenant, acceptedAtMs: startMs }, 1, false, startMs);
         addDueOccurrences(entry, startMs, startMs);
     }
@@ -61,10 +65,19 @@
 When(
     "{string} sends {int} submission(s) of {int} tasks of {int} core(s)",
     function(this: World, tenant: string, count: number, tasks: number, cores: number) {
-        addSubmissions(this, tenant, count, tasks, cores);
+        addSubmissions(this, tenant, count, { count: tasks, size: sizeOf(cores) });
     },
 );
 
+When("{string} sends a gang of {int} tasks of {int} core", function(
+    this: World,
+    tenant: string,
+    tasks: number,
+    cores: number,
+) {
+    addSubmissions(this, tenant, 1, { count: tasks, size: sizeOf(cores), isGang: true });
+});
+
 function measure({ state, policy, nowMs }: World): PoolDemand {
     const [demand] = measureDemand({
         state,
