--- a/src/admission/createLoadBroadcaster.ts
+++ b/src/admission/createLoadBroadcaster.ts
@@ -35,7 +35,7 @@
 
 /**
  * Least time between two measurements, as a multiple of the time that the first one took. With thousands of open
- * submissions a measurement takes many milliseconds; this limits it to a twentieth of the leader's time.
+ * submissions a measurement takes 10 to 20 ms; this limits it to a twentieth of the leader's time.
  */
 const pauseFactor = 20;
 
--- a/src/admission/decideAdmission.ts
+++ b/src/admission/decideAdmission.ts
@@ -7,7 +7,7 @@
     readonly tokens: number;
     /** Submissions per second to which the account is entitled; 0 if it has no rate. */
     readonly weightPerSecond: number;
-    /** Submissions that run until they are cancelled, and those that wait for a time of day, are always accepted. */
+    /** Submissions with long-running steps and repeated ones are always accepted. */
     readonly isAlwaysAccepted: boolean;
     /** Time that the submission may wait and still meet its target, in milliseconds. */
     readonly slackMs: number;
--- a/src/scheduler/createFleetController.ts
+++ b/src/scheduler/createFleetController.ts
@@ -76,7 +76,10 @@
 /** Share of the platform's order rate that moves may use. Maintenance and repeated orders need the rest. */
 const moveRateShare = 0.9;
 
-/** Moves machines to pools with waiting work and between competing pools, moves idle ones to the standby pool, and carries out maintenance waves. */
+/**
+ * Creates the loop that moves machines to pools with waiting work and between competing pools, moves idle ones to the standby
+ * pool, and carries out maintenance waves.
+ */
 export function createFleetController(opts: FleetControllerOptions): FleetController {
     const { state, clocks } = opts;
     const maxMovesPerRound = Math.max(1, Math.floor(opts.ordersPerSecond * decisionIntervalMs / 1000 * moveRateShare));
--- a/src/scheduler/measureStartable.ts
+++ b/src/scheduler/measureStartable.ts
@@ -15,7 +15,7 @@
  *
  * Free cores alone don't tell whether a pool can't fill its machines. Free cores may lie in parts that are too small for any
  * waiting task, or on workers without enough memory or without the label. So the cores count on which tasks of the same size
- * as a checked one would fit, on workers that nothing has freed for a while.
+ * as a checked one would fit, on workers that joined, and where a run last ended, more than `minWaitMs` ago.
  */
 export function measureStartable(
     waiting: readonly SubmissionEntry[],
--- a/src/submissions/createAttemptLog.ts
+++ b/src/submissions/createAttemptLog.ts
@@ -1,4 +1,4 @@
-/** Remembers for which submissions this entry has tried a write that may be in the store, or may still get there. */
+/** Remembers the submissions that this entry has tried to write and that may be in the store, or may still get there. */
 export interface AttemptLog {
     begin(id: string): void;
     /** @param mayBeStored false if the write is known not to be in the store, now and later */
