fix(scheduler): machines on their way to the standby pool count among all machines

A machine that the leader had ordered to the standby pool counted nowhere until it was there, 1.5 s later. When many idle machines were parked at once, pools seemed to need more than all machines: entitlements were in force, and machines could be reclaimed, although there were enough.

--- a/src/scheduler/createCompetition.ts
+++ b/src/scheduler/createCompetition.ts
@@ -32,7 +32,7 @@
 
 /** Cores of the fleet's machines by the platform's list, in thousandths. */
 export interface MachineCores {
-    /** Machines in the standby pool, and those on their way that this leader has not ordered. */
+    /** Machines in the standby pool or on their way to it, and others on their way that this leader has not ordered. */
     readonly unassignedCpuMillis: number;
     /** Machines that belong to a pool, or that this leader has ordered to it. */
     readonly heldCpuMillis: (pool: string) => number;
--- a/src/scheduler/createFleetView.ts
+++ b/src/scheduler/createFleetView.ts
@@ -52,8 +52,8 @@
      */
     listIdle(wanted: ReadonlySet<string>, reclaimed?: ReadonlySet<string>): readonly IdleMachine[];
     /**
-     * Cores of machines that are in the standby pool or on their way to a pool, in thousandths, without those that this
-     * leader has ordered and those under evacuation.
+     * Cores of machines that are in the standby pool or on their way to it, and of those on their way to another pool that
+     * this leader has not ordered, in thousandths; without those in maintenance, down or under evacuation.
      */
     unassignedCpuMillis(): number;
     /**
@@ -308,10 +308,12 @@
         unassignedCpuMillis() {
             const standby = opts.standby();
             return [...machines.values()]
-                .filter(({ id, pool, state }) =>
-                    !pendingOrders.has(id)
-                    && (state === "moving" ? pool !== standby : state === "up" && pool === standby)
-                )
+                .filter(({ id, pool, state }) => {
+                    const pending = pendingOrders.get(id);
+                    return pending === undefined
+                        ? state === "moving" || (state === "up" && pool === standby)
+                        : pending.wave === undefined && pending.targetPool === standby && state !== "down";
+                })
                 .reduce((sum, machine) => sum + (isEvacuated(machine) ? 0 : machine.capacity.cpuMillis), 0);
         },
         heldCpuMillis: (pool) =>
--- a/src/scheduler/test/competition.feature
+++ b/src/scheduler/test/competition.feature
@@ -78,3 +78,14 @@
         And 12000 ms pass in the pools
         Then "stalls" has 45 to 47 machines
         And no run was ended or stopped
+
+    Scenario: machines on their way to the standby pool while another pool's load begins
+        Guards against pools that seem to compete, and give machines up, because machines count nowhere until they are in the
+        standby pool. The pools need half of all machines.
+
+        Given 60 machines in "stalls" and 1 in each other pool
+        When "stalls" gets 12 submissions a second
+        And 1900 ms pass in the pools
+        And "vets" gets 20 submissions a second
+        And 4000 ms pass in the pools
+        Then the log has no entitlements
--- a/src/scheduler/test/competition.steps.ts
+++ b/src/scheduler/test/competition.steps.ts
@@ -147,3 +147,7 @@
     const logged = this.fleet.log.flatMap((event) => event.kind === "entitlement" ? [event.pool] : []);
     assert.deepEqual([...new Set(logged)].sort(), [...pools].sort());
 });
+
+Then("the log has no entitlements", function(this: World) {
+    assert.deepEqual(this.fleet.log.filter(({ kind }) => kind === "entitlement"), []);
+});
