test(soak): bursts of a second client account, cuts of the leader's paths

The second account has a rate of one submission per second and sends 40 within a second, so most are beyond it. The leader's calls to workers are held back by their fencing token, because all entries share a worker's path. Both faults are drawn from a stream of their own, so the known seeds keep their faults. The judge also finds a submission that is shown though every try was refused.

The first account has a weight of 10 instead of 1: its traffic was beyond its rate.

--- a/soak/createClients.ts
+++ b/soak/createClients.ts
@@ -3,7 +3,7 @@
 import type { Random } from "../standins/random";
 import { plainRoute } from "../standins/scheduling";
 import { encodeSubmission } from "../standins/usersPlatform";
-import { keptKey, type World } from "./createWorld";
+import { burstKey, keptKey, type World } from "./createWorld";
 
 /** What one client knows of a submission. */
 export interface SubmissionStory {
@@ -44,6 +44,9 @@
     maxPerWorker: 1,
 };
 
+/** Clients that are refused for load and do not try again, in hundredths. */
+const givesUpPercent = 50;
+
 /** Pause between tries and between questions, in milliseconds. */
 const [retryMs, askMs] = [300, 900];
 
@@ -99,7 +102,7 @@
 
     async function ask(story: SubmissionStory): Promise<void> {
         const askedAtMs = performance.now();
-        const { status, body } = await call("GET", story.id, keptKey);
+        const { status, body } = await call("GET", story.id, validKey(story));
         const atMs = performance.now();
         if (status === 200 && "state" in body) {
             story.shown.push({ state: String(body.state), atMs, askedAtMs });
@@ -136,10 +139,18 @@
                 else if (status === 401 || status === 404) {
                     return;
                 }
+                else if (status === 429 && random.chance(givesUpPercent)) {
+                    break;
+                }
                 else {
                     await pause(retryMs);
                 }
             }
+            if (!isClosed && story.acceptedAtMs === undefined) {
+                // A refused submission must stay unknown.
+                await pause(askMs);
+                await ask(story);
+            }
             while (!isClosed && story.acceptedAtMs !== undefined && !isFinal(story)) {
                 await pause(askMs);
                 await ask(story);
@@ -148,7 +159,7 @@
         async cancel(id) {
             const story = stories.get(id);
             for (let tries = 0; tries < maxTries && story !== undefined && story.cancelledAtMs === undefined; tries++) {
-                const { status } = await call("DELETE", id, keptKey);
+                const { status } = await call("DELETE", id, validKey(story));
                 if (status === 200) {
                     story.cancelledAtMs = performance.now();
                 }
@@ -162,6 +173,11 @@
     };
 }
 
+/** A key of the same account that is not taken away. */
+function validKey({ key }: SubmissionStory): string {
+    return key === burstKey ? burstKey : keptKey;
+}
+
 export function isFinal({ shown }: SubmissionStory): boolean {
     const state = shown.at(-1)?.state;
     return state === "complete" || state === "failed" || state === "cancelled";
--- a/soak/createFaults.ts
+++ b/soak/createFaults.ts
@@ -36,10 +36,22 @@
 const spoiltWithOwnerPercent = 50;
 const cancelledWithOwner = 3;
 
+/** Pauses before the faults that are drawn by `loadRandom`, in milliseconds. */
+const [shortestLoadGapMs, longestLoadGapMs] = [1000, 4000];
+
 type Action = () => Promise<string | undefined>;
 
+export interface FaultOptions {
+    readonly world: World;
+    readonly random: Random;
+    /** Draws the bursts and the cuts of the leader's paths. */
+    readonly loadRandom: Random;
+    cancelOne(): void;
+    sendBurst(random: Random): Promise<void>;
+}
+
 /** Injects faults from outside the processes, in an order and at times that follow the seed. */
-export function createFaults(world: World, random: Random, cancelOne: () => void): Faults {
+export function createFaults({ world, random, loadRandom, cancelOne, sendBurst }: FaultOptions): Faults {
     const injected: InjectedFault[] = [];
     const pending = new Set<Promise<void>>();
     let isOver = false;
@@ -48,10 +60,15 @@
     const busy = new Set<unknown>();
 
     /** Runs a fault for a while on something that has none yet; overlapping ones would mend each other. */
-    async function during(thing: unknown, begin: () => void, end: () => void | Promise<void>): Promise<void> {
+    async function during(
+        thing: unknown,
+        begin: () => void,
+        end: () => void | Promise<void>,
+        lastsMs = random.int(shortestMs, longestMs),
+    ): Promise<void> {
         busy.add(thing);
         begin();
-        const endsAtMs = performance.now() + random.int(shortestMs, longestMs);
+        const endsAtMs = performance.now() + lastsMs;
         while (!isOver && performance.now() < endsAtMs) {
             await pause(20);
         }
@@ -173,6 +190,47 @@
         },
     };
 
+    const loadActions: Readonly<Record<string, Action>> = {
+        async "one account sends a burst"() {
+            start(sendBurst(loadRandom));
+            return "the second account";
+        },
+        async "leader's paths cut"() {
+            const name = world.findOwner();
+            const leader = world.entries.find((entry) => entry.name === name);
+            const token = world.findOwnerToken();
+            const lastsMs = loadRandom.int(shortestMs, longestMs);
+            if (leader === undefined || busy.has("leader's calls to workers")) {
+                return undefined;
+            }
+            const silenceCalls = (silent: number | undefined) =>
+                world.toWorkers.forEach((proxy) => proxy.silenceCaller(silent));
+            start(
+                during("leader's calls to workers", () => silenceCalls(token), () => silenceCalls(undefined), lastsMs),
+            );
+            for (const path of [leader.toStore, leader.fromClients].filter((proxy) => !busy.has(proxy))) {
+                start(during(path, () => path.set({ kind: "silent" }), () => path.set({ kind: "open" }), lastsMs));
+            }
+            return `${leader.name} for ${lastsMs} ms`;
+        },
+    };
+
+    async function inject(
+        from: Random,
+        choices: Readonly<Record<string, Action>>,
+        [shortest, longest]: readonly [number, number],
+        endsAtMs: number,
+    ): Promise<void> {
+        while (performance.now() < endsAtMs) {
+            await pause(from.int(shortest, longest));
+            const [name, act] = from.pick(Object.entries(choices));
+            const text = await act();
+            if (text !== undefined) {
+                injected.push({ atMs: performance.now(), text: `${name}: ${text}` });
+            }
+        }
+    }
+
     function start(task: Promise<void>): void {
         const tracked = task.finally(() => pending.delete(tracked));
         pending.add(tracked);
@@ -202,14 +260,10 @@
         revokedAtMs: () => revokedAtMs,
         async run(forMs) {
             const endsAtMs = performance.now() + forMs;
-            while (performance.now() < endsAtMs) {
-                await pause(random.int(shortestGapMs, longestGapMs));
-                const [name, act] = random.pick(Object.entries(actions));
-                const text = await act();
-                if (text !== undefined) {
-                    injected.push({ atMs: performance.now(), text: `${name}: ${text}` });
-                }
-            }
+            await Promise.all([
+                inject(random, actions, [shortestGapMs, longestGapMs], endsAtMs),
+                inject(loadRandom, loadActions, [shortestLoadGapMs, longestLoadGapMs], endsAtMs),
+            ]);
             isOver = true;
             await Promise.all(pending);
         },
--- a/soak/createProxy.ts
+++ b/soak/createProxy.ts
@@ -23,6 +23,8 @@
     /** Address and port where the path begins. */
     readonly address: string;
     set(state: PathState): void;
+    /** Holds back all that calls with this fencing token send and are sent, until set to `undefined`. */
+    silenceCaller(token: number | undefined): void;
     /** Breaks all open connections once. */
     breakAll(): void;
     close(): void;
@@ -30,17 +32,32 @@
 
 interface Connection {
     readonly sockets: readonly [client: Socket, server: Socket];
+    /** Fencing token of the latest call; `undefined` if calls have none. */
+    token: number | undefined;
     /** Pieces that are held back, with where they go. */
     readonly held: { readonly to: Socket; readonly data: Buffer; }[];
 }
 
+const tokenPattern = /"fencingToken":(\d+)/;
+
 /** Starts a path to an address. */
 export async function startProxy(name: string, target: string): Promise<Proxy> {
     const [host = "", port = ""] = target.split(":");
     const connections = new Set<Connection>();
     let state: PathState = { kind: "open" };
+    let silentToken: number | undefined;
+
+    const isSilenced = ({ token }: Connection) => token !== undefined && token === silentToken;
 
     function forward(connection: Connection, to: Socket, data: Buffer, isAnswer: boolean): void {
+        if (!isAnswer) {
+            const token = tokenPattern.exec(data.toString())?.[1];
+            connection.token = token === undefined ? connection.token : Number(token);
+        }
+        if (isSilenced(connection)) {
+            connection.held.push({ to, data });
+            return;
+        }
         switch (state.kind) {
             case "open":
             case "reset":
@@ -62,6 +79,15 @@
         }
     }
 
+    /** Lets held pieces pass, except those of a caller that is silenced. */
+    function release(): void {
+        for (const connection of connections) {
+            if (!isSilenced(connection)) {
+                connection.held.splice(0).forEach(({ to, data }) => to.write(data));
+            }
+        }
+    }
+
     function breakAll(): void {
         connections.forEach(({ sockets }) => sockets.forEach((socket) => socket.resetAndDestroy()));
     }
@@ -73,7 +99,7 @@
             return;
         }
         const onward = connect(Number(port), host);
-        const connection: Connection = { sockets: [client, onward], held: [] };
+        const connection: Connection = { sockets: [client, onward], token: undefined, held: [] };
         connections.add(connection);
         client.on("data", (data: Buffer) => forward(connection, onward, data, false));
         onward.on("data", (data: Buffer) => forward(connection, client, data, true));
@@ -94,7 +120,13 @@
                 breakAll();
             }
             if (state.kind === "open") {
-                connections.forEach(({ held }) => held.splice(0).forEach(({ to, data }) => to.write(data)));
+                release();
+            }
+        },
+        silenceCaller(token) {
+            silentToken = token;
+            if (state.kind !== "silent" && state.kind !== "oneWay") {
+                release();
             }
         },
         breakAll,
--- a/soak/createWorld.ts
+++ b/soak/createWorld.ts
@@ -32,6 +32,8 @@
     readonly folder: string;
     /** Name of the entry that holds the duty by the store; `undefined`: none. */
     findOwner(): string | undefined;
+    /** Fencing token of that entry. */
+    findOwnerToken(): number | undefined;
     /** Takes a key away from the tenant, as operators do. */
     revokeKey(key: string): void;
     /** Asks for the upkeep of all machines. */
@@ -43,6 +45,12 @@
 export const keptKey = "key-kept";
 export const revokedKey = "key-revoked";
 
+/** Key of the second client account, which sends bursts far beyond its rate. */
+export const burstKey = "key-burst";
+
+/** Rates of the two client accounts, in submissions per second. The traffic of the first is about half of its rate. */
+const [usualWeight, burstWeight] = [10, 1];
+
 /** Paths and leases of the stand-ins move on this often, in milliseconds. */
 const tickMs = 10;
 
@@ -82,7 +90,10 @@
     })));
     let policy = {
         ...plainPolicy,
-        tenants: [{ ...plainPolicy.tenants[0]!, keys: [keptKey, revokedKey] }],
+        tenants: [
+            { ...plainPolicy.tenants[0]!, keys: [keptKey, revokedKey], weight: usualWeight },
+            { ...plainPolicy.tenants[0]!, name: "aswan", keys: [burstKey], weight: burstWeight },
+        ],
     };
     const write = ({ key, text }: { key: string; text: string; }) => platform.store.put(key, text);
     write(encodePolicy(policy));
@@ -117,6 +128,7 @@
             const item = platform.store.get(leaderKey);
             return item === undefined ? undefined : (JSON.parse(item.text) as LeaderRecord).instance;
         },
+        findOwnerToken: () => platform.store.get(leaderKey)?.revision,
         revokeKey(key) {
             policy = {
                 ...policy,
--- a/soak/judge.ts
+++ b/soak/judge.ts
@@ -47,9 +47,14 @@
     const { id, answers, acceptedAtMs, cancelledAtMs, shown } = story;
     const broken: string[] = [];
     const note = (text: string) => broken.push(`${id}: ${text}`);
-    if (answers.length > 0 && answers.every((status) => refusals.has(status)) && starts.length > 0) {
+    const isRefused = answers.length > 0 && answers.every((status) => refusals.has(status));
+    if (isRefused && starts.length > 0) {
         note(`started though every try was refused (${answers.join(", ")})`);
     }
+    const wrong = shown.find(({ state }) => state !== "gone");
+    if (isRefused && wrong !== undefined) {
+        note(`shown as ${wrong.state} though every try was refused (${answers.join(", ")})`);
+    }
     if (cancelledAtMs !== undefined) {
         starts.filter(({ atMs }) => atMs > cancelledAtMs + cancelMs).forEach(({ task, atMs }) =>
             note(`${task} started ${Math.round(atMs - cancelledAtMs)} ms after its cancellation`)
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -7,8 +7,9 @@
 Plays N seeded runs, the known ones first. Needs target/samphirepin.cjs (node scripts/buildDaemon.mjs).
 `;
 
-function report({ seed, broken, accepted, refused, starts, faults, folder }: SoakResult): void {
-    const text = `${accepted} accepted, ${refused} refused, ${starts} starts, ${faults.length} faults`;
+function report({ seed, broken, accepted, refused, overloaded, starts, faults, folder }: SoakResult): void {
+    const text =
+        `${accepted} accepted, ${refused} refused, ${overloaded} for load, ${starts} starts, ${faults.length} faults`;
     process.stdout.write(`seed ${seed}: ${broken.length === 0 ? "kept" : "BROKEN"}; ${text}\n`);
     if (broken.length > 0) {
         broken.forEach((line) => process.stdout.write(`    ${line}\n`));
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -2,7 +2,7 @@
 import { createRandom, type Random } from "../standins/random";
 import { type Clients, createClients, isFinal } from "./createClients";
 import { createFaults } from "./createFaults";
-import { createWorld, keptKey, revokedKey } from "./createWorld";
+import { burstKey, createWorld, keptKey, revokedKey } from "./createWorld";
 import { judge } from "./judge";
 
 export interface SoakOptions {
@@ -19,6 +19,8 @@
     readonly broken: readonly string[];
     readonly accepted: number;
     readonly refused: number;
+    /** Submissions of which a try was refused for load. */
+    readonly overloaded: number;
     readonly starts: number;
     readonly faults: readonly string[];
     /** Folder with the entries' logs. */
@@ -40,6 +42,9 @@
 /** Submissions that come with the key that is taken away in the middle, in hundredths. */
 const revokedKeyPercent = 20;
 
+/** Submissions of a burst, and the mean pause between them, in milliseconds: tasks wait before the last ones are sent. */
+const [burstSubmissions, burstPauseMs] = [40, 20];
+
 /** A task works this long, in milliseconds. */
 const [shortestWorkMs, longestWorkMs] = [100, 1200];
 
@@ -62,7 +67,14 @@
         return workMs;
     });
     const clients = createClients(world, clientRandom);
-    const faults = createFaults(world, faultRandom, () => cancelOne(clients, clientRandom));
+    const faults = createFaults({
+        world,
+        random: faultRandom,
+        // A stream of its own: seeds from before keep their faults.
+        loadRandom: createRandom(-1 - seed),
+        cancelOne: () => cancelOne(clients, clientRandom),
+        sendBurst: (random) => sendBurst(clients, random),
+    });
     try {
         await pause(startMs);
         void clients.submit({ tasks: 3, isLasting: true });
@@ -89,6 +101,7 @@
             broken,
             accepted: stories.filter(({ acceptedAtMs }) => acceptedAtMs !== undefined).length,
             refused: stories.filter(({ acceptedAtMs }) => acceptedAtMs === undefined).length,
+            overloaded: stories.filter(({ answers }) => answers.includes(429)).length,
             starts: events.filter(({ kind }) => kind === "started").length,
             faults: faults.injected.map(({ atMs, text }) => `${Math.round(atMs)} ${text}`),
             folder: world.folder,
@@ -118,6 +131,14 @@
     }
 }
 
+/** Sends many submissions of the second account, most of them beyond its rate. */
+async function sendBurst(clients: Clients, random: Random): Promise<void> {
+    for (let sent = 0; sent < burstSubmissions; sent++) {
+        void clients.submit({ tasks: random.int(1, 4), key: burstKey });
+        await pause(burstPauseMs);
+    }
+}
+
 /** Cancels one of the open submissions, if there are any. */
 function cancelOne(clients: Clients, random: Random): void {
     const open = [...clients.stories.values()].filter((story) =>
--- a/test/soak/soak.feature
+++ b/test/soak/soak.feature
@@ -27,12 +27,27 @@
         When its task also starts elsewhere while it runs
         Then the judge finds "ran twice"
 
-    Scenario: a refused submission that runs
+    Scenario Outline: a refused submission that runs
         Its client was told that it never runs, and has ordered elsewhere.
 
-        Given a submission of 1 task that was refused with 503 and run
+        Given a submission of 1 task that was refused with <status> and run
         Then the judge finds "started though every try was refused"
 
+        Examples:
+            | status |
+            | 429    |
+            | 503    |
+
+    Scenario: a submission that is refused for load and shown later
+        Guards against a refusal of a submission whose record is stored.
+
+        Given a submission of 1 task that was refused with 429 and shown as "pending"
+        Then the judge finds "shown as pending though every try was refused"
+
+    Scenario: a submission that is refused for load and stays unknown
+        Given a submission of 1 task that was refused with 429 and shown as "gone"
+        Then the judge finds nothing
+
     Scenario: a submission that is shown as complete too early
         Given a submission of 2 tasks that was accepted, run and shown as "complete"
         Then the judge finds "shown as complete with 1 of 2 tasks done"
--- a/test/soak/soak.steps.ts
+++ b/test/soak/soak.steps.ts
@@ -70,6 +70,13 @@
     this.events = [event("started", 10_100, `${id}.0.0.0`)];
 });
 
+Given(
+    "a submission of 1 task that was refused with {int} and shown as {string}",
+    function(this: World, status: number, state: string) {
+        this.story = tell(1, [status], [state]);
+    },
+);
+
 Given(
     "a submission of {int} tasks that were accepted and all started at once on a worker for 4",
     function(this: World, tasks: number) {
