--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,6 +1,8 @@
+import { existsSync } from "node:fs";
 import { parseArgs } from "node:util";
 import { regressionSeeds } from "./regressionSeeds";
 import { runSoak, type SoakResult } from "./runSoak";
+import { daemonFile } from "./startEntry";
 
 const usage = `npm run soak -- [--seeds N] [--first SEED] [--seconds S] [--entries N] [--workers N] [--parallel N]
 
@@ -34,6 +36,12 @@
         process.stdout.write(usage);
         return;
     }
+    // Without the daemon no entry starts, nothing is accepted, and every seed would count as kept.
+    if (!existsSync(daemonFile)) {
+        process.stderr.write(`${daemonFile} does not exist; build it with: node scripts/buildDaemon.mjs\n`);
+        process.exitCode = 1;
+        return;
+    }
     const first = Number(values.first ?? Math.floor(Date.now() / 1000) % 100_000);
     const fresh = Array.from({ length: Number(values.seeds) }, (_, at) => first + at);
     const queue = [...values.first === undefined ? regressionSeeds.map(({ seed }) => seed) : [], ...fresh];
