--- a/soak/createProxy.ts
+++ b/soak/createProxy.ts
@@ -1,4 +1,5 @@
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { findFencingToken } from "../standins/usersPlatform";
 
 /**
  * How a path treats what passes.
@@ -38,8 +39,6 @@
     readonly held: { readonly to: Socket; readonly data: Buffer; }[];
 }
 
-const tokenPattern = /"fencingToken":(\d+)/;
-
 /** Starts a path to an address. */
 export async function startProxy(name: string, target: string): Promise<Proxy> {
     const [host = "", port = ""] = target.split(":");
@@ -51,8 +50,7 @@
 
     function forward(connection: Connection, to: Socket, data: Buffer, isAnswer: boolean): void {
         if (!isAnswer) {
-            const token = tokenPattern.exec(data.toString())?.[1];
-            connection.token = token === undefined ? connection.token : Number(token);
+            connection.token = findFencingToken(data) ?? connection.token;
         }
         if (isSilenced(connection)) {
             connection.held.push({ to, data });
