feat(store, policy): log lines and metrics that show why a configuration came late

Cause: the log shows the version and the age of the configuration with each request, but not what held the watch up. A watch that waits for silent connections, one that waits for peers in turn, and one that the store refuses for its rate of calls look the same: the age grows, and nothing is logged until the configuration arrives.

Change: `readAttemptFailed` gives path, peer, duration and cause of every watch or list that is not answered; `configurationApplied` gives the age of the view before it arrived. `samphirepin_read_attempts_failed_total` by path, and `samphirepin_policy_age_longest_seconds`, which shows an age between two scrapes. No decision changes.

--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -102,6 +102,7 @@
 export function createDaemon({ settings, report: log, droppedLines }: DaemonOptions): Daemon {
     const metrics = createEventMetrics({
         policyAgeMs: () => policyWatcher.ageMs(),
+        longestPolicyAgeMs: () => policyWatcher.longestAgeMs(),
         evacuatedZones: () => policyWatcher.evacuatedZones().size,
         dutyToken: () => leaderElection.tenure()?.token,
         droppedLines,
@@ -161,6 +162,7 @@
         nowMs: clocks.suspendAwareMs,
         onPathChange: (path, detail) =>
             report({ kind: "note", slice: "store", message: `store calls take the ${path} path`, detail }),
+        onReadFailed: (attempt) => report({ kind: "readAttemptFailed", ...attempt }),
     });
     const machineApi = createMachineApi(callWorker, settings.machinesAddress);
     const adviceClient = createAdviceClient(callWorker, settings.adviceAddress);
--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -13,12 +13,30 @@
     readonly leaseLeftMs: number | undefined;
 }
 
+/** A watch or a list that the store did not answer on one path. */
+export interface FailedReadAttempt {
+    readonly call: "watch" | "range";
+    readonly prefix: string;
+    readonly path: "direct" | "relayed";
+    /** Instance that relayed the call; empty on the direct path. */
+    readonly peer: string;
+    readonly tookMs: number;
+    readonly detail: string;
+}
+
 /** Every event that the daemon logs. No field ever holds a key or a payload. */
 export type LogEvent =
     | { readonly kind: "started"; readonly boot: string; readonly zone: string; readonly region: string; }
     | { readonly kind: "stopping"; readonly runningTasks: number; }
     | { readonly kind: "stopped"; }
-    | { readonly kind: "configurationApplied"; readonly revision: number; }
+    | {
+        readonly kind: "configurationApplied";
+        readonly revision: number;
+        /** Age of the view when the configuration arrived; on the platform's path only. */
+        readonly ageBeforeMs?: number;
+    }
+    /** One attempt to watch or list keys of the store has failed. Further attempts may follow on other paths. */
+    | ({ readonly kind: "readAttemptFailed"; } & FailedReadAttempt)
     /** Operators begin or end an evacuation: meanwhile the workers of the availability zone are sent nothing new. */
     | { readonly kind: "evacuation"; readonly zone: string; readonly change: "begun" | "ended"; }
     /** The platform returned an older value than this entry has seen before, as after a restore from a backup. */
--- a/src/metrics/createEventMetrics.ts
+++ b/src/metrics/createEventMetrics.ts
@@ -5,6 +5,8 @@
 export interface MetricReadings {
     /** Age of the configuration in force, in milliseconds. */
     policyAgeMs(): number | undefined;
+    /** Greatest age that the configuration has reached, in milliseconds. */
+    longestPolicyAgeMs(): number;
     /** Number of availability zones under evacuation. */
     evacuatedZones(): number;
     /** Fencing token of the tenure while this entry is the leader. */
@@ -49,6 +51,7 @@
     const machineOrders = counter("machine_orders", "Moves and upkeeps, by outcome", "order", "outcome");
     const duties = counter("duty_changes", "Changes of the scheduling duty", "change");
     const dependencies = counter("dependency_changes", "Stores and workers lost and regained", "state");
+    const failedReads = counter("read_attempts_failed", "Watches and lists not answered, by path", "path");
     const startWait = new Histogram({
         name: "samphirepin_start_wait_seconds",
         help: "From the decision to start a task to the worker's answer",
@@ -104,6 +107,11 @@
         "Age of the configuration; -1 before the first",
         () => (readings.policyAgeMs() ?? -1000) / 1000,
     );
+    gauge(
+        "policy_age_longest_seconds",
+        "Greatest age that the configuration has reached since the start",
+        () => readings.longestPolicyAgeMs() / 1000,
+    );
     gauge("evacuated_zones", "Availability zones whose workers are sent nothing new", readings.evacuatedZones);
     gauge(
         "duty_token",
@@ -193,6 +201,9 @@
                 case "dependency":
                     dependencies.inc({ state: event.state });
                     return;
+                case "readAttemptFailed":
+                    failedReads.inc({ path: event.path });
+                    return;
                 case "entitlement":
                     poolEntitlement.set({ pool: event.pool }, event.entitledCores);
                     return;
--- a/src/policy/createPolicyWatcher.ts
+++ b/src/policy/createPolicyWatcher.ts
@@ -34,6 +34,8 @@
      * the first answer.
      */
     ageMs(): number | undefined;
+    /** Greatest age that the view has reached since the first answer, in milliseconds. */
+    longestAgeMs(): number;
     /** The store answers neither directly nor through other entries. */
     isStoreLost(): boolean;
     start(): void;
@@ -55,6 +57,11 @@
     const evacuatedZones = new Set<string>();
     let isStoreLost = false;
 
+    function ageMs(): number | undefined {
+        const freshAtMs = watcher.freshAtMs();
+        return freshAtMs === undefined ? undefined : opts.clocks.suspendAwareMs() - freshAtMs;
+    }
+
     function beginEvacuation(zone: string): void {
         if (!evacuatedZones.has(zone)) {
             evacuatedZones.add(zone);
@@ -98,7 +105,12 @@
         // An answer relayed by another entry can be older than one that came directly.
         else if (policy === undefined || decoded.version > policy.version) {
             policy = decoded;
-            opts.report({ kind: "configurationApplied", revision: decoded.version });
+            const ageBeforeMs = ageMs();
+            opts.report({
+                kind: "configurationApplied",
+                revision: decoded.version,
+                ...ageBeforeMs === undefined ? {} : { ageBeforeMs: Math.round(ageBeforeMs) },
+            });
         }
     }
 
@@ -131,10 +143,8 @@
         policy: () => policy,
         waves: () => [...waves.values()].sort((a, b) => a.wave - b.wave),
         evacuatedZones: () => evacuatedZones,
-        ageMs() {
-            const freshAtMs = watcher.freshAtMs();
-            return freshAtMs === undefined ? undefined : opts.clocks.suspendAwareMs() - freshAtMs;
-        },
+        ageMs,
+        longestAgeMs: () => watcher.longestAgeMs(),
         isStoreLost: () => isStoreLost,
         start: () => watcher.start(),
         stop: () => watcher.stop(),
--- a/src/store/createPrefixWatcher.ts
+++ b/src/store/createPrefixWatcher.ts
@@ -41,6 +41,8 @@
      * answer.
      */
     freshAtMs(): number | undefined;
+    /** Greatest age that the view has reached since the first answer, in milliseconds. */
+    longestAgeMs(): number;
     /** Applies an item that was not received by the watch, if it is newer than the view. */
     offer(item: StoreItem): void;
     /** Returns the view and its revision; `undefined` while the whole prefix has to be read. */
@@ -65,10 +67,16 @@
     let revision: number | undefined;
     let isFirstBatch = true;
     let freshAtMs: number | undefined;
+    let longestAgeMs = 0;
     let isStopped = false;
     let isLost = false;
 
+    function ageMs(): number {
+        return freshAtMs === undefined ? 0 : opts.nowMs() - freshAtMs;
+    }
+
     function recordAnswer(sentAtMs: number): void {
+        longestAgeMs = Math.max(longestAgeMs, ageMs());
         freshAtMs = Math.max(freshAtMs ?? 0, sentAtMs);
         if (isLost) {
             isLost = false;
@@ -185,6 +193,7 @@
     return {
         items,
         freshAtMs: () => freshAtMs,
+        longestAgeMs: () => Math.max(longestAgeMs, ageMs()),
         offer(item) {
             // The view contains all changes up to its revision: an older item that it lacks has been deleted since.
             if (revision !== undefined && item.revision > revision) {
--- a/src/store/createRelayedStore.ts
+++ b/src/store/createRelayedStore.ts
@@ -1,3 +1,4 @@
+import type { FailedReadAttempt } from "../logging";
 import type { Peer, Peers } from "../peers";
 import type { Commit, ReadResult, Store } from "./store";
 
@@ -31,12 +32,19 @@
     | { readonly call: "grantLease"; readonly ttlMs: number; }
     | { readonly call: "renewLease" | "endLease"; readonly lease: number; };
 
+interface CallResult {
+    readonly kind: string;
+    readonly detail?: string;
+}
+
 export interface RelayedStoreOptions {
     readonly direct: Store;
     readonly peers: Peers;
     readonly nowMs: () => number;
     /** Called when calls switch between the direct path and relaying through a peer. */
     onPathChange?(path: "direct" | "relayed", detail: string): void;
+    /** Called for each attempt to watch or list keys that has failed. */
+    onReadFailed?(attempt: FailedReadAttempt): void;
 }
 
 export interface RelayedStore extends Store {
@@ -112,8 +120,30 @@
         recordDirectResult(kind, "a watch failed, and a read after it was not answered either");
     }
 
-    async function callDirect<R extends { kind: string; detail?: string; }>(call: RelayedCall): Promise<R> {
+    /** Reports a failed watch or list: where a view of the store falls behind, these show which path has held it up. */
+    function reportFailedRead(
+        call: RelayedCall,
+        { kind, detail = "" }: CallResult,
+        sentAtMs: number,
+        peer?: Peer,
+    ): void {
+        if (kind !== "unavailable" || (call.call !== "watch" && call.call !== "range")) {
+            return;
+        }
+        opts.onReadFailed?.({
+            call: call.call,
+            prefix: call.prefix,
+            path: peer === undefined ? "direct" : "relayed",
+            peer: peer?.instance ?? "",
+            tookMs: Math.round(nowMs() - sentAtMs),
+            detail,
+        });
+    }
+
+    async function callDirect<R extends CallResult>(call: RelayedCall): Promise<R> {
+        const sentAtMs = nowMs();
         const result = await callStore(direct, call) as R;
+        reportFailedRead(call, result, sentAtMs);
         if (call.call === "watch" && result.kind === "unavailable") {
             await checkAfterWatch();
         }
@@ -123,10 +153,11 @@
         return result;
     }
 
-    async function callPeers<R extends { kind: string; }>(call: RelayedCall): Promise<R | undefined> {
+    async function callPeers<R extends CallResult>(call: RelayedCall): Promise<R | undefined> {
         const timeoutMs = relayTimeoutMs + (call.call === "watch" ? call.waitMs : 0);
         let result: R | undefined;
         for (const peer of chooseRelays()) {
+            const sentAtMs = nowMs();
             const answer = await peers.request(peer.boot, relayTopic, call, timeoutMs);
             result = answer.caseOf<R>({
                 Right: (given) => given as R,
@@ -136,6 +167,7 @@
                         & R
                         & { detail: string; },
             });
+            reportFailedRead(call, result, sentAtMs, peer);
             if (result.kind !== "unavailable") {
                 relayAnsweredAtMs = result.kind === "unknown" ? relayAnsweredAtMs : nowMs();
                 recordRelayedAnswer();
@@ -161,7 +193,7 @@
         return [...`${peers.self.boot}${boot}`].reduce((sum, char) => (sum * 31 + char.charCodeAt(0)) % 65_521, 7);
     }
 
-    async function callAny<R extends { kind: string; detail?: string; }>(call: RelayedCall): Promise<R> {
+    async function callAny<R extends CallResult>(call: RelayedCall): Promise<R> {
         if (!isDirectDown) {
             const result = await callDirect<R>(call);
             // A write with an unknown result is not retried through a peer: only the caller knows whether a retry is
@@ -196,7 +228,7 @@
     return call.call === "commit";
 }
 
-function callStore(store: Store, call: RelayedCall): Promise<{ kind: string; detail?: string; }> {
+function callStore(store: Store, call: RelayedCall): Promise<CallResult> {
     switch (call.call) {
         case "read":
             return store.read(call.key);
