fix(clock): a clock that is read often no longer runs ahead

Callers saw: nothing that can be told from other causes. An entry that is read often gives up leases and trusts its configuration for a shorter time than intended. Found while the ages of the configuration were checked.

Cause: `suspendAwareMs` added the larger step of the wall clock and the monotonic clock at each reading. The wall clock shows whole milliseconds, so each reading gained up to a millisecond.

Change: the lead of the wall clock over the monotonic clock is compared with the lead counted so far; only a gain above 8 ms counts as a suspension.

--- a/src/clock/createClocks.ts
+++ b/src/clock/createClocks.ts
@@ -6,23 +6,35 @@
     suspendAwareMs(): number;
 }
 
+/**
+ * By how much the wall clock has to gain on the monotonic clock before the difference counts as a suspension, in
+ * milliseconds. `Date.now` shows whole milliseconds, and the two clocks are read one after the other.
+ */
+const suspensionToleranceMs = 8;
+
 /**
  * While a machine is suspended, its monotonic clock stops and its leases at the store expire. The wall clock continues,
- * so `suspendAwareMs` advances by the larger of both steps. A wall clock that jumps ahead makes this entry give up its
- * leases too early, which costs a renewal. One that jumps back has no effect.
+ * so its gain on the monotonic clock is added to the elapsed time. A wall clock that jumps ahead makes this entry give up
+ * its leases too early, which costs a renewal. One that jumps back has no effect.
+ *
+ * The gain is measured from a fixed point and not from reading to reading: the rounding of each reading would add up.
  */
 export function createClocks(): Clocks {
-    let elapsedMs = 0;
-    let lastMonotonicMs = performance.now();
-    let lastWallClockMs = Date.now();
+    const wallLeadMs = () => Date.now() - performance.now();
+    let countedLeadMs = wallLeadMs();
+    let suspendedMs = 0;
     return {
         monotonicMs: () => performance.now(),
         suspendAwareMs() {
-            const [monotonicMs, wallClockMs] = [performance.now(), Date.now()];
-            elapsedMs += Math.max(0, monotonicMs - lastMonotonicMs, wallClockMs - lastWallClockMs);
-            lastMonotonicMs = monotonicMs;
-            lastWallClockMs = wallClockMs;
-            return elapsedMs;
+            const leadMs = wallLeadMs();
+            if (leadMs > countedLeadMs + suspensionToleranceMs) {
+                suspendedMs += leadMs - countedLeadMs;
+                countedLeadMs = leadMs;
+            }
+            else if (leadMs < countedLeadMs) {
+                countedLeadMs = leadMs;
+            }
+            return performance.now() + suspendedMs;
         },
     };
 }
