fix(store): an entry that is turned away asks other peers once the first two have failed

Callers saw: requests refused with 404 or 401 for a route or key that had been added seconds before, with 503 although the store worked, or handled by an older configuration, for as long as the store turned the entry away.

Cause: relayed calls went to two peers, chosen by a hash of the names. Where the store turned both of them away as well, each call failed until the outage was over.

Change: peers that have failed to relay a call are asked last, the one that failed longest ago first among them.

--- a/src/store/createRelayedStore.ts
+++ b/src/store/createRelayedStore.ts
@@ -68,6 +68,8 @@
     let isDirectDown = false;
     let relayedAtMs = Number.NEGATIVE_INFINITY;
     let relayAnsweredAtMs = Number.NEGATIVE_INFINITY;
+    /** When each peer last failed to relay a call; without those that have relayed one since. */
+    const relayFailedAtMs = new Map<string, number>();
 
     peers.onRequest(relayTopic, (_from, body) => isDirectDown ? refuse() : callStore(direct, body as RelayedCall));
 
@@ -168,6 +170,7 @@
                         & { detail: string; },
             });
             reportFailedRead(call, result, sentAtMs, peer);
+            recordRelay(peer, result.kind);
             if (result.kind !== "unavailable") {
                 relayAnsweredAtMs = result.kind === "unknown" ? relayAnsweredAtMs : nowMs();
                 recordRelayedAnswer();
@@ -177,14 +180,34 @@
         return result;
     }
 
+    function recordRelay({ boot }: Peer, kind: string | undefined): void {
+        if (kind === undefined || kind === "unavailable" || kind === "unknown") {
+            relayFailedAtMs.set(boot, nowMs());
+        }
+        else {
+            relayFailedAtMs.delete(boot);
+        }
+    }
+
+    /**
+     * Peers that relay calls: first those that have not failed, then the one that failed longest ago. The store may refuse several entries at once: with a
+     * fixed choice, an entry whose peers are refused too would be without the store for as long as they are.
+     */
     function chooseRelays(): readonly Peer[] {
-        return [...peers.connected()].sort((a, b) => hashPair(a.boot) - hashPair(b.boot)).slice(0, maxPeersAsked);
+        const connected = peers.connected();
+        const boots = new Set(connected.map(({ boot }) => boot));
+        [...relayFailedAtMs.keys()].filter((boot) => !boots.has(boot)).forEach((boot) => relayFailedAtMs.delete(boot));
+        const failedAtMs = ({ boot }: Peer) => relayFailedAtMs.get(boot) ?? 0;
+        return [...connected]
+            .sort((a, b) => failedAtMs(a) - failedAtMs(b) || hashPair(a.boot) - hashPair(b.boot))
+            .slice(0, maxPeersAsked);
     }
 
-    async function probePeer({ boot }: Peer, timeoutMs: number): Promise<boolean> {
+    async function probePeer(peer: Peer, timeoutMs: number): Promise<boolean> {
         const call: RelayedCall = { call: "read", key: probeKey };
-        const answer = await peers.request(boot, relayTopic, call, timeoutMs);
+        const answer = await peers.request(peer.boot, relayTopic, call, timeoutMs);
         const kind = answer.map((given) => (given as ReadResult | undefined)?.kind).orDefault(undefined);
+        recordRelay(peer, kind);
         return kind === "found" || kind === "missing";
     }
 
--- a/src/store/test/store.feature
+++ b/src/store/test/store.feature
@@ -37,6 +37,22 @@
         When the store is "refused" for "entry-1"
         Then "entry-1" can write
 
+    Scenario Outline: the store refuses all entries but <served>
+        Guards against an entry that is without the store, and behind on its configuration, for as long as the two peers
+        that it asks are refused as well.
+
+        Given entries "entry-1" to "entry-5" are linked peers
+        When the store is "refused" for all entries but "<served>"
+        Then one of 3 writes of "entry-1" succeeds
+        And the next write of "entry-1" succeeds
+
+        Examples:
+            | served  |
+            | entry-2 |
+            | entry-3 |
+            | entry-4 |
+            | entry-5 |
+
     Scenario: an entry that the store refuses reports itself as relay-only
         Given entries "entry-1" and "entry-2" are linked peers
         When the store is "refused" for "entry-1"
--- a/src/store/test/store.steps.ts
+++ b/src/store/test/store.steps.ts
@@ -1,7 +1,7 @@
 import { After, Before, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { type Clock, installClock } from "../../../standins/dispatch";
-import { createFakeNetwork } from "../../../standins/fakes";
+import { createFakeNetwork, type FakeNetwork } from "../../../standins/fakes";
 import { createFakeStore, type FakeStore, type StoreFault } from "../../../standins/scheduling";
 import type { Peers } from "../../peers";
 import {
@@ -25,6 +25,7 @@
     firstItem: StoreItem | undefined;
     entries: Map<string, RelayedStore>;
     peers: Map<string, Peers>;
+    network: FakeNetwork;
     batches: number;
     copy: PrefixSnapshot;
 }
@@ -177,17 +178,38 @@
     assert.equal((await finish(this, watching)).result.kind, "unavailable");
 });
 
-Given("entries {string} and {string} are linked peers", async function(this: World, first: string, second: string) {
-    const network = createFakeNetwork();
-    for (const boot of [first, second]) {
+Given("entries {string} and {string} are linked peers", function(this: World, first: string, second: string) {
+    return linkEntries(this, [first, second]);
+});
+
+Given("entries {string} to {string} are linked peers", function(this: World, first: string, last: string) {
+    const [from, to] = [first, last].map((name) => Number(name.split("-")[1])) as [number, number];
+    return linkEntries(this, Array.from({ length: to - from + 1 }, (_, at) => `entry-${from + at}`));
+});
+
+When("the store is {string} for all entries but {string}", function(this: World, fault: StoreFault, served: string) {
+    [...this.entries.keys()].filter((name) => name !== served).forEach((name) => this.store.setFault(name, fault));
+});
+
+Then("one of {int} writes of {string} succeeds", async function(this: World, count: number, name: string) {
+    const kinds: string[] = [];
+    while (kinds.length < count && kinds.at(-1) !== "committed") {
+        kinds.push((await write(this, name)).result.kind);
+    }
+    assert.equal(kinds.at(-1), "committed", kinds.join(" "));
+});
+
+async function linkEntries(world: World, names: readonly string[]): Promise<void> {
+    world.network = createFakeNetwork();
+    for (const boot of names) {
         const peer = { boot, instance: boot, region: "r", zone: "z", peerUrl: `ws://${boot}` };
-        const peers = network.connect(peer);
+        const peers = world.network.connect(peer);
         await peers.start();
-        this.peers.set(boot, peers);
-        const direct = this.store.connect(boot);
-        this.entries.set(boot, createRelayedStore({ direct, peers, nowMs: () => performance.now() }));
+        world.peers.set(boot, peers);
+        const direct = world.store.connect(boot);
+        world.entries.set(boot, createRelayedStore({ direct, peers, nowMs: () => performance.now() }));
     }
-});
+}
 
 When(/^"(.+)" answers relayed calls with (nothing|\{\})$/, function(this: World, name: string, answer: string) {
     this.peers.get(name)?.onRequest("store", () => Promise.resolve(answer === "nothing" ? undefined : {}));
@@ -255,6 +277,10 @@
     );
 }
 
+Then("the next write of {string} succeeds", async function(this: World, name: string) {
+    assert.equal((await write(this, name)).result.kind, "committed");
+});
+
 Then("{string} can write", async function(this: World, name: string) {
     assert.equal((await write(this, name)).result.kind, "committed");
 });
