fix(submissions): a route or key is only refused as unknown on a configuration that is young enough

Callers saw: 404 or 401 for a route or key that operators had confirmed seconds before, from an entry that was behind. They take such an answer as final and don't come back.

Cause: the queue was looked up before the age of the configuration was checked, and the key was refused up to 4.5 s after the last confirmation. No code read the bound for a confirmed configuration, 2 s. An answer was given from a view whose age is not checked against the bound that this answer has to keep.

Change: a view older than `configApplyMs` (new setting, read from the bounds) is confirmed by one question to the store before a route or key is refused. Without an answer in 0.5 s, or while the store is lost, the answer is 503 with Retry-After, which says that the request has not run. Requests that the view allows are served as before. A watcher can be refreshed beside its long poll; events that the view already contains are skipped, so that answers may overtake each other. Silent watches of the store stand-in end by the client's timeout.

Result: four rows of the new scenarios failed before (404 and 401 from views of 2.1, 3 and 30 s) and pass; without the check of revisions "a refresh overtakes the answer of the long poll" fails.

--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -306,6 +306,7 @@
         report,
         steadyMs: clocks.monotonicMs,
         revokeMs: settings.revokeMs,
+        configApplyMs: settings.configApplyMs,
         onStored: notifier.onStored,
     });
     const broker = new ServiceBroker({
--- a/src/policy/createPolicyWatcher.ts
+++ b/src/policy/createPolicyWatcher.ts
@@ -1,4 +1,4 @@
-import type { Clocks } from "../clock";
+import { type Clocks, pause } from "../clock";
 import type { Reporter } from "../logging";
 import { createPrefixWatcher, type Store } from "../store";
 import type { Policy, Wave } from "./policy";
@@ -34,6 +34,11 @@
      * the first answer.
      */
     ageMs(): number | undefined;
+    /**
+     * Asks the store for changes, unless the view is at most `maxAgeMs` old. Resolves at the answer, or after
+     * `confirmTimeoutMs` without one.
+     */
+    confirm(maxAgeMs: number): Promise<void>;
     /** Greatest age that the view has reached since the first answer, in milliseconds. */
     longestAgeMs(): number;
     /** The store answers neither directly nor through other entries. */
@@ -50,6 +55,9 @@
  */
 const watchWaitMs = 1500;
 
+/** How long a confirmation of the view may take, in milliseconds. A slow store takes about 300. */
+const confirmTimeoutMs = 500;
+
 /** Watches the operators' configuration, maintenance waves and evacuations in the platform's store. */
 export function createPolicyWatcher(opts: PolicyWatcherOptions): PolicyWatcher {
     let policy: Policy | undefined;
@@ -144,6 +152,11 @@
         waves: () => [...waves.values()].sort((a, b) => a.wave - b.wave),
         evacuatedZones: () => evacuatedZones,
         ageMs,
+        async confirm(maxAgeMs) {
+            if ((ageMs() ?? Number.POSITIVE_INFINITY) > maxAgeMs) {
+                await Promise.race([watcher.refresh(), pause(confirmTimeoutMs)]);
+            }
+        },
         longestAgeMs: () => watcher.longestAgeMs(),
         isStoreLost: () => isStoreLost,
         start: () => watcher.start(),
--- a/src/policy/test/policy.feature
+++ b/src/policy/test/policy.feature
@@ -40,3 +40,14 @@
             | 4200  | 5000    | forbidden |
             | never | 5000    | forbidden |
             | 60000 | never   | allowed   |
+
+    Scenario: the view is confirmed while the watch of the entry is silent
+        Guards against a request that is refused for a route that was added while the watch hangs.
+
+        Given an entry that watches the operators' instructions
+        When its watches fall silent
+        And an evacuation of "zone-a" is requested 300 ms later
+        And the entry confirms that its view is at most 5000 ms old
+        Then no zone is under evacuation
+        When the entry confirms that its view is at most 2000 ms old
+        Then "zone-a" is under evacuation
--- a/src/policy/test/policy.steps.ts
+++ b/src/policy/test/policy.steps.ts
@@ -3,6 +3,7 @@
 import { type Clock, installClock } from "../../../standins/dispatch";
 import { createFakeStore, type FakeStore } from "../../../standins/scheduling";
 import type { LogEvent } from "../../logging";
+import type { Store } from "../../store";
 import { createPolicyWatcher, isFreshEnoughToStart, type PolicyDecoder, type PolicyWatcher } from "../index";
 
 interface World {
@@ -10,6 +11,7 @@
     store: FakeStore;
     watcher: PolicyWatcher | undefined;
     log: LogEvent[];
+    areWatchesSilent: boolean;
 }
 
 const prefix = "operators/";
@@ -27,6 +29,7 @@
     this.clock = installClock();
     this.store = createFakeStore();
     this.log = [];
+    this.areWatchesSilent = false;
 });
 
 After(function(this: World) {
@@ -41,9 +44,38 @@
     await clock.advance(ms);
 }
 
+/** A store whose long polls end without an answer while they are silent. Calls that do not wait are answered. */
+function silenceWatches(store: Store, areSilent: () => boolean): Store {
+    return {
+        ...store,
+        async watch(watched, after, waitMs) {
+            const result = await store.watch(watched, after, waitMs);
+            return waitMs > 0 && areSilent() ? new Promise<never>(() => {}) : result;
+        },
+    };
+}
+
+When("its watches fall silent", function(this: World) {
+    this.areWatchesSilent = true;
+});
+
+When("an evacuation of {string} is requested {int} ms later", async function(this: World, zone: string, ms: number) {
+    await pass(this, ms);
+    this.store.put(evacuationPrefix + zone, "{}");
+});
+
+When("the entry confirms that its view is at most {int} ms old", async function(this: World, ms: number) {
+    void this.watcher?.confirm(ms);
+    await pass(this, 50);
+});
+
+Then("no zone is under evacuation", function(this: World) {
+    assert.deepEqual([...this.watcher?.evacuatedZones() ?? []], []);
+});
+
 Given("an entry that watches the operators' instructions", async function(this: World) {
     this.watcher = createPolicyWatcher({
-        store: this.store.connect(entryName),
+        store: silenceWatches(this.store.connect(entryName), () => this.areWatchesSilent),
         decoder,
         clocks: { monotonicMs: () => performance.now(), suspendAwareMs: () => performance.now() },
         report: (event) => this.log.push(event),
--- a/src/store/createPrefixWatcher.ts
+++ b/src/store/createPrefixWatcher.ts
@@ -1,5 +1,5 @@
 import { pause } from "../clock";
-import type { Store, StoreItem } from "./store";
+import type { Store, StoreEvent, StoreItem, WatchResult } from "./store";
 
 /** Items under a prefix, with every change up to a revision of the store. Single items may be newer. */
 export interface PrefixSnapshot {
@@ -43,6 +43,8 @@
     freshAtMs(): number | undefined;
     /** Greatest age that the view has reached since the first answer, in milliseconds. */
     longestAgeMs(): number;
+    /** Asks for changes without a wait, beside the long poll. Concurrent calls share one question to the store. */
+    refresh(): Promise<void>;
     /** Applies an item that was not received by the watch, if it is newer than the view. */
     offer(item: StoreItem): void;
     /** Returns the view and its revision; `undefined` while the whole prefix has to be read. */
@@ -70,6 +72,7 @@
     let longestAgeMs = 0;
     let isStopped = false;
     let isLost = false;
+    let refreshing: Promise<void> | undefined;
 
     function ageMs(): number {
         return freshAtMs === undefined ? 0 : opts.nowMs() - freshAtMs;
@@ -158,24 +161,45 @@
                 revision = undefined;
                 return;
             case "events":
-                for (const event of result.events) {
-                    if (event.kind === "put") {
-                        // An offered item may be newer than the event.
-                        applyNewer(event.item);
-                    }
-                    else if ((items.get(event.key)?.revision ?? 0) <= event.revision) {
-                        apply(event.key, undefined);
-                    }
-                }
-                revision = result.revision;
-                recordAnswer(sentAtMs);
-                if (result.events.length > 0 || isFirstBatch) {
-                    reportBatch();
+                if (applyEvents(result, sentAtMs)) {
                     await pause(opts.pauseMs);
                 }
         }
     }
 
+    /** Applies the answer to a watch. Returns whether a batch was reported. */
+    function applyEvents(result: Extract<WatchResult, { kind: "events"; }>, sentAtMs: number): boolean {
+        const knownRevision = revision ?? 0;
+        // A refresh may have applied later changes than this answer holds. Without this check, an event from before the
+        // deletion of its key would add the item again.
+        const news = result.events.filter((event) => revisionOf(event) > knownRevision);
+        for (const event of news) {
+            if (event.kind === "put") {
+                // An offered item may be newer than the event.
+                applyNewer(event.item);
+            }
+            else if ((items.get(event.key)?.revision ?? 0) <= event.revision) {
+                apply(event.key, undefined);
+            }
+        }
+        revision = Math.max(knownRevision, result.revision);
+        recordAnswer(sentAtMs);
+        const hasBatch = news.length > 0 || isFirstBatch;
+        if (hasBatch) {
+            reportBatch();
+        }
+        return hasBatch;
+    }
+
+    async function askForChanges(after: number): Promise<void> {
+        const sentAtMs = opts.nowMs();
+        const result = await opts.store.watch(opts.prefix, after, 0);
+        // The long poll reports a loss, and reads the whole prefix where the history is gone.
+        if (result.kind === "events" && !isStopped && revision !== undefined) {
+            applyEvents(result, sentAtMs);
+        }
+    }
+
     function deliverInitial({ items: initialItems, revision: initialRevision }: PrefixSnapshot): void {
         initialItems.forEach((item) => apply(item.key, item));
         revision = initialRevision;
@@ -193,6 +217,12 @@
     return {
         items,
         freshAtMs: () => freshAtMs,
+        async refresh() {
+            if (refreshing === undefined && revision !== undefined) {
+                refreshing = askForChanges(revision).finally(() => refreshing = undefined);
+            }
+            await refreshing;
+        },
         longestAgeMs: () => Math.max(longestAgeMs, ageMs()),
         offer(item) {
             // The view contains all changes up to its revision: an older item that it lacks has been deleted since.
@@ -210,3 +240,7 @@
         },
     };
 }
+
+function revisionOf(event: StoreEvent): number {
+    return event.kind === "put" ? event.item.revision : event.revision;
+}
--- a/src/store/test/store.feature
+++ b/src/store/test/store.feature
@@ -182,6 +182,19 @@
         And 2000 ms pass
         Then the watcher has applied "k/1" twice, as "second"
 
+    Scenario: a refresh overtakes the answer of the long poll
+        Guards against a deleted item that is added again by an answer from before its deletion.
+
+        Given a watcher of prefix "k" whose long polls are answered 100 ms late
+        When 50 ms pass
+        And "k/1" is written as "x"
+        And 50 ms pass
+        And "k/1" is deleted
+        And the watcher is refreshed
+        And 500 ms pass
+        Then the watcher's view is ""
+        And the watcher has applied 2 changes
+
     Scenario: a watcher begins with items that it is given
         Guards against a new leader that decides on what it copied some time ago.
 
--- a/src/store/test/store.steps.ts
+++ b/src/store/test/store.steps.ts
@@ -3,6 +3,7 @@
 import { type Clock, installClock } from "../../../standins/dispatch";
 import { createFakeNetwork, type FakeNetwork } from "../../../standins/fakes";
 import { createFakeStore, type FakeStore, type StoreFault } from "../../../standins/scheduling";
+import { pause } from "../../clock";
 import type { Peers } from "../../peers";
 import {
     catchUp,
@@ -11,6 +12,7 @@
     type PrefixSnapshot,
     type PrefixWatcher,
     type RelayedStore,
+    type Store,
     type StoreItem,
 } from "../index";
 
@@ -76,9 +78,14 @@
     },
 );
 
-function createWatcher(world: World, prefix: string, initial?: PrefixSnapshot): PrefixWatcher {
+function createWatcher(
+    world: World,
+    prefix: string,
+    initial?: PrefixSnapshot,
+    store: Store = world.store.connect("entry-1"),
+): PrefixWatcher {
     return createPrefixWatcher({
-        store: world.store.connect("entry-1"),
+        store,
         prefix,
         waitMs: 1000,
         pauseMs: 0,
@@ -91,6 +98,32 @@
     });
 }
 
+Given(
+    "a watcher of prefix {string} whose long polls are answered {int} ms late",
+    async function(this: World, prefix: string, lateMs: number) {
+        const store = this.store.connect("entry-1");
+        this.watcher = createWatcher(this, prefix, undefined, {
+            ...store,
+            async watch(watched, after, waitMs) {
+                const result = await store.watch(watched, after, waitMs);
+                await pause(waitMs > 0 ? lateMs : 0);
+                return result;
+            },
+        });
+        this.watcher.start();
+        await this.clock.advance(100);
+    },
+);
+
+Then("the watcher has applied {int} changes", function(this: World, count: number) {
+    assert.equal(this.applied.length, count);
+});
+
+When("the watcher is refreshed", async function(this: World) {
+    assert.ok(this.watcher);
+    await finish(this, this.watcher.refresh());
+});
+
 Given("a watcher of prefix {string}", function(this: World, prefix: string) {
     this.watcher = createWatcher(this, prefix);
     this.watcher.start();
--- a/src/submissions/createSubmissionApi.ts
+++ b/src/submissions/createSubmissionApi.ts
@@ -18,6 +18,13 @@
 } from "./submissionApi";
 import { validateSubmission } from "./validateSubmission";
 
+/** What a request may use; `tenant` is `undefined` where the queue needs no key. */
+interface Authorized {
+    readonly policy: Policy;
+    readonly queue: QueueConfig;
+    readonly tenant: Tenant | undefined;
+}
+
 export interface SubmissionApiOptions {
     readonly policySource: PolicySource;
     readonly store: Store;
@@ -30,6 +37,8 @@
     readonly steadyMs: () => number;
     /** A withdrawn API key has to stop working on every entry within this time, in milliseconds. */
     readonly revokeMs: number;
+    /** A configuration has to be in force on every entry this long after it was confirmed, in milliseconds. */
+    readonly configApplyMs: number;
     /** A submission has been stored; `tookMs` is the time that the store took, in milliseconds. */
     onStored?(item: StoreItem, tookMs: number): void;
 }
@@ -68,14 +77,33 @@
     /**
      * Finds the queue of a request and checks its API key.
      *
+     * A queue or a key that is not in the view may have been added since the view was last confirmed, so the request is
+     * only refused for it on a view that is young enough. An older one is confirmed first. If the store does not answer,
+     * the request is answered "not in force", which tells the client to come back.
+     */
+    async function authorize(context: RequestContext): Promise<Authorized | Refusal> {
+        const result = authorizeByView(context);
+        if (!isDefiniteRefusal(result) || isViewYoungerThan(opts.configApplyMs)) {
+            return result;
+        }
+        if (!policySource.isStoreLost()) {
+            await policySource.confirm(opts.configApplyMs);
+        }
+        return isViewYoungerThan(opts.configApplyMs) ? authorizeByView(context) : notInForce();
+    }
+
+    function isViewYoungerThan(ms: number): boolean {
+        const ageMs = policySource.ageMs();
+        return ageMs !== undefined && ageMs <= ms;
+    }
+
+    /**
      * Without an answer of the store for `revokeMs`, a key may have been withdrawn without this entry knowing, and the entry
-     * would accept work under it. It answers "unavailable" instead of rejecting the key, which may still be valid.
+     * would accept work under it. It answers "not in force" instead of rejecting the key, which may still be valid.
      */
-    function authorize(
-        context: RequestContext,
-    ): { policy: Policy; queue: QueueConfig; tenant: Tenant | undefined; } | Refusal {
-        const [policy, ageMs] = [policySource.policy(), policySource.ageMs()];
-        if (policy === undefined || ageMs === undefined) {
+    function authorizeByView(context: RequestContext): Authorized | Refusal {
+        const policy = policySource.policy();
+        if (policy === undefined || policySource.ageMs() === undefined) {
             return {
                 kind: "notInForce",
                 detail: "there is no configuration yet",
@@ -89,14 +117,19 @@
         if (queue.isPublic) {
             return { policy, queue, tenant: undefined };
         }
-        if (ageMs > opts.revokeMs - revokeMarginMs) {
-            const detail = `the configuration was last confirmed ${Math.round(ageMs)} ms ago`;
-            return { kind: "notInForce", detail, retryAfterMs: storeRetryAfterMs };
+        if (!isViewYoungerThan(opts.revokeMs - revokeMarginMs)) {
+            return notInForce();
         }
         const tenant = context.key === undefined ? undefined : findTenant(policy, context.key);
         return tenant === undefined ? { kind: "badKey" } : { policy, queue, tenant };
     }
 
+    function notInForce(): Refusal {
+        const ageMs = Math.round(policySource.ageMs() ?? 0);
+        const detail = `the configuration was last confirmed ${ageMs} ms ago`;
+        return { kind: "notInForce", detail, retryAfterMs: storeRetryAfterMs };
+    }
+
     function deadlineOf(context: RequestContext, queue: QueueConfig | undefined): number {
         return steadyMs() + (context.timeoutMs ?? queue?.timeoutMs ?? defaultTimeoutMs) - answerMarginMs;
     }
@@ -214,7 +247,7 @@
 
     return {
         async accept(context, request) {
-            const authorized = authorize(context);
+            const authorized = await authorize(context);
             if ("kind" in authorized) {
                 return logRequest(context, "accept", request.id, authorized);
             }
@@ -229,7 +262,7 @@
             return logRequest(context, "accept", request.id, considerEarlierAttempt(request.id, result));
         },
         async state(context, id) {
-            const authorized = authorize(context);
+            const authorized = await authorize(context);
             if ("kind" in authorized) {
                 return logRequest(context, "state", id, authorized);
             }
@@ -243,7 +276,7 @@
                 : logRequest(context, "state", id, read);
         },
         async cancel(context, id) {
-            const authorized = authorize(context);
+            const authorized = await authorize(context);
             return logRequest(
                 context,
                 "cancel",
@@ -252,7 +285,7 @@
             );
         },
         async count(context) {
-            const authorized = authorize(context);
+            const authorized = await authorize(context);
             if ("kind" in authorized) {
                 return logRequest(context, "count", "", authorized);
             }
@@ -277,6 +310,10 @@
     };
 }
 
+function isDefiniteRefusal(result: Authorized | Refusal): boolean {
+    return "kind" in result && (result.kind === "noRoute" || result.kind === "badKey");
+}
+
 function unavailable(detail: string): Refusal {
     return { kind: "storeUnavailable", detail, retryAfterMs: storeRetryAfterMs };
 }
--- a/src/submissions/submissionApi.ts
+++ b/src/submissions/submissionApi.ts
@@ -54,6 +54,8 @@
     policy(): Policy | undefined;
     /** Age of the view, in milliseconds; `undefined` before the store's first answer. */
     ageMs(): number | undefined;
+    /** Asks the store for changes, unless the view is at most `maxAgeMs` old. Resolves at the answer or after a timeout. */
+    confirm(maxAgeMs: number): Promise<void>;
     /** The store answers neither directly nor through other entries. */
     isStoreLost(): boolean;
 }
--- a/src/submissions/test/overload.steps.ts
+++ b/src/submissions/test/overload.steps.ts
@@ -76,7 +76,12 @@
     const nowMs = () => performance.now();
     const report = (event: LogEvent) => void this.events.push(event);
     this.loadedApi = createSubmissionApi({
-        policySource: { policy: () => plainPolicy, ageMs: () => 100, isStoreLost: () => false },
+        policySource: {
+            policy: () => plainPolicy,
+            ageMs: () => 100,
+            confirm: () => Promise.resolve(),
+            isStoreLost: () => false,
+        },
         store,
         writer: createRecordWriter(store, nowMs),
         leader: { findState: () => Promise.resolve(undefined), countPending: () => Promise.resolve(undefined) },
@@ -98,6 +103,7 @@
         report,
         steadyMs: nowMs,
         revokeMs: 5000,
+        configApplyMs: 2000,
     });
 });
 
--- a/src/submissions/test/storeLoss.steps.ts
+++ b/src/submissions/test/storeLoss.steps.ts
@@ -60,6 +60,7 @@
         policySource: {
             policy: () => plainPolicy,
             ageMs: () => 100,
+            confirm: () => Promise.resolve(),
             isStoreLost: () => this.isLossKnown && health.isLost(),
         },
         store,
@@ -75,6 +76,7 @@
         report() {},
         steadyMs,
         revokeMs: 5000,
+        configApplyMs: 2000,
     });
 });
 
--- a/src/submissions/test/submissions.feature
+++ b/src/submissions/test/submissions.feature
@@ -71,6 +71,34 @@
         When a submission is submitted
         Then the answer is "notInForce"
 
+    Scenario Outline: a route or key that is not in an old configuration
+        Guards against a request that is refused for good because of a route or key that was added since the configuration
+        was last confirmed.
+
+        Given the configuration was confirmed <ageMs> ms ago
+        When a submission is submitted at "<path>" with the key "<key>"
+        Then the answer is "<answer>"
+
+        Examples:
+            | path     | key   | ageMs | answer     |
+            | /added/  | key-1 | 2000  | noRoute    |
+            | /added/  | key-1 | 2100  | notInForce |
+            | /added/  | key-1 | 30000 | notInForce |
+            | /stalls/ | added | 2000  | badKey     |
+            | /stalls/ | added | 2100  | notInForce |
+            | /stalls/ | key-1 | 2100  | accepted   |
+
+    Scenario Outline: an old configuration is confirmed before a request is refused
+        Given the configuration was confirmed 3000 ms ago
+        And <what>
+        When a submission is submitted at "/added/" with the key "added"
+        Then the answer is "<answer>"
+
+        Examples:
+            | what                                                           | answer   |
+            | the store confirms the configuration when it is asked          | noRoute  |
+            | the store answers with a route at "/added/" and a key "added"  | accepted |
+
     Scenario: no configuration yet
         Given there is no configuration
         When a submission is submitted
--- a/src/submissions/test/submissions.steps.ts
+++ b/src/submissions/test/submissions.steps.ts
@@ -1,7 +1,14 @@
 import { After, Before, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { type Clock, installClock } from "../../../standins/dispatch";
-import { createFakeStore, type FakeStore, plainPolicy, plainStep, type StoreFault } from "../../../standins/scheduling";
+import {
+    createFakeStore,
+    type FakeStore,
+    plainPolicy,
+    plainRoute,
+    plainStep,
+    type StoreFault,
+} from "../../../standins/scheduling";
 import type { Policy } from "../../policy";
 import {
     createRecordWriter,
@@ -18,6 +25,7 @@
     api: SubmissionApi;
     policy: Policy | undefined;
     ageMs: number | undefined;
+    confirm: () => void;
     isStoreLost: boolean;
     requestedAtMs: number;
     storeCallsBefore: number;
@@ -31,18 +39,25 @@
     this.store = createFakeStore();
     this.policy = plainPolicy;
     this.ageMs = 100;
+    this.confirm = () => {};
     this.isStoreLost = false;
     this.answers = [];
     const store = this.store.connect("entry-1");
     const steadyMs = () => performance.now();
     this.api = createSubmissionApi({
-        policySource: { policy: () => this.policy, ageMs: () => this.ageMs, isStoreLost: () => this.isStoreLost },
+        policySource: {
+            policy: () => this.policy,
+            ageMs: () => this.ageMs,
+            confirm: async () => this.confirm(),
+            isStoreLost: () => this.isStoreLost,
+        },
         store,
         writer: createRecordWriter(store, steadyMs),
         leader: { findState: () => Promise.resolve(undefined), countPending: () => Promise.resolve(undefined) },
         report() {},
         steadyMs,
         revokeMs: 5000,
+        configApplyMs: 2000,
     });
 });
 
@@ -86,6 +101,24 @@
     this.ageMs = ageMs;
 });
 
+Given("the store confirms the configuration when it is asked", function(this: World) {
+    this.confirm = () => this.ageMs = 5;
+});
+
+Given(
+    "the store answers with a route at {string} and a key {string}",
+    function(this: World, path: string, key: string) {
+        this.confirm = () => {
+            this.ageMs = 5;
+            this.policy = {
+                ...plainPolicy,
+                queues: [...plainPolicy.queues, { ...plainRoute, name: "added", pathPrefix: path }],
+                tenants: [...plainPolicy.tenants, { ...plainPolicy.tenants[0]!, name: "added", keys: [key] }],
+            };
+        };
+    },
+);
+
 Given("the entry knows that the store is unreachable", function(this: World) {
     this.isStoreLost = true;
     this.requestedAtMs = performance.now();
@@ -116,6 +149,13 @@
     await submit(this, prefix + id);
 });
 
+When(
+    "a submission is submitted at {string} with the key {string}",
+    async function(this: World, prefix: string, key: string) {
+        await submit(this, prefix + id, key);
+    },
+);
+
 When("a submission is submitted with the key {string}", async function(this: World, key: string) {
     await submit(this, `/stalls/${id}`, key);
 });
--- a/standins/scheduling/createFakeStore.ts
+++ b/standins/scheduling/createFakeStore.ts
@@ -173,6 +173,10 @@
         const endsAtMs = performance.now() + waitMs;
         const cutsBefore = cuts;
         for (;;) {
+            if (faults.get(client) === "silent") {
+                await pause(Math.max(0, endsAtMs - performance.now()) + clientTimeoutMs);
+                return unavailable();
+            }
             if (faults.get(client) !== undefined || cuts > cutsBefore) {
                 await pause(answerMs);
                 return unavailable();
