fix(store): an overdue watch is repeated over a new connection and through peers at once

Callers saw: a route or key that had been confirmed more than 2 s before was refused, or a withdrawn one was still taken, by an entry whose own connections and processes were sound for more than 3 s.

Cause: attempts after each other. A watch that gets no answer is given up 0.9 s after its wait; the next attempt takes the first free connection of the same pool, which may have fallen silent at the same time; while calls are relayed, a watch waits up to 2.5 s for one peer and then for the next. Each step is near the bound, and their sum is above it.

Evidence: with 8 open connections that all fall silent, a version confirmed 1 s later was not in force 2 s after that. Logs of real processes in that state: `readAttemptFailed call=watch path=direct tookMs=2401`, and 0.9 s later the next one.

Change: a watch that is 0.4 s overdue, or that has failed, is repeated without a wait over a connection of its own and through two peers at the same time; the first answer counts. A store that limits the rate of calls gets no further ones. The wait of the configuration's watch follows from `configApplyMs` (1.3 s for 2 s). Probes of the store use new connections too: a pooled one shows whether that connection works. `watchRepeated` and `samphirepin_watches_repeated_total` tell of it. The paths to the store are wired in `createStoreAccess`.

--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -6,7 +6,6 @@
     createHttpService,
     createJsonCaller,
     createMachineApi,
-    createStore,
     createWorkerApi,
     encodeWaveStatus,
     type NodeSettings,
@@ -36,13 +35,12 @@
 import { createEventMetrics } from "../metrics";
 import { chooseLinks, createPeers, type Peer } from "../peers";
 import { createPolicyWatcher, isFreshEnoughToStart } from "../policy";
-import { maxConcurrentCommits } from "../progress";
 import { createRelayedWorkerApi } from "../runs";
 import { createScheduler, createStandbyCopy, type Scheduler } from "../scheduler";
-import { createRelayedStore, createStoreHealth, storeProbeTimeoutMs } from "../store";
 import { createLoadCheck, createRecordWriter, createSubmissionApi } from "../submissions";
 import { createAcceptanceNotifier } from "./createAcceptanceNotifier";
 import { createLeaderQueries } from "./createLeaderQueries";
+import { createStoreAccess } from "./createStoreAccess";
 
 export interface Daemon {
     start(): Promise<void>;
@@ -58,18 +56,6 @@
     readonly droppedLines: () => number;
 }
 
-/**
- * Connections to the store, opened as they are needed: for long-polling watches, batched writes, lease renewals and reads
- * for clients, and for the commits of a leader, so that renewals do not wait behind commits while the store is slow.
- */
-const storeConnections = 16 + maxConcurrentCommits;
-
-/** Connections for probes of the store. Two probes overlap, and one connection may be silent. */
-const storeProbeConnections = 3;
-
-/** Key that is read to probe the store; it need not exist. */
-const storeProbeKey = "samphirepin/probe";
-
 /** Connections to each worker. A long poll occupies one; start and stop requests share the others. */
 const workerConnections = 5;
 
@@ -132,38 +118,15 @@
         silenceMs: peerSilenceMs,
         report,
     });
-    const callStore = createJsonCaller(storeConnections);
-    const callWorker = createJsonCaller(workerConnections);
-    const probeStore = createStore(
-        createJsonCaller(storeProbeConnections),
-        settings.storeAddress,
-        storeProbeTimeoutMs,
-    );
-    const storeHealth = createStoreHealth({
-        probe: () => probeStore.read(storeProbeKey),
-        probePeers: (timeoutMs) => store.probePeers(timeoutMs),
-        relayedAtMs: () => store.relayedAtMs(),
-        nowMs: clocks.suspendAwareMs,
-        onLost(detail) {
-            report({ kind: "dependency", name: "store calls", state: "lost", detail });
-            writer.abandonAll("the store does not answer this entry");
-        },
-        onRecovered: (lostMs) =>
-            report({
-                kind: "dependency",
-                name: "store calls",
-                state: "regained",
-                detail: `after ${Math.round(lostMs)} ms`,
-            }),
-    });
-    const store = createRelayedStore({
-        direct: storeHealth.observe(createStore(callStore, settings.storeAddress)),
+    const storeAccess = createStoreAccess({
+        address: settings.storeAddress,
         peers,
         nowMs: clocks.suspendAwareMs,
-        onPathChange: (path, detail) =>
-            report({ kind: "note", slice: "store", message: `store calls take the ${path} path`, detail }),
-        onReadFailed: (attempt) => report({ kind: "readAttemptFailed", ...attempt }),
+        report,
+        onLost: () => writer.abandonAll("the store does not answer this entry"),
     });
+    const { store, health: storeHealth } = storeAccess;
+    const callWorker = createJsonCaller(workerConnections);
     const machineApi = createMachineApi(callWorker, settings.machinesAddress);
     const adviceClient = createAdviceClient(callWorker, settings.adviceAddress);
     const lagMonitor = createLagMonitor();
@@ -182,6 +145,7 @@
         decoder: policyDecoder,
         clocks,
         report,
+        configApplyMs: settings.configApplyMs,
         onChange: () => scheduler?.policyChanged(),
     });
     const leaderElection = createLeaderElection({
@@ -190,7 +154,7 @@
         holder: { boot, instance: settings.instance },
         report,
         minTtlMs: settings.minLeaseTtlMs,
-        fitness: () => store.isRelayOnly() ? "turnedAway" : lagMonitor.isSlow() ? "slow" : "fit",
+        fitness: () => storeAccess.isRelayOnly() ? "turnedAway" : lagMonitor.isSlow() ? "slow" : "fit",
         isHeard: () => failover.isHeard(),
         isLinked: (other) => peers.connected().some((peer) => peer.boot === other),
         onGained: beginTenure,
--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -37,6 +37,8 @@
     }
     /** One attempt to watch or list keys of the store has failed. Further attempts may follow on other paths. */
     | ({ readonly kind: "readAttemptFailed"; } & FailedReadAttempt)
+    /** A watch that was overdue or had failed was repeated over a new connection and through peers, with this result. */
+    | { readonly kind: "watchRepeated"; readonly prefix: string; readonly outcome: string; }
     /** Operators begin or end an evacuation: meanwhile the workers of the availability zone are sent nothing new. */
     | { readonly kind: "evacuation"; readonly zone: string; readonly change: "begun" | "ended"; }
     /** The platform returned an older value than this entry has seen before, as after a restore from a backup. */
--- a/src/metrics/createEventMetrics.ts
+++ b/src/metrics/createEventMetrics.ts
@@ -52,6 +52,7 @@
     const duties = counter("duty_changes", "Changes of the scheduling duty", "change");
     const dependencies = counter("dependency_changes", "Stores and workers lost and regained", "state");
     const failedReads = counter("read_attempts_failed", "Watches and lists not answered, by path", "path");
+    const repeatedWatches = counter("watches_repeated", "Overdue or failed watches repeated, by outcome", "outcome");
     const startWait = new Histogram({
         name: "samphirepin_start_wait_seconds",
         help: "From the decision to start a task to the worker's answer",
@@ -204,6 +205,9 @@
                 case "readAttemptFailed":
                     failedReads.inc({ path: event.path });
                     return;
+                case "watchRepeated":
+                    repeatedWatches.inc({ outcome: event.outcome });
+                    return;
                 case "entitlement":
                     poolEntitlement.set({ pool: event.pool }, event.entitledCores);
                     return;
--- a/src/policy/createPolicyWatcher.ts
+++ b/src/policy/createPolicyWatcher.ts
@@ -1,6 +1,6 @@
 import { type Clocks, pause } from "../clock";
 import type { Reporter } from "../logging";
-import { createPrefixWatcher, type Store } from "../store";
+import { createPrefixWatcher, type Store, watchOverdueMs } from "../store";
 import type { Policy, Wave } from "./policy";
 
 /** Decodes what operators write to the store; `undefined` where a value can't be decoded. */
@@ -18,6 +18,8 @@
     readonly decoder: PolicyDecoder;
     readonly clocks: Clocks;
     readonly report: Reporter;
+    /** A configuration has to be in force this long after it was confirmed, in milliseconds. */
+    readonly configApplyMs: number;
     /** Called after each answer of the store has been applied. */
     onChange?(): void;
 }
@@ -48,15 +50,27 @@
 }
 
 /**
- * How long one watch waits, in milliseconds. The age of the configuration is counted from the time at which the last
+ * Longest wait of one watch, in milliseconds. The age of the configuration is counted from the time at which the last
  * answered watch was sent, so this bounds the age while the store answers. A withdrawn key has to stop working within
  * 5,000 ms even on an entry that is cut off, and such an entry stops taking requests with keys soon after. Each entry
  * makes 0.7 calls a second, which count against the platform's limit of calls.
  */
-const watchWaitMs = 1500;
+const maxWatchWaitMs = 1500;
 
-/** How long a confirmation of the view may take, in milliseconds. A slow store takes about 300. */
-const confirmTimeoutMs = 500;
+/** Shortest wait of one watch, in milliseconds. It limits the number of calls where the bound is short. */
+const minWatchWaitMs = 300;
+
+/** Time for a repeated watch to be answered and its answer to be applied, in milliseconds. */
+const applyReserveMs = 300;
+
+/** Wait of one watch, in milliseconds: a version that a silent watch does not deliver is still applied in time. */
+function chooseWatchWaitMs(configApplyMs: number): number {
+    const waitMs = configApplyMs - watchOverdueMs - applyReserveMs;
+    return Math.min(maxWatchWaitMs, Math.max(minWatchWaitMs, waitMs));
+}
+
+/** How long a confirmation of the view may take, in milliseconds: a slow store answers a repeated watch within it. */
+const confirmTimeoutMs = watchOverdueMs + 300;
 
 /** Watches the operators' configuration, maintenance waves and evacuations in the platform's store. */
 export function createPolicyWatcher(opts: PolicyWatcherOptions): PolicyWatcher {
@@ -125,7 +139,7 @@
     const watcher = createPrefixWatcher({
         store: opts.store,
         prefix: opts.decoder.prefix,
-        waitMs: watchWaitMs,
+        waitMs: chooseWatchWaitMs(opts.configApplyMs),
         pauseMs: 0,
         nowMs: opts.clocks.suspendAwareMs,
         onItem(key, item) {
--- a/src/policy/test/policy.steps.ts
+++ b/src/policy/test/policy.steps.ts
@@ -79,6 +79,7 @@
         decoder,
         clocks: { monotonicMs: () => performance.now(), suspendAwareMs: () => performance.now() },
         report: (event) => this.log.push(event),
+        configApplyMs: 2000,
     });
     this.watcher.start();
     await pass(this, watchDeliveryMs);
--- a/src/store/createRelayedStore.ts
+++ b/src/store/createRelayedStore.ts
@@ -1,6 +1,7 @@
 import type { FailedReadAttempt } from "../logging";
 import type { Peer, Peers } from "../peers";
-import type { Commit, ReadResult, Store } from "./store";
+import { firstAnswer } from "./firstAnswer";
+import type { Commit, ReadResult, Store, WatchResult } from "./store";
 
 /** Peer message topic of relayed store calls. */
 const relayTopic = "store";
@@ -17,6 +18,9 @@
 /** Key that is read to probe the direct path; it need not exist. */
 const probeKey = "samphirepin/probe";
 
+/** Timeout of a call that is relayed through several peers at once, in milliseconds. A slow store takes about 300. */
+const parallelRelayTimeoutMs = 400;
+
 /** A relayed call that succeeded within this time shows that the store serves other entries, in milliseconds. */
 const relayFreshMs = 1500;
 
@@ -52,6 +56,8 @@
     isRelayOnly(): boolean;
     /** When a peer last relayed a call that the store answered, on the clock `nowMs`; negative infinity if never. */
     relayedAtMs(): number;
+    /** Watches without a wait through all peers that would relay calls at once, and gives the first answer. */
+    readonly peers: Pick<Store, "watch">;
     /** Reads a key through the peers that would relay calls; resolves to true if one of them has an answer in time. */
     probePeers(timeoutMs: number): Promise<boolean>;
 }
@@ -83,7 +89,7 @@
             isDirectDown = !isAnswered;
             opts.onPathChange?.(isAnswered ? "direct" : "relayed", detail);
             if (isDirectDown) {
-                setTimeout(() => void probe(), probeMs);
+                setTimeout(() => void probe(), probeMs).unref();
             }
         }
     }
@@ -96,7 +102,7 @@
     async function probe(): Promise<void> {
         await probeDirect();
         if (isDirectDown) {
-            setTimeout(() => void probe(), probeMs);
+            setTimeout(() => void probe(), probeMs).unref();
         }
     }
 
@@ -155,31 +161,43 @@
         return result;
     }
 
+    async function callPeer<R extends CallResult>(peer: Peer, call: RelayedCall, timeoutMs: number): Promise<R> {
+        const sentAtMs = nowMs();
+        const answer = await peers.request(peer.boot, relayTopic, call, timeoutMs);
+        const result = answer.caseOf<R>({
+            Right: (given) => given as R,
+            // A request that was not sent has no effect; a write that was sent may have been made.
+            Left: ({ kind, detail }) =>
+                ({ kind: kind === "unknown" && isWrite(call) ? "unknown" : "unavailable", detail }) as
+                    & R
+                    & { detail: string; },
+        });
+        reportFailedRead(call, result, sentAtMs, peer);
+        recordRelay(peer, result.kind);
+        if (result.kind !== "unavailable") {
+            relayAnsweredAtMs = result.kind === "unknown" ? relayAnsweredAtMs : nowMs();
+            recordRelayedAnswer();
+        }
+        return result;
+    }
+
     async function callPeers<R extends CallResult>(call: RelayedCall): Promise<R | undefined> {
         const timeoutMs = relayTimeoutMs + (call.call === "watch" ? call.waitMs : 0);
         let result: R | undefined;
         for (const peer of chooseRelays()) {
-            const sentAtMs = nowMs();
-            const answer = await peers.request(peer.boot, relayTopic, call, timeoutMs);
-            result = answer.caseOf<R>({
-                Right: (given) => given as R,
-                // A request that was not sent has no effect; a write that was sent may have been made.
-                Left: ({ kind, detail }) =>
-                    ({ kind: kind === "unknown" && isWrite(call) ? "unknown" : "unavailable", detail }) as
-                        & R
-                        & { detail: string; },
-            });
-            reportFailedRead(call, result, sentAtMs, peer);
-            recordRelay(peer, result.kind);
+            result = await callPeer<R>(peer, call, timeoutMs);
             if (result.kind !== "unavailable") {
-                relayAnsweredAtMs = result.kind === "unknown" ? relayAnsweredAtMs : nowMs();
-                recordRelayedAnswer();
                 return result;
             }
         }
         return result;
     }
 
+    function watchThroughPeers(prefix: string, after: number): Promise<WatchResult> {
+        const call: RelayedCall = { call: "watch", prefix, after, waitMs: 0 };
+        return firstAnswer(chooseRelays().map((peer) => callPeer<WatchResult>(peer, call, parallelRelayTimeoutMs)));
+    }
+
     function recordRelay({ boot }: Peer, kind: string | undefined): void {
         if (kind === undefined || kind === "unavailable" || kind === "unknown") {
             relayFailedAtMs.set(boot, nowMs());
@@ -233,6 +251,7 @@
     return {
         isRelayOnly: () => isDirectDown && nowMs() - relayedAtMs < relayFreshMs,
         relayedAtMs: () => relayAnsweredAtMs,
+        peers: { watch: watchThroughPeers },
         async probePeers(timeoutMs) {
             const answers = await Promise.all(chooseRelays().map((peer) => probePeer(peer, timeoutMs)));
             return answers.includes(true);
--- a/src/store/createStoreHealth.ts
+++ b/src/store/createStoreHealth.ts
@@ -103,7 +103,7 @@
         isProbing = true;
         if (!await probe()) {
             lostAtMs = nowMs();
-            timer = setInterval(() => void probe(), probeIntervalMs);
+            timer = setInterval(() => void probe(), probeIntervalMs).unref();
             opts.onLost?.(`no answer to a call for ${unansweredMs} ms and to a probe for ${storeProbeTimeoutMs} ms`);
         }
         isProbing = false;
--- a/src/store/test/store.feature
+++ b/src/store/test/store.feature
@@ -139,6 +139,30 @@
         And 300 ms pass
         Then the watcher has reported the store as lost and recovered, once each
 
+    Scenario Outline: the link to <silent> falls silent while an entry that the store refuses watches
+        Guards against a watch that waits for a peer without an answer, while another peer would relay it.
+
+        Given entries "entry-1" to "entry-3" are linked peers
+        And the store is "refused" for "entry-1"
+        And a watcher of prefix "k" at "entry-1" that repeats overdue watches
+        When 500 ms pass
+        And the link from "entry-1" to "<silent>" falls silent
+        And "k/1" is written as "x"
+        And 1500 ms pass
+        Then the watcher's view is "k/1=x"
+
+        Examples:
+            | silent  |
+            | entry-2 |
+            | entry-3 |
+
+    Scenario: a watch is refused because of the rate of calls
+        Guards against a store that gets three calls in place of each one that it refuses.
+
+        Given a watcher of prefix "k" that repeats overdue watches on a store that limits the rate of calls
+        When 1000 ms pass
+        Then the store has had no call on another path
+
     Scenario: an item that is offered ahead of the watch
         Guards against a finished submission that is added again by the watch, which delivers its first record later.
 
--- a/src/store/test/store.steps.ts
+++ b/src/store/test/store.steps.ts
@@ -7,6 +7,7 @@
 import type { Peers } from "../../peers";
 import {
     catchUp,
+    createHedgedStore,
     createPrefixWatcher,
     createRelayedStore,
     type PrefixSnapshot,
@@ -119,6 +120,35 @@
     assert.equal(this.applied.length, count);
 });
 
+Given(
+    "a watcher of prefix {string} at {string} that repeats overdue watches",
+    function(this: World, prefix: string, name: string) {
+        const entry = findEntry(this, name);
+        const store = createHedgedStore({ store: entry, alternatives: [entry.peers] });
+        this.watcher = createWatcher(this, prefix, undefined, store);
+        this.watcher.start();
+    },
+);
+
+Given(
+    "a watcher of prefix {string} that repeats overdue watches on a store that limits the rate of calls",
+    async function(this: World, prefix: string) {
+        const refused = { kind: "unavailable", detail: "status 429", isRateLimited: true } as const;
+        const first = { ...this.store.connect("entry-1"), watch: () => Promise.resolve(refused) };
+        const store = createHedgedStore({ store: first, alternatives: [this.store.connect("other path")] });
+        this.watcher = createWatcher(this, prefix, undefined, store);
+        this.watcher.start();
+    },
+);
+
+Then("the store has had no call on another path", function(this: World) {
+    assert.equal(this.store.calls("other path"), 0);
+});
+
+When("the link from {string} to {string} falls silent", function(this: World, from: string, to: string) {
+    this.network.silences.add(`${from}>${to}`).add(`${to}>${from}`);
+});
+
 When("the watcher is refreshed", async function(this: World) {
     assert.ok(this.watcher);
     await finish(this, this.watcher.refresh());
