test(soak): added routes are asked for at every entry, and open connections fall silent

The soak injected many faults on the paths to the store and never judged whether a confirmed configuration is in force. It also had no connection that stays silent while new ones work; a silent path was silent for new connections too.

Change: routes are added in turn and every entry is asked for the newest one. An entry that no fault has disturbed for 3 s must not refuse a route that was added over 2 s before. The number of judged requests is reported.

--- a/soak/createFaults.ts
+++ b/soak/createFaults.ts
@@ -11,8 +11,18 @@
     readonly text: string;
 }
 
+/** A time during which a fault disturbed an entry, its paths or its view of the store; in milliseconds. */
+export interface Disturbance {
+    /** `undefined`: all entries. */
+    readonly entry: string | undefined;
+    readonly fromMs: number;
+    /** Infinite while the fault lasts. */
+    untilMs: number;
+}
+
 export interface Faults {
     readonly injected: readonly InjectedFault[];
+    readonly disturbances: readonly Disturbance[];
     /** When the second key was taken away. */
     revokedAtMs(): number | undefined;
     /** Injects faults until told to stop, then mends everything. */
@@ -39,6 +49,9 @@
 /** Pauses before the faults that are drawn by `loadRandom`, in milliseconds. */
 const [shortestLoadGapMs, longestLoadGapMs] = [1000, 4000];
 
+/** Pauses before open connections fall silent, in milliseconds: longer than an entry has to be undisturbed to be judged. */
+const [shortestSilenceGapMs, longestSilenceGapMs] = [4000, 12_000];
+
 type Action = () => Promise<string | undefined>;
 
 export interface FaultOptions {
@@ -46,19 +59,39 @@
     readonly random: Random;
     /** Draws the bursts and the cuts of the leader's paths. */
     readonly loadRandom: Random;
+    /** Draws when open connections fall silent. */
+    readonly connectionRandom: Random;
     cancelOne(): void;
     sendBurst(random: Random): Promise<void>;
 }
 
 /** Injects faults from outside the processes, in an order and at times that follow the seed. */
-export function createFaults({ world, random, loadRandom, cancelOne, sendBurst }: FaultOptions): Faults {
+export function createFaults(
+    { world, random, loadRandom, connectionRandom, cancelOne, sendBurst }: FaultOptions,
+): Faults {
     const injected: InjectedFault[] = [];
+    const disturbances: Disturbance[] = [];
     const pending = new Set<Promise<void>>();
     let isOver = false;
     let revokedAtMs: number | undefined;
     let hasWave = false;
     const busy = new Set<unknown>();
 
+    /** Notes that a fault begins; the result ends it. */
+    function disturb(entry: string | undefined): () => void {
+        const disturbance = { entry, fromMs: performance.now(), untilMs: Number.POSITIVE_INFINITY };
+        disturbances.push(disturbance);
+        return () => void (disturbance.untilMs = performance.now());
+    }
+
+    /** Name of the entry that a fault on this thing disturbs; `undefined` for other things, such as workers. */
+    function findDisturbed(thing: unknown): string | undefined {
+        return world.entries.find((entry) =>
+            [entry, entry.name, entry.toStore, entry.fromClients].includes(thing as Entry)
+        )
+            ?.name;
+    }
+
     /** Runs a fault for a while on something that has none yet; overlapping ones would mend each other. */
     async function during(
         thing: unknown,
@@ -67,12 +100,15 @@
         lastsMs = random.int(shortestMs, longestMs),
     ): Promise<void> {
         busy.add(thing);
+        const disturbed = findDisturbed(thing);
+        const endDisturbance = disturbed === undefined ? () => {} : disturb(disturbed);
         begin();
         const endsAtMs = performance.now() + lastsMs;
         while (!isOver && performance.now() < endsAtMs) {
             await pause(20);
         }
         await end();
+        endDisturbance();
         busy.delete(thing);
     }
 
@@ -119,6 +155,7 @@
             world.entries.forEach(({ toStore, fromClients }) =>
                 [toStore, fromClients].forEach((proxy) => proxy.breakAll())
             );
+            disturb(undefined)();
             return "all of them";
         },
         async "store"() {
@@ -132,10 +169,12 @@
         },
         async "store forgets its history"() {
             world.platform.store.forgetHistory();
+            disturb(undefined)();
             return "all of it";
         },
         async "store cuts its watches"() {
             world.platform.store.cutWatches();
+            disturb(undefined)();
             return "all of them";
         },
         async "worker"() {
@@ -170,6 +209,7 @@
         async "settings changed"() {
             const entry = pickFree(world.entries);
             entry?.signal("SIGHUP");
+            disturb(entry?.name)();
             return entry?.name;
         },
         async "key taken away"() {
@@ -215,6 +255,14 @@
         },
     };
 
+    const connectionActions: Readonly<Record<string, Action>> = {
+        async "open connections to the store fall silent"() {
+            world.entries.forEach(({ toStore }) => toStore.silenceOpen());
+            disturb(undefined)();
+            return "all of them";
+        },
+    };
+
     async function inject(
         from: Random,
         choices: Readonly<Record<string, Action>>,
@@ -248,21 +296,25 @@
     function kill(entry: Entry, signal: "SIGKILL" | "SIGTERM"): void {
         start((async () => {
             busy.add(entry);
+            const endDisturbance = disturb(entry.name);
             entry.signal(signal);
             await pause(random.int(shortestDownMs, longestDownMs));
             await entry.restart();
+            endDisturbance();
             busy.delete(entry);
         })());
     }
 
     return {
         injected,
+        disturbances,
         revokedAtMs: () => revokedAtMs,
         async run(forMs) {
             const endsAtMs = performance.now() + forMs;
             await Promise.all([
                 inject(random, actions, [shortestGapMs, longestGapMs], endsAtMs),
                 inject(loadRandom, loadActions, [shortestLoadGapMs, longestLoadGapMs], endsAtMs),
+                inject(connectionRandom, connectionActions, [shortestSilenceGapMs, longestSilenceGapMs], endsAtMs),
             ]);
             isOver = true;
             await Promise.all(pending);
--- a/soak/createProxy.ts
+++ b/soak/createProxy.ts
@@ -28,6 +28,8 @@
     silenceCaller(token: number | undefined): void;
     /** Breaks all open connections once. */
     breakAll(): void;
+    /** Nothing passes any more on the connections that are open now, and none of them breaks. New ones work. */
+    silenceOpen(): void;
     close(): void;
 }
 
@@ -35,6 +37,8 @@
     readonly sockets: readonly [client: Socket, server: Socket];
     /** Fencing token of the latest call; `undefined` if calls have none. */
     token: number | undefined;
+    /** Silent for good; see `silenceOpen`. */
+    isSilent: boolean;
     /** Pieces that are held back, with where they go. */
     readonly held: { readonly to: Socket; readonly data: Buffer; }[];
 }
@@ -46,7 +50,7 @@
     let state: PathState = { kind: "open" };
     let silentToken: number | undefined;
 
-    const isSilenced = ({ token }: Connection) => token !== undefined && token === silentToken;
+    const isSilenced = ({ token, isSilent }: Connection) => isSilent || (token !== undefined && token === silentToken);
 
     function forward(connection: Connection, to: Socket, data: Buffer, isAnswer: boolean): void {
         if (!isAnswer) {
@@ -97,7 +101,7 @@
             return;
         }
         const onward = connect(Number(port), host);
-        const connection: Connection = { sockets: [client, onward], token: undefined, held: [] };
+        const connection: Connection = { sockets: [client, onward], token: undefined, isSilent: false, held: [] };
         connections.add(connection);
         client.on("data", (data: Buffer) => forward(connection, onward, data, false));
         onward.on("data", (data: Buffer) => forward(connection, client, data, true));
@@ -128,6 +132,7 @@
             }
         },
         breakAll,
+        silenceOpen: () => connections.forEach((connection) => connection.isSilent = true),
         close() {
             server.close();
             breakAll();
--- a/soak/createWorld.ts
+++ b/soak/createWorld.ts
@@ -2,7 +2,8 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { leaderKey, type LeaderRecord } from "../src/duties";
-import { createSchedulingWorld, plainPolicy, type SchedulingWorld } from "../standins/scheduling";
+import type { Policy } from "../src/policy";
+import { createSchedulingWorld, plainPolicy, plainRoute, type SchedulingWorld } from "../standins/scheduling";
 import {
     encodePolicy,
     encodeWave,
@@ -36,6 +37,8 @@
     findOwnerToken(): number | undefined;
     /** Takes a key away from the tenant, as operators do. */
     revokeKey(key: string): void;
+    /** Adds a route, as operators do; returns its path. */
+    addRoute(name: string): string;
     /** Asks for the upkeep of all machines. */
     startWave(maxDown: number): void;
     /** Ends every process and server that it started. */
@@ -88,7 +91,7 @@
         capacity: { cpuMillis: 4000, memoryMb: 16_000, accelerators: 0 },
         workerId: id,
     })));
-    let policy = {
+    let policy: Policy = {
         ...plainPolicy,
         tenants: [
             { ...plainPolicy.tenants[0]!, keys: [keptKey, revokedKey], weight: usualWeight },
@@ -96,6 +99,10 @@
         ],
     };
     const write = ({ key, text }: { key: string; text: string; }) => platform.store.put(key, text);
+    const change = (fields: Partial<Policy>) => {
+        policy = { ...policy, version: policy.version + 3, ...fields };
+        write(encodePolicy(policy));
+    };
     write(encodePolicy(policy));
 
     const folder = mkdtempSync(join(tmpdir(), `samphirepin-soak-${seed}-`));
@@ -130,15 +137,17 @@
         },
         findOwnerToken: () => platform.store.get(leaderKey)?.revision,
         revokeKey(key) {
-            policy = {
-                ...policy,
-                version: policy.version + 3,
+            change({
                 tenants: policy.tenants.map((tenant) => ({
                     ...tenant,
                     keys: tenant.keys.filter((known) => known !== key),
                 })),
-            };
-            write(encodePolicy(policy));
+            });
+        },
+        addRoute(name) {
+            const pathPrefix = `/${name}/`;
+            change({ queues: [...policy.queues, { ...plainRoute, name, pathPrefix }] });
+            return pathPrefix;
         },
         startWave: (maxDown) => write(encodeWave(1, workerIds.map((id) => `machine-${id}`), 30, maxDown)),
         stop() {
--- a/soak/judge.ts
+++ b/soak/judge.ts
@@ -1,12 +1,16 @@
 import { countOrderedAway, findDoubleRun, type WorkerEvent } from "../standins/scheduling";
 import { isFinal, type SubmissionStory } from "./createClients";
+import type { Disturbance } from "./createFaults";
+import type { RouteAnswer } from "./createRouteChecks";
 import { revokedKey } from "./createWorld";
-import { revokeMs } from "./startEntry";
+import { configApplyMs, revokeMs } from "./startEntry";
 
 export interface Evidence {
     readonly stories: readonly SubmissionStory[];
     readonly events: readonly WorkerEvent[];
     readonly revokedAtMs: number | undefined;
+    readonly routeAnswers: readonly RouteAnswer[];
+    readonly disturbances: readonly Disturbance[];
     /** When every fault had ended. */
     readonly calmSinceMs: number;
     readonly endedAtMs: number;
@@ -17,6 +21,9 @@
 /** An accepted submission may be unknown to other entries for this long, in milliseconds. */
 const visibleMs = 3000;
 
+/** An entry is judged by the bound on configurations once nothing has disturbed it for this long, in milliseconds. */
+const contactMs = 3000;
+
 /** A task may start for this long after its submission's cancellation was acknowledged, in milliseconds. */
 const cancelMs = 3000;
 
@@ -39,6 +46,7 @@
         ...double === undefined ? [] : [`ran twice: ${double}`],
         ...away > 1 ? [`${away} tasks of a serving step were away by order, and one may be`] : [],
         ...overfull === undefined ? [] : [overfull],
+        ...findLateRoutes(evidence),
         ...evidence.stories.flatMap((story) => judgeStory(story, starts.get(story.id) ?? [], evidence)),
     ];
 }
@@ -84,6 +92,29 @@
     return broken;
 }
 
+/** Answers of undisturbed entries to requests for a route that has to be in force. */
+export function selectJudgedRoutes(
+    { routeAnswers, disturbances }: Pick<Evidence, "routeAnswers" | "disturbances">,
+): readonly RouteAnswer[] {
+    const isDisturbed = ({ entry, sentAtMs }: RouteAnswer) =>
+        disturbances.some((disturbance) =>
+            (disturbance.entry ?? entry) === entry && disturbance.fromMs <= sentAtMs
+            && disturbance.untilMs >= sentAtMs - contactMs
+        );
+    return routeAnswers.filter((answer) =>
+        answer.sentAtMs > answer.confirmedAtMs + configApplyMs && !isDisturbed(answer)
+    );
+}
+
+/** Routes that an undisturbed entry refused although they should have been in force. */
+function findLateRoutes(evidence: Evidence): readonly string[] {
+    return selectJudgedRoutes(evidence)
+        .filter(({ status }) => status === 404)
+        .map(({ entry, path, sentAtMs, confirmedAtMs }) =>
+            `${entry} refused ${path} ${Math.round(sentAtMs - confirmedAtMs)} ms after it was added`
+        );
+}
+
 function countDone(id: string, events: readonly WorkerEvent[], untilMs: number): number {
     const done = events.filter(({ kind, task, atMs }) => kind === "done" && idOf(task) === id && atMs <= untilMs);
     return new Set(done.map(({ task }) => task)).size;
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -9,9 +9,11 @@
 Plays N seeded runs, the known ones first. Needs target/samphirepin.cjs (node scripts/buildDaemon.mjs).
 `;
 
-function report({ seed, broken, accepted, refused, overloaded, starts, faults, folder }: SoakResult): void {
+function report(
+    { seed, broken, accepted, refused, overloaded, starts, judgedRoutes, faults, folder }: SoakResult,
+): void {
     const text =
-        `${accepted} accepted, ${refused} refused, ${overloaded} for load, ${starts} starts, ${faults.length} faults`;
+        `${accepted} accepted, ${refused} refused, ${overloaded} for load, ${starts} starts, ${judgedRoutes} routes judged, ${faults.length} faults`;
     process.stdout.write(`seed ${seed}: ${broken.length === 0 ? "kept" : "BROKEN"}; ${text}\n`);
     if (broken.length > 0) {
         broken.forEach((line) => process.stdout.write(`    ${line}\n`));
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -2,8 +2,9 @@
 import { createRandom, type Random } from "../standins/random";
 import { type Clients, createClients, isFinal } from "./createClients";
 import { createFaults } from "./createFaults";
+import { createRouteChecks } from "./createRouteChecks";
 import { burstKey, createWorld, keptKey, revokedKey } from "./createWorld";
-import { judge } from "./judge";
+import { judge, selectJudgedRoutes } from "./judge";
 
 export interface SoakOptions {
     readonly seed: number;
@@ -22,6 +23,8 @@
     /** Submissions of which a try was refused for load. */
     readonly overloaded: number;
     readonly starts: number;
+    /** Requests for an added route that were judged by the bound on configurations. */
+    readonly judgedRoutes: number;
     readonly faults: readonly string[];
     /** Folder with the entries' logs. */
     readonly folder: string;
@@ -45,6 +48,9 @@
 /** Submissions of a burst, and the mean pause between them, in milliseconds: tasks wait before the last ones are sent. */
 const [burstSubmissions, burstPauseMs] = [40, 20];
 
+/** Offset of the seeds of the stream that silences connections. */
+const connectionStream = 1_000_000;
+
 /** A task works this long, in milliseconds. */
 const [shortestWorkMs, longestWorkMs] = [100, 1200];
 
@@ -72,13 +78,15 @@
         random: faultRandom,
         // A stream of its own: seeds from before keep their faults.
         loadRandom: createRandom(-1 - seed),
+        connectionRandom: createRandom(seed + connectionStream),
         cancelOne: () => cancelOne(clients, clientRandom),
         sendBurst: (random) => sendBurst(clients, random),
     });
+    const routeChecks = createRouteChecks(world);
     try {
         await pause(startMs);
         void clients.submit({ tasks: 3, isLasting: true });
-        const injecting = faults.run(faultsForMs);
+        const injecting = Promise.all([faults.run(faultsForMs), routeChecks.run(faultsForMs)]);
         await sendTraffic(clients, trafficRandom, faultsForMs);
         await injecting;
         const calmSinceMs = performance.now();
@@ -92,6 +100,8 @@
             stories,
             events,
             revokedAtMs: faults.revokedAtMs(),
+            routeAnswers: routeChecks.answers,
+            disturbances: faults.disturbances,
             calmSinceMs,
             endedAtMs: performance.now(),
             tasksPerWorker: 4,
@@ -102,6 +112,8 @@
             accepted: stories.filter(({ acceptedAtMs }) => acceptedAtMs !== undefined).length,
             refused: stories.filter(({ acceptedAtMs }) => acceptedAtMs === undefined).length,
             overloaded: stories.filter(({ answers }) => answers.includes(429)).length,
+            judgedRoutes:
+                selectJudgedRoutes({ routeAnswers: routeChecks.answers, disturbances: faults.disturbances }).length,
             starts: events.filter(({ kind }) => kind === "started").length,
             faults: faults.injected.map(({ atMs, text }) => `${Math.round(atMs)} ${text}`),
             folder: world.folder,
--- a/soak/startEntry.ts
+++ b/soak/startEntry.ts
@@ -23,6 +23,8 @@
 /** One entry as a process of its own, with bad paths to the store and to its clients. */
 export interface Entry {
     readonly name: string;
+    /** Where it takes clients, without the path that may be bad. */
+    readonly clientAddress: string;
     readonly toStore: Proxy;
     readonly fromClients: Proxy;
     isRunning(): boolean;
@@ -43,11 +45,14 @@
 /** How long a key that was taken away may still be taken, in milliseconds. */
 export const revokeMs = 5000;
 
+/** How long after its confirmation a configuration has to be in force, in milliseconds. */
+export const configApplyMs = 2000;
+
 export async function startEntry(opts: EntryOptions): Promise<Entry> {
     const { name, folder } = opts;
     const toStore = await startProxy(`from ${name}`, opts.storeAddress);
     const settingsFile = join(folder, `${name}.yaml`);
-    const settings = encodeNodeSettings({ ...opts, storeAddress: toStore.address, graceS, revokeMs });
+    const settings = encodeNodeSettings({ ...opts, storeAddress: toStore.address, graceS, revokeMs, configApplyMs });
     writeFileSync(settingsFile, stringify(settings));
     const log = createWriteStream(join(folder, `${name}.log`));
     const fromClients = await startProxy(`to ${name}`, settings.listen.front);
@@ -82,6 +87,7 @@
     start();
     return {
         name,
+        clientAddress: settings.listen.front,
         toStore,
         fromClients,
         isRunning: () => child !== undefined,
--- a/standins/usersPlatform/encodeEntries.ts
+++ b/standins/usersPlatform/encodeEntries.ts
@@ -92,11 +92,13 @@
     readonly graceS: number;
     /** How long a key that was taken away may still be taken, in milliseconds. */
     readonly revokeMs: number;
+    /** How long after its confirmation a configuration has to be in force, in milliseconds. */
+    readonly configApplyMs: number;
 }
 
 /** The settings file that the platform writes for a process. */
 export function encodeNodeSettings(input: NodeSettingsInput) {
-    const { name, zone, host, port, graceS, revokeMs } = input;
+    const { name, zone, host, port, graceS, revokeMs, configApplyMs } = input;
     return {
         node: name,
         ip: host,
@@ -104,7 +106,7 @@
         region: "north",
         listen: { front: `${host}:${port}`, ready: `${host}:${port + 1}`, control: `${host}:${port + 2}` },
         portRange: [port + 3, port + 9],
-        bounds: { contactMs: 3000, graceS, revokeMs, maxHoldMs: 6000, stopTimeoutMs: 900 },
+        bounds: { contactMs: 3000, graceS, revokeMs, configApplyMs, maxHoldMs: 6000, stopTimeoutMs: 900 },
         platform: { address: input.storeAddress },
         cloud: { address: input.machinesAddress },
     };
--- a/test/soak/soak.feature
+++ b/test/soak/soak.feature
@@ -73,3 +73,17 @@
     Scenario: a step that serves with too few tasks
         Given 2 tasks of a serving step that are stopped at once, where 1 may be away
         Then the judge finds "away by order"
+
+    Scenario Outline: a route that is refused after it was added
+        Guards against an entry that stays behind on the configuration, and against a judge that blames an entry whose
+        paths are disturbed.
+
+        Given a submission of 1 task that was accepted, run and shown as "complete"
+        When an entry refuses a route <lateMs> ms after it was added, and <calmMs> ms after its last disturbance
+        Then the judge finds <what>
+
+        Examples:
+            | lateMs | calmMs | what                     |
+            | 2100   | 3100   | "refused /route-1/ 2100" |
+            | 2100   | 2900   | nothing                  |
+            | 1900   | 3100   | nothing                  |
--- a/test/soak/soak.steps.ts
+++ b/test/soak/soak.steps.ts
@@ -2,6 +2,8 @@
 import assert from "node:assert/strict";
 import { execFileSync } from "node:child_process";
 import type { SubmissionStory } from "../../soak/createClients";
+import type { Disturbance } from "../../soak/createFaults";
+import type { RouteAnswer } from "../../soak/createRouteChecks";
 import { keptKey, revokedKey } from "../../soak/createWorld";
 import { judge } from "../../soak/judge";
 import { runSoak, type SoakResult } from "../../soak/runSoak";
@@ -12,6 +14,8 @@
     story: SubmissionStory;
     events: WorkerEvent[];
     revokedAtMs: number | undefined;
+    routeAnswers: RouteAnswer[];
+    disturbances: Disturbance[];
 }
 
 setDefaultTimeout(90_000);
@@ -19,6 +23,8 @@
 Before(function(this: World) {
     this.events = [];
     this.revokedAtMs = undefined;
+    this.routeAnswers = [];
+    this.disturbances = [];
 });
 
 Given("the daemon is built", function() {
@@ -107,8 +113,27 @@
     this.revokedAtMs = this.story.sentAtMs - ms;
 });
 
-function findBroken({ story, events, revokedAtMs }: World): readonly string[] {
-    return judge({ stories: [story], events, revokedAtMs, calmSinceMs: 11_000, endedAtMs: 31_000, tasksPerWorker: 4 });
+When(
+    "an entry refuses a route {int} ms after it was added, and {int} ms after its last disturbance",
+    function(this: World, lateMs: number, calmMs: number) {
+        const sentAtMs = 20_000;
+        const answer = { entry: "entry-1", path: "/route-1/", sentAtMs, confirmedAtMs: sentAtMs - lateMs, status: 404 };
+        this.routeAnswers = [answer];
+        this.disturbances = [{ entry: undefined, fromMs: 10_000, untilMs: sentAtMs - calmMs }];
+    },
+);
+
+function findBroken({ story, events, revokedAtMs, routeAnswers, disturbances }: World): readonly string[] {
+    return judge({
+        stories: [story],
+        events,
+        revokedAtMs,
+        routeAnswers,
+        disturbances,
+        calmSinceMs: 11_000,
+        endedAtMs: 31_000,
+        tasksPerWorker: 4,
+    });
 }
 
 Then("the judge finds nothing", function(this: World) {
