--- a/src/policy/createPolicyWatcher.ts
+++ b/src/policy/createPolicyWatcher.ts
@@ -52,8 +52,8 @@
 /**
  * Longest wait of one watch, in milliseconds. The age of the configuration is counted from the time at which the last
  * answered watch was sent, so this bounds the age while the store answers. A withdrawn key has to stop working within
- * 5,000 ms even on an entry that is cut off, and such an entry stops taking requests with keys soon after. Each entry
- * makes 0.7 calls a second, which count against the platform's limit of calls.
+ * 5,000 ms even on an entry that is cut off, and such an entry stops taking requests with keys soon after. With this wait,
+ * each entry makes 0.7 calls a second, which count against the platform's limit of calls.
  */
 const maxWatchWaitMs = 1500;
 
@@ -63,15 +63,15 @@
 /** Time for a repeated watch to be answered and its answer to be applied, in milliseconds. */
 const applyReserveMs = 300;
 
-/** Wait of one watch, in milliseconds: a version that a silent watch does not deliver is still applied in time. */
+/** How long a confirmation of the view may take, in milliseconds: a slow store answers a repeated watch within it. */
+const confirmTimeoutMs = watchOverdueMs + 300;
+
+/** Chooses the wait of one watch so that a version is applied in time even if the watch falls silent, in milliseconds. */
 function chooseWatchWaitMs(configApplyMs: number): number {
     const waitMs = configApplyMs - watchOverdueMs - applyReserveMs;
     return Math.min(maxWatchWaitMs, Math.max(minWatchWaitMs, waitMs));
 }
 
-/** How long a confirmation of the view may take, in milliseconds: a slow store answers a repeated watch within it. */
-const confirmTimeoutMs = watchOverdueMs + 300;
-
 /** Watches the operators' configuration, maintenance waves and evacuations in the platform's store. */
 export function createPolicyWatcher(opts: PolicyWatcherOptions): PolicyWatcher {
     let policy: Policy | undefined;
--- a/src/store/createRelayedStore.ts
+++ b/src/store/createRelayedStore.ts
@@ -208,8 +208,9 @@
     }
 
     /**
-     * Peers that relay calls: first those that have not failed, then the one that failed longest ago. The store may refuse several entries at once: with a
-     * fixed choice, an entry whose peers are refused too would be without the store for as long as they are.
+     * Chooses the peers that relay calls: first those that have not failed, then those that failed longest ago. The store
+     * may refuse several entries at once. With a fixed choice, an entry whose peers are refused too would be without the
+     * store for as long as they are.
      */
     function chooseRelays(): readonly Peer[] {
         const connected = peers.connected();
--- a/src/submissions/submissionApi.ts
+++ b/src/submissions/submissionApi.ts
@@ -15,7 +15,10 @@
 
 /** Why a request was not carried out. No task of a refused request ever runs. `unknown` is the exception: its tasks may run. */
 export type Refusal =
-    /** No configuration is in force: there is none yet, or it is too old to tell whether the key is still valid. */
+    /**
+     * No configuration is in force: there is none yet, or it is too old to tell whether the key is still valid, or whether
+     * an unknown queue or key has been added.
+     */
     | { readonly kind: "notInForce"; readonly detail: string; readonly retryAfterMs: number; }
     /** No queue has this host and path. */
     | { readonly kind: "noRoute"; }
