fix(store, policy): answers of peers without a result, and bounds only where settings name them

- A peer that answers a relayed call with nothing made the caller throw; with watches repeated through peers that ends the process.
Such an answer counts as none, and for a write as unknown.
Without the setting there is no bound, as before.
- The choice of relays and of a watch's wait are modules without network or clock (`rankRelays`, `chooseWatchWaitMs`).

--- a/src/policy/createPolicyWatcher.ts
+++ b/src/policy/createPolicyWatcher.ts
@@ -1,6 +1,7 @@
 import { type Clocks, pause } from "../clock";
 import type { Reporter } from "../logging";
 import { createPrefixWatcher, type Store, watchOverdueMs } from "../store";
+import { chooseWatchWaitMs } from "./chooseWatchWaitMs";
 import type { Policy, Wave } from "./policy";
 
 /** Decodes what operators write to the store; `undefined` where a value can't be decoded. */
@@ -18,8 +19,10 @@
     readonly decoder: PolicyDecoder;
     readonly clocks: Clocks;
     readonly report: Reporter;
-    /** A configuration has to be in force this long after it was confirmed, in milliseconds. */
-    readonly configApplyMs: number;
+    /**
+     * A configuration has to be in force this long after it was confirmed, in milliseconds; `undefined` for no bound.
+     */
+    readonly configApplyMs: number | undefined;
     /** Called after each answer of the store has been applied. */
     onChange?(): void;
 }
@@ -49,29 +52,9 @@
     stop(): void;
 }
 
-/**
- * Longest wait of one watch, in milliseconds. The age of the configuration is counted from the time at which the last
- * answered watch was sent, so this bounds the age while the store answers. A withdrawn key has to stop working within
- * 5,000 ms even on an entry that is cut off, and such an entry stops taking requests with keys soon after. With this wait,
- * each entry makes 0.7 calls a second, which count against the platform's limit of calls.
- */
-const maxWatchWaitMs = 1500;
-
-/** Shortest wait of one watch, in milliseconds. It limits the number of calls where the bound is short. */
-const minWatchWaitMs = 300;
-
-/** Time for a repeated watch to be answered and its answer to be applied, in milliseconds. */
-const applyReserveMs = 300;
-
 /** How long a confirmation of the view may take, in milliseconds: a slow store answers a repeated watch within it. */
 const confirmTimeoutMs = watchOverdueMs + 300;
 
-/** Chooses the wait of one watch so that a version is applied in time even if the watch falls silent, in milliseconds. */
-function chooseWatchWaitMs(configApplyMs: number): number {
-    const waitMs = configApplyMs - watchOverdueMs - applyReserveMs;
-    return Math.min(maxWatchWaitMs, Math.max(minWatchWaitMs, waitMs));
-}
-
 /** Watches the operators' configuration, maintenance waves and evacuations in the platform's store. */
 export function createPolicyWatcher(opts: PolicyWatcherOptions): PolicyWatcher {
     let policy: Policy | undefined;
--- a/src/policy/index.ts
+++ b/src/policy/index.ts
@@ -1,4 +1,5 @@
 /** The operators' configuration in the platform's store: queues, pools, client accounts, maintenance waves, evacuations. */
+export { chooseWatchWaitMs } from "./chooseWatchWaitMs";
 export { createPolicyWatcher, type PolicyDecoder, type PolicyWatcher } from "./createPolicyWatcher";
 export { findQueue, findTenant } from "./findQueue";
 export { isFreshEnoughToStart } from "./isFreshEnoughToStart";
--- a/src/policy/test/policy.feature
+++ b/src/policy/test/policy.feature
@@ -51,3 +51,15 @@
         Then no zone is under evacuation
         When the entry confirms that its view is at most 2000 ms old
         Then "zone-a" is under evacuation
+
+    Scenario Outline: wait of a watch where a version has to be in force within <boundMs> ms
+        Guards against a watch that waits longer than a version may take if its connection falls silent.
+
+        Then a watch waits <waitMs> ms where a version has to be in force within <boundMs> ms
+
+        Examples:
+            | boundMs | waitMs |
+            | 2000    | 1300   |
+            | 500     | 300    |
+            | 10000   | 1500   |
+            | never   | 1500   |
--- a/src/policy/test/policy.steps.ts
+++ b/src/policy/test/policy.steps.ts
@@ -4,7 +4,13 @@
 import { createFakeStore, type FakeStore } from "../../../standins/scheduling";
 import type { LogEvent } from "../../logging";
 import type { Store } from "../../store";
-import { createPolicyWatcher, isFreshEnoughToStart, type PolicyDecoder, type PolicyWatcher } from "../index";
+import {
+    chooseWatchWaitMs,
+    createPolicyWatcher,
+    isFreshEnoughToStart,
+    type PolicyDecoder,
+    type PolicyWatcher,
+} from "../index";
 
 interface World {
     clock: Clock;
@@ -137,6 +143,13 @@
     assert.deepEqual(counts, [begun, ended]);
 });
 
+Then(
+    "a watch waits {int} ms where a version has to be in force within {word} ms",
+    function(waitMs: number, boundText: string) {
+        assert.equal(chooseWatchWaitMs(boundText === "never" ? undefined : Number(boundText)), waitMs);
+    },
+);
+
 Then(
     "with instructions {word} ms old and evacuations to be followed within {word} ms starts are {word}",
     function(ageText: string, boundText: string, word: string) {
--- a/src/store/createRelayedStore.ts
+++ b/src/store/createRelayedStore.ts
@@ -1,6 +1,7 @@
 import type { FailedReadAttempt } from "../logging";
 import type { Peer, Peers } from "../peers";
 import { firstAnswer } from "./firstAnswer";
+import { rankRelays } from "./rankRelays";
 import type { Commit, ReadResult, Store, WatchResult } from "./store";
 
 /** Peer message topic of relayed store calls. */
@@ -164,13 +165,13 @@
     async function callPeer<R extends CallResult>(peer: Peer, call: RelayedCall, timeoutMs: number): Promise<R> {
         const sentAtMs = nowMs();
         const answer = await peers.request(peer.boot, relayTopic, call, timeoutMs);
-        const result = answer.caseOf<R>({
-            Right: (given) => given as R,
+        const noResult = (isSent: boolean, detail: string) =>
             // A request that was not sent has no effect; a write that was sent may have been made.
-            Left: ({ kind, detail }) =>
-                ({ kind: kind === "unknown" && isWrite(call) ? "unknown" : "unavailable", detail }) as
-                    & R
-                    & { detail: string; },
+            ({ kind: isSent && isWrite(call) ? "unknown" : "unavailable", detail }) as R & { detail: string; };
+        const result = answer.caseOf<R>({
+            // An entry of another version may answer something else.
+            Right: (given) => isCallResult(given) ? given as R : noResult(true, "the peer's answer holds no result"),
+            Left: ({ kind, detail }) => noResult(kind === "unknown", detail),
         });
         reportFailedRead(call, result, sentAtMs, peer);
         recordRelay(peer, result.kind);
@@ -207,19 +208,11 @@
         }
     }
 
-    /**
-     * Chooses the peers that relay calls: first those that have not failed, then those that failed longest ago. The store
-     * may refuse several entries at once. With a fixed choice, an entry whose peers are refused too would be without the
-     * store for as long as they are.
-     */
     function chooseRelays(): readonly Peer[] {
         const connected = peers.connected();
         const boots = new Set(connected.map(({ boot }) => boot));
         [...relayFailedAtMs.keys()].filter((boot) => !boots.has(boot)).forEach((boot) => relayFailedAtMs.delete(boot));
-        const failedAtMs = ({ boot }: Peer) => relayFailedAtMs.get(boot) ?? 0;
-        return [...connected]
-            .sort((a, b) => failedAtMs(a) - failedAtMs(b) || hashPair(a.boot) - hashPair(b.boot))
-            .slice(0, maxPeersAsked);
+        return rankRelays(peers.self.boot, connected, relayFailedAtMs).slice(0, maxPeersAsked);
     }
 
     async function probePeer(peer: Peer, timeoutMs: number): Promise<boolean> {
@@ -230,11 +223,6 @@
         return kind === "found" || kind === "missing";
     }
 
-    /** Hashes the pair of boots, so that different entries relay through different peers. */
-    function hashPair(boot: string): number {
-        return [...`${peers.self.boot}${boot}`].reduce((sum, char) => (sum * 31 + char.charCodeAt(0)) % 65_521, 7);
-    }
-
     async function callAny<R extends CallResult>(call: RelayedCall): Promise<R> {
         if (!isDirectDown) {
             const result = await callDirect<R>(call);
@@ -267,6 +255,10 @@
     };
 }
 
+function isCallResult(given: unknown): given is CallResult {
+    return typeof given === "object" && !!given && "kind" in given && typeof given.kind === "string";
+}
+
 function isWrite(call: RelayedCall): boolean {
     return call.call === "commit";
 }
--- a/src/store/test/store.feature
+++ b/src/store/test/store.feature
@@ -60,13 +60,16 @@
         Then "entry-1" is relay-only
         And "entry-2" is not relay-only
 
-    Scenario Outline: a peer answers a probe with <answer>
-        Guards against a probe that throws, or that takes an answer without a result for one of the store.
+    Scenario Outline: a peer answers relayed calls with <answer>
+        Guards against a process that ends because of such an answer, or takes it for one of the store.
 
         Given entries "entry-1" and "entry-2" are linked peers
         When "entry-2" answers relayed calls with <answer>
         Then no peer of "entry-1" has an answer of the store
 
+        When the store is "refused" for "entry-1"
+        Then a write of "entry-1" ends as "unknown"
+
         Examples:
             | answer  |
             | nothing |
--- a/src/submissions/createSubmissionApi.ts
+++ b/src/submissions/createSubmissionApi.ts
@@ -37,8 +37,11 @@
     readonly steadyMs: () => number;
     /** A withdrawn API key has to stop working on every entry within this time, in milliseconds. */
     readonly revokeMs: number;
-    /** A configuration has to be in force on every entry this long after it was confirmed, in milliseconds. */
-    readonly configApplyMs: number;
+    /**
+     * A configuration has to be in force on every entry this long after it was confirmed, in milliseconds; `undefined` for
+     * no bound.
+     */
+    readonly configApplyMs: number | undefined;
     /** A submission has been stored; `tookMs` is the time that the store took, in milliseconds. */
     onStored?(item: StoreItem, tookMs: number): void;
 }
@@ -82,14 +85,15 @@
      * the request is answered "not in force", which tells the client to come back.
      */
     async function authorize(context: RequestContext): Promise<Authorized | Refusal> {
+        const maxAgeMs = opts.configApplyMs ?? Number.POSITIVE_INFINITY;
         const result = authorizeByView(context);
-        if (!isDefiniteRefusal(result) || isViewYoungerThan(opts.configApplyMs)) {
+        if (!isDefiniteRefusal(result) || isViewYoungerThan(maxAgeMs)) {
             return result;
         }
         if (!policySource.isStoreLost()) {
-            await policySource.confirm(opts.configApplyMs);
+            await policySource.confirm(maxAgeMs);
         }
-        return isViewYoungerThan(opts.configApplyMs) ? authorizeByView(context) : notInForce();
+        return isViewYoungerThan(maxAgeMs) ? authorizeByView(context) : notInForce();
     }
 
     function isViewYoungerThan(ms: number): boolean {
