--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,4 +5,12 @@
     echo "build the deploy file first" >&2
     exit 2
 fi
-exec node play.mjs
+node play.mjs &
+player=$!
+trap 'kill "$player"; wait "$player"; exit 2' TERM INT
+wait "$player"
+case $? in
+    0) exit 0 ;;
+    3) exit 1 ;;
+    *) exit 2 ;;
+esac
--- a/review/3/play.mjs
+++ b/review/3/play.mjs
@@ -1,6 +1,6 @@
 import { fileURLToPath } from "node:url";
-import { createRecord } from "../lib/record.mjs";
-import { call, createWorld, pause, prefix, runCase } from "../lib/world.mjs";
+import { createRecord } from "../record.mjs";
+import { call, createWorld, pause, prefix, runCase } from "../world.mjs";
 
 const hasTrouble = process.env.TROUBLE !== "0";
 const record = createRecord(fileURLToPath(new URL("record.txt", import.meta.url)));
--- a/review/lib/daemon.mjs
+++ b/review/daemon.mjs
@@ -4,7 +4,7 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 
-const root = fileURLToPath(new URL("../..", import.meta.url));
+const root = fileURLToPath(new URL("..", import.meta.url));
 
 async function findFreePorts(host, count) {
     const servers = await Promise.all(Array.from({ length: count }, () =>
@@ -78,6 +78,8 @@
         child = started;
     }
 
+    // Whatever ends this process, the entry does not outlive it.
+    process.once("exit", () => child?.kill("SIGKILL"));
     start();
     return {
         name,
--- a/review/lib/world.mjs
+++ b/review/world.mjs
@@ -83,6 +83,7 @@
         version: 3,
         routes: [{
             name: "stall-hold",
+            kind: "unsafe",
             host,
             prefix,
             service: "stalls",
@@ -93,9 +94,17 @@
             targetLatencyMs: 600,
             timeoutMs: 3000,
         }],
-        services: [{ name: "stalls", rejectsOverload: false, standby: false }],
+        services: [{
+            name: "stalls",
+            healthPath: "/health",
+            maxConnections: 64,
+            protocol: "h1",
+            tls: false,
+            rejectsOverload: false,
+            standby: false,
+        }],
         tenants: [{ name: "giza", apiKeys: [key], weight: 10, cap }],
-        limits: {},
+        limits: { maxHeaderBytes: 16384, maxBodyBytes: 262144, headerTimeoutMs: 3000, idleTimeoutMs: 15000 },
     });
     const workers = [];
     for (let at = 0; at < workerCount; at++) {
@@ -222,24 +231,30 @@
     });
 }
 
-/** Runs a case and exits with 0 (the rule held), 1 (it was broken) or 2 (the case couldn't run). */
+/** Exit codes of `play.mjs`. Node.js itself exits with 1 on an error, so `run.sh` translates `broken` to 1. */
+const ExitCode = { held: 0, notRun: 2, broken: 3 };
+
+/** Runs a case and exits with one of the codes above. */
 export async function runCase(record, play) {
     let world;
-    const timer = setTimeout(() => {
-        record("the case took too long");
+
+    function stopWithout(reason) {
+        record(`the case couldn't run: ${reason}`);
         world?.stop();
-        process.exit(2);
-    }, 110_000);
+        process.exit(ExitCode.notRun);
+    }
+
+    const timer = setTimeout(() => stopWithout("it took too long"), 110_000);
+    process.once("uncaughtException", (error) => stopWithout(error.stack));
+    ["SIGTERM", "SIGINT"].forEach((signal) => process.once(signal, () => stopWithout(signal)));
     try {
         const isBroken = await play((created) => world = created);
         clearTimeout(timer);
         world?.stop();
         record(isBroken ? "RESULT: the rule was broken" : "RESULT: the rule held");
-        process.exit(isBroken ? 1 : 0);
+        process.exit(isBroken ? ExitCode.broken : ExitCode.held);
     }
     catch (error) {
-        record(`the case couldn't run: ${error.stack}`);
-        world?.stop();
-        process.exit(2);
+        stopWithout(error.stack);
     }
 }
