feat(runs): log the limit that a failed attempt is judged by

Whether the limit came from the configuration or was assumed could not be read from the log: `end` names the run only. `attemptFailed` and the counter `samphirepin_failed_attempts_total` give the attempts so far, the limit and where it comes from.

--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -190,6 +190,18 @@
         readonly worker: string;
         readonly how: string;
     }
+    /** A run of a task failed by the task's own fault, which counts as one of its attempts. */
+    | {
+        readonly kind: "attemptFailed";
+        readonly task: string;
+        readonly run: number;
+        /** Failed attempts of the task so far, this one included. */
+        readonly failedAttempts: number;
+        readonly maxAttempts: number;
+        /** Where `maxAttempts` comes from. */
+        readonly limitFrom: string;
+        readonly policyVersion: number;
+    }
     /** The leader dropped a run because nothing of it can still be running. */
     | (DropEvidence & {
         readonly kind: "runDropped";
--- a/src/metrics/createEventMetrics.ts
+++ b/src/metrics/createEventMetrics.ts
@@ -47,6 +47,11 @@
     const ends = counter("ends", "Ends that workers have listed", "how");
     const dropped = counter("runs_dropped", "Runs given up without an end listed by their worker, by cause", "cause");
     const reappeared = counter("runs_reappeared", "Runs given up that their worker listed later, by state", "state");
+    const failedAttempts = counter(
+        "failed_attempts",
+        "Runs that failed and count as attempts of their task, by where the limit comes from",
+        "limit",
+    );
     const submissions = counter("submissions", "Submissions taken and ended by this owner", "change");
     const machineOrders = counter("machine_orders", "Moves and upkeeps, by outcome", "order", "outcome");
     const duties = counter("duty_changes", "Changes of the scheduling duty", "change");
@@ -183,6 +188,9 @@
                 case "runDropped":
                     dropped.inc({ cause: event.cause });
                     return;
+                case "attemptFailed":
+                    failedAttempts.inc({ limit: event.limitFrom });
+                    return;
                 case "runReappeared":
                     reappeared.inc({ state: event.state });
                     return;
--- a/src/runs/applyEnd.ts
+++ b/src/runs/applyEnd.ts
@@ -1,3 +1,4 @@
+import type { Reporter } from "../logging";
 import type { Policy } from "../policy";
 import {
     type DurationEstimates,
@@ -21,6 +22,7 @@
     readonly policy: Policy | undefined;
     readonly estimates: DurationEstimates;
     readonly nowMs: number;
+    readonly report: Reporter;
     /** Stops a run that is no longer needed. */
     stop(run: Run, reason: string): void;
 }
@@ -96,6 +98,16 @@
     failing.forEach(({ failedRuns }) => failedRuns.add(number));
     const { policy } = context;
     const maxAttempts = policy === undefined ? defaultMaxAttempts : queueOf(policy, task.entry.submission).maxAttempts;
+    const queueNames = policy?.queues.map(({ name }) => name) ?? [];
+    context.report({
+        kind: "attemptFailed",
+        task: task.name,
+        run: number,
+        failedAttempts: task.failedRuns.size,
+        maxAttempts,
+        limitFrom: queueNames.includes(task.entry.submission.route) ? "configuration" : "assumption",
+        policyVersion: policy?.version ?? 0,
+    });
     if (task.failedRuns.size >= maxAttempts) {
         task.phase = "failed";
     }
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -116,6 +116,7 @@
                 policy: opts.policy(),
                 estimates,
                 nowMs: clocks.monotonicMs(),
+                report,
                 stop: runControl.stop,
             }),
         async save(entry) {
