fix(schedule, submissions): a submission keeps the number of attempts under which it was accepted

What callers saw: while the configuration named a submission's queue differently, or a new leader had not read one, its tasks had 2 attempts in place of the configured 3, and the submission was shown as failed for good. With 1 configured, a task was started a second time after its only attempt had failed.

Cause: the record of a submission held the name and the pool of its queue and no other figure. queueOf made up the rest for a name that isn't configured, and applyEnd had a second figure for the time without a configuration. The end of a run was judged by these, and a final record can't be taken back.

Change: the record holds the queue's terms. The number of attempts is always the record's, so it does not depend on the version that the leader has read; the other terms follow the configuration while the queue is configured. A record of an earlier build takes the number from the configuration; while it isn't known, a task that has failed is neither failed nor started again, whichever planner asks.

--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -197,10 +197,8 @@
         readonly run: number;
         /** Failed attempts of the task so far, this one included. */
         readonly failedAttempts: number;
-        readonly maxAttempts: number;
-        /** Where `maxAttempts` comes from. */
-        readonly limitFrom: string;
-        readonly policyVersion: number;
+        /** `undefined` while it is not known: the task is neither failed nor started again. */
+        readonly maxAttempts: number | undefined;
     }
     /** The leader dropped a run because nothing of it can still be running. */
     | (DropEvidence & {
--- a/src/metrics/createEventMetrics.ts
+++ b/src/metrics/createEventMetrics.ts
@@ -49,7 +49,7 @@
     const reappeared = counter("runs_reappeared", "Runs given up that their worker listed later, by state", "state");
     const failedAttempts = counter(
         "failed_attempts",
-        "Runs that failed and count as attempts of their task, by where the limit comes from",
+        "Runs that failed and count as attempts of their task, by whether the limit is known",
         "limit",
     );
     const submissions = counter("submissions", "Submissions taken and ended by this owner", "change");
@@ -189,7 +189,7 @@
                     dropped.inc({ cause: event.cause });
                     return;
                 case "attemptFailed":
-                    failedAttempts.inc({ limit: event.limitFrom });
+                    failedAttempts.inc({ limit: event.maxAttempts === undefined ? "unknown" : "known" });
                     return;
                 case "runReappeared":
                     reappeared.inc({ state: event.state });
--- a/src/policy/index.ts
+++ b/src/policy/index.ts
@@ -3,4 +3,14 @@
 export { createPolicyWatcher, type PolicyDecoder, type PolicyWatcher } from "./createPolicyWatcher";
 export { findQueue, findTenant } from "./findQueue";
 export { isFreshEnoughToStart } from "./isFreshEnoughToStart";
-export type { AdviceConfig, Policy, PoolConfig, QueueConfig, RequestLimits, Tenant, Wave } from "./policy";
+export {
+    type AdviceConfig,
+    type Policy,
+    type PoolConfig,
+    type QueueConfig,
+    type QueueTerms,
+    type RequestLimits,
+    type Tenant,
+    termsOf,
+    type Wave,
+} from "./policy";
--- a/src/policy/policy.ts
+++ b/src/policy/policy.ts
@@ -23,6 +23,16 @@
     readonly advice: AdviceConfig | undefined;
 }
 
+/** How the submissions of a queue are scheduled. Each keeps the terms under which it was accepted. */
+export type QueueTerms = Pick<
+    QueueConfig,
+    "priority" | "maxAttempts" | "stretch" | "targetLatencyMs" | "advice"
+>;
+
+export function termsOf({ priority, maxAttempts, stretch, targetLatencyMs, advice }: QueueConfig): QueueTerms {
+    return { priority, maxAttempts, stretch, targetLatencyMs, advice };
+}
+
 /** Times of the advice service for a queue. */
 export interface AdviceConfig {
     readonly decisionMs: number;
--- a/src/runs/applyEnd.ts
+++ b/src/runs/applyEnd.ts
@@ -1,9 +1,8 @@
 import type { Reporter } from "../logging";
-import type { Policy } from "../policy";
 import {
     type DurationEstimates,
+    failIfExhausted,
     findTask,
-    queueOf,
     recordFailure,
     recordSuccess,
     removeRun,
@@ -18,8 +17,6 @@
 /** What applying the end of a run depends on. */
 export interface EndContext {
     readonly state: SchedulerState;
-    /** Current configuration; `undefined` until one has been read. */
-    readonly policy: Policy | undefined;
     readonly estimates: DurationEstimates;
     readonly nowMs: number;
     readonly report: Reporter;
@@ -30,9 +27,6 @@
 /** Delay before a failed task is retried, in milliseconds. */
 const failedRetryMs = 100;
 
-/** Limit of attempts of a task until a configuration has been read. */
-const defaultMaxAttempts = 2;
-
 /** Applies the end of a run as listed by a worker; returns the entry of the submission that it changed, if any. */
 export function applyEnd(worker: Worker, end: ListedEnd, context: EndContext): SubmissionEntry | undefined {
     const task = findTask(context.state, end.task);
@@ -96,21 +90,14 @@
     // A gang fails as a whole: its members share one count of attempts.
     const failing = task.step.isGang ? membersOf(task) : [task];
     failing.forEach(({ failedRuns }) => failedRuns.add(number));
-    const { policy } = context;
-    const maxAttempts = policy === undefined ? defaultMaxAttempts : queueOf(policy, task.entry.submission).maxAttempts;
-    const queueNames = policy?.queues.map(({ name }) => name) ?? [];
     context.report({
         kind: "attemptFailed",
         task: task.name,
         run: number,
         failedAttempts: task.failedRuns.size,
-        maxAttempts,
-        limitFrom: queueNames.includes(task.entry.submission.route) ? "configuration" : "assumption",
-        policyVersion: policy?.version ?? 0,
+        maxAttempts: task.entry.maxAttempts,
     });
-    if (task.failedRuns.size >= maxAttempts) {
-        task.phase = "failed";
-    }
+    failIfExhausted(task);
 }
 
 function membersOf(task: Task): readonly Task[] {
--- a/src/schedule/estimateRemaining.ts
+++ b/src/schedule/estimateRemaining.ts
@@ -1,4 +1,4 @@
-import type { QueueConfig } from "../policy";
+import type { QueueTerms } from "../policy";
 import { type DurationEstimates, fullCriticalPathMs, remainingCriticalPathMs, remainingWorkCoreMs } from "./estimates";
 import type { RemainingEstimate, SubmissionEntry } from "./schedulerState";
 
@@ -31,7 +31,7 @@
  * The target is a multiple (`stretch`) of the full critical path, because the remaining one shrinks as steps are done.
  */
 export function targetAgeMs(
-    { targetLatencyMs, stretch }: QueueConfig,
+    { targetLatencyMs, stretch }: Pick<QueueTerms, "targetLatencyMs" | "stretch">,
     { criticalPathMs, fullCriticalPathMs }: RemainingEstimate,
 ): number {
     return targetLatencyMs + stretch * Math.max(criticalPathMs, fullCriticalPathMs);
--- a/src/schedule/index.ts
+++ b/src/schedule/index.ts
@@ -1,4 +1,5 @@
 /** Scheduling decisions, without I/O or clock: which tasks wait, in which order they start, and on which worker. */
+export { failIfExhausted, hasAttemptLeft, setMaxAttempts } from "./attempts";
 export { createAccountShares } from "./createAccountShares";
 export { createWorker } from "./createWorker";
 export { desiredCpuMillis } from "./desiredCpuMillis";
@@ -22,7 +23,7 @@
 } from "./placeTask";
 export { planSpeculativeRuns } from "./planSpeculativeRuns";
 export { groupByPool, listAdviceCandidates, planStarts, type StartsInFlight } from "./planStarts";
-export { queueOf } from "./queueOf";
+export { findMaxAttempts, queueOf, type SubmissionQueue } from "./queueOf";
 export { listPlacementUnits, type PlacementUnit, type RankedEntry, rankSubmissions } from "./rankSubmissions";
 export { addRun, moveRun, removeRun } from "./runs";
 export * from "./schedulerState";
--- a/src/schedule/planSpeculativeRuns.ts
+++ b/src/schedule/planSpeculativeRuns.ts
@@ -1,4 +1,5 @@
 import type { Submission } from "../submissions";
+import { hasAttemptLeft } from "./attempts";
 import type { DurationEstimates } from "./estimates";
 import { placeTask } from "./placeTask";
 import { addRun } from "./runs";
@@ -62,7 +63,10 @@
 
 function isStraggling(task: Task, { estimates, nowMs }: SpeculationOptions): boolean {
     const [run] = task.runs;
-    if (!task.step.isSpeculative || task.phase !== "waiting" || run === undefined || task.runs.length >= maxRuns) {
+    if (!task.step.isSpeculative || task.phase !== "waiting" || run === undefined || !hasAttemptLeft(task)) {
+        return false;
+    }
+    if (task.runs.length >= maxRuns) {
         return false;
     }
     // A worker that this leader has not polled yet does not count as unreachable.
--- a/src/schedule/queueOf.ts
+++ b/src/schedule/queueOf.ts
@@ -1,40 +1,45 @@
-import type { Policy, QueueConfig } from "../policy";
+import type { Policy, QueueConfig, QueueTerms } from "../policy";
 import type { Submission } from "../submissions";
 
-/** Maximum number of attempts of a task whose queue is no longer configured. */
-const removedQueueMaxAttempts = 2;
+/** What scheduling needs to know of a submission's queue. */
+export type SubmissionQueue = Pick<QueueConfig, "service"> & Omit<QueueTerms, "maxAttempts">;
 
-/**
- * Stretch of a queue that is no longer configured. With this, a latency target of 0 and the lowest priority, its
- * submissions get no precedence.
- */
-const removedQueueStretch = 1;
+/** Ranks a submission whose queue is not known behind all others. */
+const unknownQueueTerms = {
+    priority: Number.MAX_SAFE_INTEGER,
+    stretch: 1,
+    targetLatencyMs: 0,
+    advice: undefined,
+} as const;
 
 /** Queues by name, for each policy. Each waiting submission needs a lookup among up to a few thousand queues. */
 const queueIndexes = new WeakMap<Policy, ReadonlyMap<string, QueueConfig>>();
 
-function indexQueues(policy: Policy): ReadonlyMap<string, QueueConfig> {
+function findConfigured(policy: Policy, { route }: Submission): QueueConfig | undefined {
     const index = queueIndexes.get(policy) ?? new Map(policy.queues.map((queue) => [queue.name, queue]));
     queueIndexes.set(policy, index);
-    return index;
+    return index.get(route);
+}
+
+/**
+ * The queue of a submission: as it is configured now or, after operators have removed or renamed it, in the pool and on
+ * the terms under which the submission was accepted.
+ */
+export function queueOf(policy: Policy, submission: Submission): SubmissionQueue {
+    return findConfigured(policy, submission)
+        ?? { ...submission.terms ?? unknownQueueTerms, service: submission.service };
 }
 
 /**
- * Configuration of a submission's queue. Submissions that were accepted before operators removed their queue still run
- * to their end, in the pool (`service`) that the queue had when they were accepted.
+ * Number of failed runs of one task after which the submission fails; `undefined` while it is not known.
+ *
+ * It is the number under which the submission was accepted. A submission that has failed can't be resumed, so the number
+ * does not depend on which version of the configuration has been read. A record of a build that did not write the number
+ * has that of its queue as it is configured.
  */
-export function queueOf(policy: Policy, { route, service, tenant }: Submission): QueueConfig {
-    return indexQueues(policy).get(route) ?? {
-        name: route,
-        host: "",
-        pathPrefix: "",
-        service,
-        isPublic: tenant === undefined,
-        priority: Number.MAX_SAFE_INTEGER,
-        maxAttempts: removedQueueMaxAttempts,
-        stretch: removedQueueStretch,
-        targetLatencyMs: 0,
-        timeoutMs: 0,
-        advice: undefined,
-    };
+export function findMaxAttempts(policy: Policy | undefined, submission: Submission): number | undefined {
+    if (submission.terms !== undefined) {
+        return submission.terms.maxAttempts;
+    }
+    return policy === undefined ? undefined : findConfigured(policy, submission)?.maxAttempts;
 }
--- a/src/schedule/rankSubmissions.ts
+++ b/src/schedule/rankSubmissions.ts
@@ -1,21 +1,22 @@
-import type { QueueConfig } from "../policy";
 import type { Submission } from "../submissions";
+import { hasAttemptLeft } from "./attempts";
 import { estimateRemaining, targetAgeMs } from "./estimateRemaining";
 import type { DurationEstimates } from "./estimates";
+import type { SubmissionQueue } from "./queueOf";
 import type { SubmissionEntry, Task } from "./schedulerState";
 import { isStepReady } from "./submissionEntries";
 
 /** Tasks that are placed all together or not at all. */
 export interface PlacementUnit {
     readonly entry: SubmissionEntry;
-    readonly queue: QueueConfig;
+    readonly queue: SubmissionQueue;
     /** One task, or all tasks of a gang. */
     readonly tasks: readonly Task[];
 }
 
 export interface RankOptions {
     readonly entries: Iterable<SubmissionEntry>;
-    readonly queueOf: (submission: Submission) => QueueConfig;
+    readonly queueOf: (submission: Submission) => SubmissionQueue;
     readonly estimates: DurationEstimates;
     readonly nowMs: number;
     readonly timeOfDayMs: number;
@@ -32,7 +33,7 @@
 /** A submission with tasks that can start, and its queue. */
 export interface RankedEntry {
     readonly entry: SubmissionEntry;
-    readonly queue: QueueConfig;
+    readonly queue: SubmissionQueue;
 }
 
 /** First sort key. Starving submissions are in the same group as those in time. */
@@ -76,7 +77,7 @@
     return a.share === b.share ? 0 : a.share < b.share ? -1 : 1;
 }
 
-function rank(entry: SubmissionEntry, queue: QueueConfig, opts: RankOptions): Ranked {
+function rank(entry: SubmissionEntry, queue: SubmissionQueue, opts: RankOptions): Ranked {
     const { submission, isExcess } = entry;
     if (submission.steps.some(({ isLongRunning }) => isLongRunning)) {
         return { entry, queue, group: RankGroup.longRunning, share: 0, workCoreMs: 0 };
@@ -133,5 +134,5 @@
 }
 
 function isStartable(task: Task, nowMs: number): boolean {
-    return task.phase === "waiting" && task.runs.length === 0 && task.notBeforeMs <= nowMs;
+    return task.phase === "waiting" && task.runs.length === 0 && task.notBeforeMs <= nowMs && hasAttemptLeft(task);
 }
--- a/src/schedule/schedulerState.ts
+++ b/src/schedule/schedulerState.ts
@@ -94,6 +94,8 @@
     /** Revision of the submission's progress record, which the leader writes; 0: there is none. */
     progressRevision: number;
     isCancelled: boolean;
+    /** Number of failed runs of one task after which the submission fails; `undefined`: not known yet. */
+    maxAttempts: number | undefined;
     /** Its account was beyond its rate. Set once, when the submission is classified. */
     isExcess: boolean;
     hasStarted: boolean;
--- a/src/schedule/submissionEntries.ts
+++ b/src/schedule/submissionEntries.ts
@@ -19,6 +19,7 @@
         revision,
         progressRevision: 0,
         isCancelled,
+        maxAttempts: submission.terms?.maxAttempts,
         isExcess: false,
         hasStarted: false,
         occurrences: [],
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -113,7 +113,6 @@
         applyEnd: (worker, end) =>
             applyEnd(worker, end, {
                 state,
-                policy: opts.policy(),
                 estimates,
                 nowMs: clocks.monotonicMs(),
                 report,
@@ -157,6 +156,7 @@
         estimates,
         meter,
         classifier,
+        policy: opts.policy,
         report,
         steadyMs: clocks.monotonicMs,
         stop: runControl.stop,
@@ -321,6 +321,7 @@
         countPending: (route) => loader.isLoaded() ? submissionTracker.countPending(route) : undefined,
         policyChanged() {
             markEvacuated();
+            submissionTracker.applyPolicy();
             // Until all submissions have been read, they are not classified: their order would be lost.
             if (loader.isLoaded()) {
                 classifier.classify();
--- a/src/scheduler/createSubmissionTracker.ts
+++ b/src/scheduler/createSubmissionTracker.ts
@@ -1,14 +1,17 @@
 import type { Reporter } from "../logging";
 import type { DemandMeter } from "../machines";
+import type { Policy } from "../policy";
 import { progressKey, type TaskProgress } from "../progress";
 import {
     addDueOccurrences,
     addSubmission,
     type DurationEstimates,
     estimateRemaining,
+    findMaxAttempts,
     isComplete,
     type Run,
     type SchedulerState,
+    setMaxAttempts,
     type SubmissionEntry,
     tasksOf,
     type Worker,
@@ -23,6 +26,8 @@
     readonly estimates: DurationEstimates;
     readonly meter: DemandMeter;
     readonly classifier: Pick<SubmissionClassifier, "addOpen" | "addFinal">;
+    /** Current configuration; `undefined` until one has been read. */
+    readonly policy: () => Policy | undefined;
     readonly report: Reporter;
     readonly steadyMs: () => number;
     stop(run: Run, reason: string): void;
@@ -44,6 +49,8 @@
     restoreFrom(progress: ReadonlyMap<string, StoredProgress>): void;
     /** Handles a new or changed submission record from the store. `item` is `undefined` if the record was removed. */
     handleRecord(key: string, item: StoreItem | undefined): void;
+    /** Looks up numbers of attempts that are not known yet. Has to be called after each change of the configuration. */
+    applyPolicy(): void;
     /** Marks a submission as cancelled and decides its final state. */
     cancel(entry: SubmissionEntry): void;
     /**
@@ -110,6 +117,7 @@
             restoreProgress(schedulerState, entry, stored.tasks, opts.findWorker, nowMs);
         }
         addDueOccurrences(entry, Date.now(), nowMs);
+        findAttempts(entry);
         const ageMs = Math.max(0, Date.now() - record.submission.acceptedAtMs);
         const { workCoreMs, criticalPathMs } = estimateRemaining(entry, opts.estimates, nowMs);
         if (workCoreMs > 0) {
@@ -125,6 +133,22 @@
         settle(entry);
     }
 
+    function findAttempts(entry: SubmissionEntry): void {
+        const maxAttempts = findMaxAttempts(opts.policy(), entry.submission);
+        if (maxAttempts !== undefined) {
+            setMaxAttempts(entry, maxAttempts);
+        }
+    }
+
+    function applyPolicy(): void {
+        for (const entry of schedulerState.submissions.values()) {
+            if (entry.maxAttempts === undefined) {
+                findAttempts(entry);
+                settle(entry);
+            }
+        }
+    }
+
     function reportChange({ submission }: SubmissionEntry, change: string): void {
         const { id, route, acceptedAtMs } = submission;
         report({ kind: "submission", submission: id, change, route, sinceAcceptedMs: Date.now() - acceptedAtMs });
@@ -168,6 +192,7 @@
     return {
         restoreFrom: (next) => void (storedProgress = next),
         handleRecord: applyRecord,
+        applyPolicy,
         cancel,
         settle,
         handleFinalStored(entry) {
--- a/src/scheduler/test/classifier.steps.ts
+++ b/src/scheduler/test/classifier.steps.ts
@@ -40,6 +40,7 @@
         estimates: createDurationEstimates(),
         meter: createDemandMeter(1000),
         classifier: this.classifier,
+        policy: () => this.appliedPolicy,
         report,
         steadyMs,
         stop() {},
--- a/src/submissions/createSubmissionApi.ts
+++ b/src/submissions/createSubmissionApi.ts
@@ -1,6 +1,6 @@
 import { pause } from "../clock";
 import type { Reporter } from "../logging";
-import { findQueue, findTenant, type Policy, type QueueConfig, type Tenant } from "../policy";
+import { findQueue, findTenant, type Policy, type QueueConfig, type Tenant, termsOf } from "../policy";
 import type { Store, StoreItem } from "../store";
 import type { LoadCheck } from "./createLoadCheck";
 import type { RecordWriter } from "./createRecordWriter";
@@ -326,7 +326,14 @@
     request: SubmissionRequest,
     { queue, tenant }: { queue: QueueConfig; tenant: Tenant | undefined; },
 ): Submission {
-    return { ...request, tenant: tenant?.name, route: queue.name, service: queue.service, acceptedAtMs: Date.now() };
+    return {
+        ...request,
+        tenant: tenant?.name,
+        route: queue.name,
+        service: queue.service,
+        acceptedAtMs: Date.now(),
+        terms: termsOf(queue),
+    };
 }
 
 /** State according to the record alone. Only the leader knows whether tasks have started. */
--- a/src/submissions/submission.ts
+++ b/src/submissions/submission.ts
@@ -1,3 +1,4 @@
+import type { QueueTerms } from "../policy";
 import type { Resources } from "../resources";
 
 /** A step of a submission: equal tasks that may run in parallel. */
@@ -61,6 +62,8 @@
     readonly service: string;
     /** Milliseconds since 1970. */
     readonly acceptedAtMs: number;
+    /** Terms of the queue when the submission was accepted; missing in records of builds that did not write them. */
+    readonly terms?: QueueTerms;
 }
 
 export const SubmissionState = {
--- a/src/submissions/test/submissions.feature
+++ b/src/submissions/test/submissions.feature
@@ -5,6 +5,12 @@
         Then the answer is "accepted"
         And the submission is in the store
 
+    Scenario: a submission is stored with the terms of its queue
+        Guards against figures that have to be assumed once operators have removed the queue.
+
+        When a submission is submitted
+        Then its record has the terms of the queue
+
     Scenario: the same submission is sent twice
         Guards against tasks that run twice: after a broken connection the client sends its submission again, to any entry.
 
--- a/src/submissions/test/submissions.steps.ts
+++ b/src/submissions/test/submissions.steps.ts
@@ -236,3 +236,13 @@
     const record = decodeRecord(this.store.get(submissionKey(id))?.text ?? "");
     assert.ok(record?.kind === "open" && record.isCancelled);
 });
+
+Then("its record has the terms of the queue", function(this: World) {
+    const record = decodeRecord(this.store.get(submissionKey(id))?.text ?? "");
+    assert.deepEqual(record?.kind === "open" ? record.submission.terms : undefined, {
+        priority: plainRoute.priority,
+        maxAttempts: plainRoute.maxAttempts,
+        stretch: plainRoute.stretch,
+        targetLatencyMs: plainRoute.targetLatencyMs,
+    });
+});
--- a/standins/scheduling/createFakeTaskWorkers.ts
+++ b/standins/scheduling/createFakeTaskWorkers.ts
@@ -74,6 +74,8 @@
     runningTasks(): readonly string[];
     /** How long a task works, in milliseconds; long-running ones never end. */
     setWorkMs(find: (task: string) => number): void;
+    /** Runs that end as failed once their work is over. */
+    setFailing(isFailing: (task: string, run: number) => boolean): void;
     /** How long a stop takes, in milliseconds; the run is listed as running meanwhile. */
     setStopMs(stopMs: number): void;
     /** Moves ends and leases on; the scenario's clock calls it. */
@@ -107,6 +109,7 @@
     const workers = new Map<string, State>();
     const events: WorkerEvent[] = [];
     let findWorkMs: (task: string) => number = () => 500;
+    let isFailing: (task: string, run: number) => boolean = () => false;
     let stopMs = usualStopMs;
 
     function note(
@@ -145,7 +148,7 @@
                 end(worker, run, "failed");
             }
             else if (!run.isStopping && worker.fault !== "standstill" && nowMs - run.startedAtMs >= run.workMs) {
-                end(worker, run, "done");
+                end(worker, run, isFailing(run.task, run.run) ? "failed" : "done");
             }
         }
         if (isLeaseOver) {
@@ -343,6 +346,9 @@
         setWorkMs(next) {
             findWorkMs = next;
         },
+        setFailing(next) {
+            isFailing = next;
+        },
         setStopMs(next) {
             stopMs = next;
         },
--- a/standins/scheduling/createSchedulingEntry.ts
+++ b/standins/scheduling/createSchedulingEntry.ts
@@ -108,7 +108,7 @@
                     maxStopMs: 900,
                     machineOrdersPerSecond: 64,
                 },
-                policy: () => world.policy,
+                policy: () => world.isPolicyKnown ? world.policy : undefined,
                 waves: () => world.waves,
                 evacuatedZones: () => world.areEvacuationsHeard ? world.evacuatedZones : new Set(),
                 isPolicyFresh: () => world.isPolicyFresh,
--- a/standins/scheduling/createSchedulingWorld.ts
+++ b/standins/scheduling/createSchedulingWorld.ts
@@ -1,7 +1,7 @@
 import type { AdviceResult } from "../../src/advice";
 import type { LogEvent } from "../../src/logging";
 import type { Machine, MachineApi, MachineOrderResult } from "../../src/machines";
-import type { Policy, Wave } from "../../src/policy";
+import { type Policy, termsOf, type Wave } from "../../src/policy";
 import type { WorkerApi } from "../../src/runs";
 import type { StateCopy, WorkerRegistration } from "../../src/scheduler";
 import { encodeRecord, type Step, submissionKey } from "../../src/submissions";
@@ -56,6 +56,10 @@
     listed(): readonly Machine[];
     waves: Wave[];
     policy: Policy;
+    /** Whether entries have read a configuration. */
+    isPolicyKnown: boolean;
+    /** Replaces the configuration and tells the owner. */
+    applyPolicy(policy: Policy): void;
     /** Availability zones whose workers are to be sent nothing new. */
     readonly evacuatedZones: Set<string>;
     /** Begins or ends an evacuation and tells the owner. */
@@ -77,7 +81,7 @@
     submit(
         id: string,
         steps: readonly Partial<Step>[],
-        options?: { readonly route?: string; readonly tenant?: string; },
+        options?: { readonly route?: string; readonly tenant?: string; readonly hasTerms?: boolean; },
     ): void;
     cancel(id: string): void;
     owner(): SchedulingEntry | undefined;
@@ -197,6 +201,11 @@
         mostMaintained: () => mostMaintained,
         waves: [],
         policy: plainPolicy,
+        isPolicyKnown: true,
+        applyPolicy(policy) {
+            world.policy = policy;
+            entries.forEach((entry) => entry.scheduler()?.policyChanged());
+        },
         evacuatedZones: new Set(),
         evacuate(zone, isOn) {
             if (isOn) {
@@ -248,8 +257,10 @@
             written.set(id, key);
             store.put(key, text);
         },
-        submit(id, steps, { route = "stalls", tenant = "giza" } = {}) {
-            const submission = { ...plainSubmission(id, steps), tenant, route };
+        submit(id, steps, { route = "stalls", tenant = "giza", hasTerms = true } = {}) {
+            const queue = world.policy.queues.find(({ name }) => name === route);
+            const terms = hasTerms && queue !== undefined ? { terms: termsOf(queue) } : {};
+            const submission = { ...plainSubmission(id, steps), tenant, route, ...terms };
             store.put(submissionKey(id), encodeRecord({ kind: "open", submission, isCancelled: false }));
         },
         cancel(id) {
