fix(scheduler): records of ended submissions are removed on condition of their revision, until that is done

What callers would see: a submission is lost. The removal of ended submissions had no condition on what it removed. Carried out seconds late, it removes a submission that has come under the same id after the records were gone. And it was tried once: without an answer of the store, the records stayed until another leader had read them.

Found as a related path of the cancellation that is overturned by a late write; by reading, then by the scenarios.

Change: createRecordRemover makes each removal conditional on the revision of the final record and repeats what was not carried out.

Measured: both scenarios of test/scheduling/removal.feature failed before (the record of the new submission was missing; the record of the old one was still there) and pass now.

--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -1,7 +1,7 @@
 import { createPermitCache } from "../advice";
 import { createAccountRates } from "../fairness";
 import { createDemandMeter, createMachineOrders } from "../machines";
-import { createProgressWriter, progressKey, SavePurpose } from "../progress";
+import { createProgressWriter, SavePurpose } from "../progress";
 import {
     applyEnd,
     collectDropEvidence,
@@ -20,13 +20,13 @@
     type SubmissionEntry,
     type Worker,
 } from "../schedule";
-import { maxCommitOperations } from "../store";
-import { submissionKey, submissionPrefix } from "../submissions";
+import { submissionPrefix } from "../submissions";
 import { createBacklogMeter } from "./createBacklogMeter";
 import { createFirstStartReport } from "./createFirstStartReport";
 import { createFleetController } from "./createFleetController";
 import { createPacer } from "./createPacer";
 import { adviceStepName, createPlanner } from "./createPlanner";
+import { createRecordRemover } from "./createRecordRemover";
 import { createStateLoader } from "./createStateLoader";
 import { createSubmissionClassifier } from "./createSubmissionClassifier";
 import { createSubmissionTracker } from "./createSubmissionTracker";
@@ -163,6 +163,11 @@
         findWorker: (id, bornMs) => workerTracker.findRecorded(id, bornMs),
         save: (entry) => void progressWriter.save(entry, SavePurpose.end),
     });
+    const recordRemover = createRecordRemover({
+        store,
+        tenure,
+        takeExpired: (maxCount) => submissionTracker.takeEndedBefore(Date.now() - opts.bounds.keepFinishedMs, maxCount),
+    });
     const planner = createPlanner({
         state,
         estimates,
@@ -253,26 +258,10 @@
         }
         watchdog.tick();
         classifier.tick();
-        removeExpiredSubmissions();
+        void recordRemover.run();
         planner.planSoon();
     }
 
-    function removeExpiredSubmissions(): void {
-        const expiredIds = submissionTracker.takeEndedBefore(
-            Date.now() - opts.bounds.keepFinishedMs,
-            maxRemovedPerCommit,
-        );
-        if (expiredIds.length > 0) {
-            void store.commit({
-                conditions: [tenure.condition],
-                puts: [],
-                // A submission's first record may have been written late, after the submission had ended. It is removed
-                // here.
-                deletes: expiredIds.flatMap((id) => [submissionKey(id), progressKey(id)]),
-            });
-        }
-    }
-
     const firstStart = createFirstStartReport({ state, clocks, report, token: tenure.token });
     const loader = createStateLoader({
         store,
@@ -337,9 +326,3 @@
         measureLoad: () => loader.areWorkersRead() ? measureLoad() : undefined,
     };
 }
-
-/**
- * Finished submissions removed per commit. Each takes two operations, its record and its progress. One is the
- * condition.
- */
-const maxRemovedPerCommit = Math.floor((maxCommitOperations - 1) / 2);
--- a/src/scheduler/createSubmissionTracker.ts
+++ b/src/scheduler/createSubmissionTracker.ts
@@ -18,6 +18,7 @@
 } from "../schedule";
 import type { StoreItem } from "../store";
 import { decodeRecord, type FinalState, submissionPrefix, SubmissionState } from "../submissions";
+import type { EndedSubmission } from "./createRecordRemover";
 import type { SubmissionClassifier } from "./createSubmissionClassifier";
 import { restoreProgress } from "./restoreProgress";
 
@@ -43,6 +44,14 @@
     readonly revision: number;
 }
 
+/** End of a submission. */
+interface EndedState {
+    readonly state: FinalState;
+    readonly atMs: number;
+    /** Revision of the record. */
+    readonly revision: number;
+}
+
 /** Tracks submissions during a tenure, from their record in the store to their final state. */
 export interface SubmissionTracker {
     /** Sets the progress that earlier leaders recorded. Has to be called before any submission is handled. */
@@ -68,18 +77,17 @@
     /** Counts the submissions of a queue that have not started and are not cancelled. */
     countPending(route: string): number;
     /**
-     * Returns the ids of submissions that ended before a time of day. Returns each id once.
+     * Returns submissions that ended before a time of day. Returns each once.
      *
      * @param endedBeforeMs milliseconds since 1970
-     * @param maxIds maximum number of ids returned
      */
-    takeEndedBefore(endedBeforeMs: number, maxIds: number): readonly string[];
+    takeEndedBefore(endedBeforeMs: number, maxCount: number): readonly EndedSubmission[];
 }
 
 /** Creates a tracker that adds submissions from the store and follows each to its final state. */
 export function createSubmissionTracker(opts: SubmissionTrackerOptions): SubmissionTracker {
     const { state: schedulerState, report, steadyMs } = opts;
-    const finalStates = new Map<string, { readonly state: FinalState; readonly atMs: number; }>();
+    const finalStates = new Map<string, EndedState>();
     let storedProgress: ReadonlyMap<string, StoredProgress> = new Map();
 
     function applyRecord(key: string, item: StoreItem | undefined): void {
@@ -94,7 +102,11 @@
             if (!finalStates.has(id) && !schedulerState.submissions.has(id)) {
                 opts.classifier.addFinal(record.tenant, record.acceptedAtMs);
             }
-            finalStates.set(id, { state: record.state, atMs: record.endedAtMs });
+            finalStates.set(id, {
+                state: record.state,
+                atMs: record.endedAtMs,
+                revision: item.revision,
+            });
             return;
         }
         const known = schedulerState.submissions.get(id);
@@ -197,7 +209,8 @@
         settle,
         handleFinalStored(entry) {
             if (entry.finalState !== undefined) {
-                finalStates.set(entry.submission.id, { state: entry.finalState, atMs: Date.now() });
+                const { finalState: state, revision } = entry;
+                finalStates.set(entry.submission.id, { state, atMs: Date.now(), revision });
                 reportChange(entry, entry.finalState);
             }
             forgetIfOver(entry);
@@ -224,12 +237,10 @@
             }
             return count;
         },
-        takeEndedBefore(endedBeforeMs, maxIds) {
-            const ids = [...finalStates].filter(([, { atMs }]) => atMs < endedBeforeMs).slice(0, maxIds).map(([id]) =>
-                id
-            );
-            ids.forEach((id) => finalStates.delete(id));
-            return ids;
+        takeEndedBefore(endedBeforeMs, maxCount) {
+            const ended = [...finalStates].filter(([, { atMs }]) => atMs < endedBeforeMs).slice(0, maxCount);
+            ended.forEach(([id]) => finalStates.delete(id));
+            return ended.map(([id, { revision }]) => ({ id, revision }));
         },
     };
 }
