fix(submissions): a cancellation that finds no record keeps the submission from being stored later

What callers saw: a client got no answer to its submission and cancelled it. The cancellation was answered 410; three seconds later all tasks started, and they ran on.

Cause: the submission's write got no answer, and the store carried it out after the cancellation. Its condition is that the key doesn't exist, and the cancellation that found no record left the key as it was.

Change: the cancellation writes a record under the key, on condition that there is none, before it is acknowledged. It is a final record, which earlier builds read, and is removed like others, 30 s later at the earliest. Clients are answered as if there were no submission. A request for it that arrives later is refused as cancelled, also by the check for load, which took any record for a stored submission. A token bucket bounds these records to a tenth of the store's writes.

--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -39,7 +39,7 @@
 import { createPolicyWatcher, isFreshEnoughToStart } from "../policy";
 import { createRelayedWorkerApi } from "../runs";
 import { createScheduler, createStandbyCopy, type Scheduler } from "../scheduler";
-import { createLoadCheck, createRecordWriter, createSubmissionApi } from "../submissions";
+import { createCancelBudget, createLoadCheck, createRecordWriter, createSubmissionApi } from "../submissions";
 import { createAcceptanceNotifier } from "./createAcceptanceNotifier";
 import { createLeaderQueries } from "./createLeaderQueries";
 import { createStoreAccess } from "./createStoreAccess";
@@ -275,6 +275,11 @@
         store,
         writer,
         leader: createLeaderQueries({ peers, leaderBoot: presence.leaderBoot, scheduler: () => scheduler }),
+        cancelBudget: createCancelBudget({
+            storeWritesPerSecond: settings.storeWritesPerSecond,
+            entryCount: presence.entryCount,
+            nowMs: clocks.monotonicMs,
+        }),
         loadCheck: createLoadCheck({
             admission,
             store,
--- a/src/duties/createPresence.ts
+++ b/src/duties/createPresence.ts
@@ -22,6 +22,8 @@
 export interface Presence {
     /** Boot id of the leader as last read from the store; `undefined` for none. */
     leaderBoot(): string | undefined;
+    /** Number of entries that are up, this one included, as last read from the store. */
+    entryCount(): number;
     start(): void;
     stop(): Promise<void>;
 }
@@ -100,6 +102,7 @@
 
     return {
         leaderBoot: () => leaderBoot,
+        entryCount: () => new Set([self.boot, ...[...peers.values()].map(({ boot }) => boot)]).size,
         start() {
             watcher.start();
             void register();
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -20,7 +20,7 @@
     type SubmissionEntry,
     type Worker,
 } from "../schedule";
-import { submissionPrefix } from "../submissions";
+import { minKeepFinishedMs, submissionPrefix } from "../submissions";
 import { createBacklogMeter } from "./createBacklogMeter";
 import { createFirstStartReport } from "./createFirstStartReport";
 import { createFleetController } from "./createFleetController";
@@ -163,10 +163,11 @@
         findWorker: (id, bornMs) => workerTracker.findRecorded(id, bornMs),
         save: (entry) => void progressWriter.save(entry, SavePurpose.end),
     });
+    const keepFinishedMs = Math.max(opts.bounds.keepFinishedMs, minKeepFinishedMs);
     const recordRemover = createRecordRemover({
         store,
         tenure,
-        takeExpired: (maxCount) => submissionTracker.takeEndedBefore(Date.now() - opts.bounds.keepFinishedMs, maxCount),
+        takeExpired: (maxCount) => submissionTracker.takeEndedBefore(Date.now() - keepFinishedMs, maxCount),
     });
     const planner = createPlanner({
         state,
--- a/src/scheduler/createSubmissionTracker.ts
+++ b/src/scheduler/createSubmissionTracker.ts
@@ -17,7 +17,7 @@
     type Worker,
 } from "../schedule";
 import type { StoreItem } from "../store";
-import { decodeRecord, type FinalState, submissionPrefix, SubmissionState } from "../submissions";
+import { decodeRecord, type FinalState, isTombstone, submissionPrefix, SubmissionState } from "../submissions";
 import type { EndedSubmission } from "./createRecordRemover";
 import type { SubmissionClassifier } from "./createSubmissionClassifier";
 import { restoreProgress } from "./restoreProgress";
@@ -44,9 +44,9 @@
     readonly revision: number;
 }
 
-/** End of a submission. */
+/** End of a submission; `state` is `undefined` if it was cancelled before it was stored. */
 interface EndedState {
-    readonly state: FinalState;
+    readonly state: FinalState | undefined;
     readonly atMs: number;
     /** Revision of the record. */
     readonly revision: number;
@@ -73,6 +73,7 @@
     hasEnded(entry: SubmissionEntry): boolean;
     /** Removes a submission from the scheduler state if its final state is stored and none of its tasks runs. */
     forgetIfOver(entry: SubmissionEntry): void;
+    /** `undefined` also for a submission that was cancelled before it was stored. */
     findState(id: string): SubmissionState | undefined;
     /** Counts the submissions of a queue that have not started and are not cancelled. */
     countPending(route: string): number;
@@ -103,7 +104,7 @@
                 opts.classifier.addFinal(record.tenant, record.acceptedAtMs);
             }
             finalStates.set(id, {
-                state: record.state,
+                state: isTombstone(record) ? undefined : record.state,
                 atMs: record.endedAtMs,
                 revision: item.revision,
             });
--- a/src/submissions/createLoadCheck.ts
+++ b/src/submissions/createLoadCheck.ts
@@ -88,6 +88,8 @@
             }
             const earlier = await findEarlier(request.id);
             switch (earlier) {
+                case "cancelledBefore":
+                    return { kind: "cancelledBefore" };
                 case "found":
                     return { kind: "accepted", isNew: false };
                 case "missing":
--- a/src/submissions/createRecordFinder.ts
+++ b/src/submissions/createRecordFinder.ts
@@ -1,8 +1,10 @@
-import type { Store } from "../store";
+import type { ReadResult, Store } from "../store";
+import { decodeRecord, isTombstone } from "./record";
 
-export type FindResult = "found" | "missing" | "noAnswer";
+/** `cancelledBefore`: a cancellation came before the submission was stored. */
+export type FindResult = "found" | "cancelledBefore" | "missing" | "noAnswer";
 
-/** Finds out whether a key exists, with bounded load on the store. */
+/** Finds out whether a submission has a record, with bounded load on the store. */
 export interface RecordFinder {
     find(key: string): Promise<FindResult>;
 }
@@ -28,9 +30,9 @@
 
     async function read({ key, settle }: Wait): Promise<void> {
         reads++;
-        const { kind } = await store.read(key);
+        const result = await store.read(key);
         reads--;
-        settle(kind === "unavailable" ? "noAnswer" : kind);
+        settle(toFindResult(result));
         readNext();
     }
 
@@ -65,3 +67,14 @@
         },
     };
 }
+
+function toFindResult(result: ReadResult): FindResult {
+    switch (result.kind) {
+        case "found":
+            return isTombstone(decodeRecord(result.item.text)) ? "cancelledBefore" : "found";
+        case "missing":
+            return "missing";
+        case "unavailable":
+            return "noAnswer";
+    }
+}
--- a/src/submissions/createSubmissionApi.ts
+++ b/src/submissions/createSubmissionApi.ts
@@ -2,9 +2,17 @@
 import type { Reporter } from "../logging";
 import { findQueue, findTenant, type Policy, type QueueConfig, type Tenant, termsOf } from "../policy";
 import type { Store, StoreItem } from "../store";
+import type { CancelBudget } from "./createCancelBudget";
 import type { LoadCheck } from "./createLoadCheck";
-import type { RecordWriter } from "./createRecordWriter";
-import { decodeRecord, encodeRecord, submissionKey, type SubmissionRecord } from "./record";
+import type { RecordWrite, RecordWriter } from "./createRecordWriter";
+import {
+    createTombstone,
+    decodeRecord,
+    encodeRecord,
+    isTombstone,
+    submissionKey,
+    type SubmissionRecord,
+} from "./record";
 import type { Submission, SubmissionRequest, SubmissionState } from "./submission";
 import type {
     AcceptResult,
@@ -14,6 +22,7 @@
     PolicySource,
     Refusal,
     RequestContext,
+    StateResult,
     SubmissionApi,
 } from "./submissionApi";
 import { validateSubmission } from "./validateSubmission";
@@ -30,6 +39,7 @@
     readonly store: Store;
     readonly writer: RecordWriter;
     readonly leader: LeaderQueries;
+    readonly cancelBudget: CancelBudget;
     /** Refuses submissions for load; without it, none is refused for load. */
     readonly loadCheck?: LoadCheck;
     readonly report: Reporter;
@@ -148,7 +158,9 @@
                 opts.onStored?.({ key: write.key, text, revision: outcome.revision }, steadyMs() - sentAtMs);
                 return { kind: "accepted", isNew: true };
             case "conflict":
-                return { kind: "accepted", isNew: false };
+                return isTombstone(outcome.item === undefined ? undefined : decodeRecord(outcome.item.text))
+                    ? { kind: "cancelledBefore" }
+                    : { kind: "accepted", isNew: false };
             case "notWritten":
                 return unavailable(outcome.detail);
             case "unknown":
@@ -206,23 +218,53 @@
         }
     }
 
-    async function writeCancel(context: RequestContext, id: string): Promise<CancelResult> {
+    async function cancelStored(context: RequestContext, id: string, queue: QueueConfig): Promise<CancelResult> {
         const read = await readRecord(context, id);
+        if (read.kind === "gone") {
+            return cancelUnknown(context, id, queue);
+        }
         if (read.kind !== "record") {
             return read;
         }
+        if (isTombstone(read.record)) {
+            return { kind: "gone", detail: "cancelled before it was stored" };
+        }
         if (read.record.kind === "final" || read.record.isCancelled) {
             return { kind: "cancelled" };
         }
         const text = encodeRecord({ ...read.record, isCancelled: true });
         const write = { key: submissionKey(id), revision: read.revision, text };
+        return writeCancel(context, id, queue, write, { kind: "cancelled" });
+    }
+
+    /**
+     * Cancels a submission without a record. The client may have submitted it and got no answer, and the store may still
+     * carry out that write. It finds the tombstone then and fails.
+     */
+    async function cancelUnknown(context: RequestContext, id: string, queue: QueueConfig): Promise<CancelResult> {
+        const waitMs = opts.cancelBudget.spend();
+        if (waitMs > 0) {
+            return { kind: "tooManyCancels", retryAfterMs: waitMs };
+        }
+        const text = encodeRecord(createTombstone(queue.name, Date.now()));
+        const write = { key: submissionKey(id), revision: 0, text };
+        return writeCancel(context, id, queue, write, { kind: "gone", detail: "recorded before it was stored" });
+    }
+
+    async function writeCancel(
+        context: RequestContext,
+        id: string,
+        queue: QueueConfig,
+        write: RecordWrite,
+        written: CancelResult,
+    ): Promise<CancelResult> {
         const outcome = await writer.write(write, deadlineOf(context, undefined));
         switch (outcome.kind) {
             case "written":
-                return { kind: "cancelled" };
+                return written;
             case "conflict":
-                // The leader has written its end, or another cancellation was first.
-                return writeCancel(context, id);
+                // The submission was stored, the leader has written its end, or another cancellation was first.
+                return cancelStored(context, id, queue);
             case "notWritten":
                 return unavailable(outcome.detail);
             case "unknown":
@@ -275,9 +317,10 @@
                 return { kind: "state", state: leaderState };
             }
             const read = await readRecord(context, id);
-            return read.kind === "record"
-                ? { kind: "state", state: stateOf(read.record) }
-                : logRequest(context, "state", id, read);
+            if (read.kind === "record" && !isTombstone(read.record)) {
+                return { kind: "state", state: stateOf(read.record) };
+            }
+            return logRequest<StateResult>(context, "state", id, read.kind === "record" ? { kind: "gone" } : read);
         },
         async cancel(context, id) {
             const authorized = await authorize(context);
@@ -285,7 +328,7 @@
                 context,
                 "cancel",
                 id,
-                "kind" in authorized ? authorized : await writeCancel(context, id),
+                "kind" in authorized ? authorized : await cancelStored(context, id, authorized.queue),
             );
         },
         async count(context) {
--- a/src/submissions/index.ts
+++ b/src/submissions/index.ts
@@ -1,9 +1,19 @@
 /** Submissions: their types, their records in the store, and the API for clients' requests about them. */
+export { createCancelBudget } from "./createCancelBudget";
 export { createLoadCheck, type LoadCheck } from "./createLoadCheck";
 export { createRecordWriter, type RecordWriter } from "./createRecordWriter";
 export { createSubmissionApi } from "./createSubmissionApi";
 export { declaredCriticalPathMs, defaultTaskMs } from "./declaredCriticalPathMs";
-export { decodeRecord, encodeRecord, submissionKey, submissionPrefix, type SubmissionRecord } from "./record";
+export {
+    createTombstone,
+    decodeRecord,
+    encodeRecord,
+    isTombstone,
+    minKeepFinishedMs,
+    submissionKey,
+    submissionPrefix,
+    type SubmissionRecord,
+} from "./record";
 export {
     type FinalState,
     type Schedule,
--- a/src/submissions/record.ts
+++ b/src/submissions/record.ts
@@ -3,6 +3,12 @@
 /** Key prefix of submissions in the store. The entry that accepts one writes its record; the leader writes its end. */
 export const submissionPrefix = "samphirepin/sub/";
 
+/**
+ * Minimum time for which records of ended submissions are kept, in milliseconds. The store may carry out a write without
+ * an answer seconds later, and by then has to find the record that the write is not to replace.
+ */
+export const minKeepFinishedMs = 30_000;
+
 /** Record of a submission in the store, under `submissionPrefix` followed by its id. */
 export type SubmissionRecord =
     | { readonly kind: "open"; readonly submission: Submission; readonly isCancelled: boolean; }
@@ -14,12 +20,27 @@
         /** Client account and time of acceptance; missing in records of builds that did not write them. */
         readonly tenant?: string | undefined;
         readonly acceptedAtMs?: number | undefined;
+        /**
+         * Nobody submitted it as far as the store knows: a cancellation found no record. While this one exists, a write of
+         * the submission that is carried out late fails. Clients are answered as if there were no record. Builds that don't
+         * know the field show the submission as cancelled.
+         */
+        readonly isTombstone?: true;
     };
 
 export function submissionKey(id: string): string {
     return submissionPrefix + id;
 }
 
+/** Record that a cancellation leaves where it finds none. */
+export function createTombstone(route: string, nowMs: number): SubmissionRecord {
+    return { kind: "final", route, state: "cancelled", endedAtMs: nowMs, isTombstone: true };
+}
+
+export function isTombstone(record: SubmissionRecord | undefined): boolean {
+    return record?.kind === "final" && record.isTombstone === true;
+}
+
 export function encodeRecord(record: SubmissionRecord): string {
     return JSON.stringify(record);
 }
--- a/src/submissions/submissionApi.ts
+++ b/src/submissions/submissionApi.ts
@@ -30,6 +30,10 @@
     | { readonly kind: "storeUnavailable"; readonly detail: string; readonly retryAfterMs: number; }
     /** The account is beyond its rate, and the work that waits would make the submission late. Nothing was written. */
     | { readonly kind: "overloaded"; readonly detail: string; readonly retryAfterMs: number; }
+    /** The submission was cancelled before it was stored, so it never runs. */
+    | { readonly kind: "cancelledBefore"; }
+    /** Clients cancel more unknown submissions than this entry may record. The cancellation was not recorded. */
+    | { readonly kind: "tooManyCancels"; readonly retryAfterMs: number; }
     /** There is no leader at the moment, or it can't be reached, and only the leader knows the answer. */
     | { readonly kind: "ownerUnavailable"; readonly retryAfterMs: number; }
     /** It is not known whether the request was stored; the client may send the same request again. */
@@ -41,7 +45,11 @@
 export type StateResult = { readonly kind: "state"; readonly state: SubmissionState; } | {
     readonly kind: "gone";
 } | Refusal;
-export type CancelResult = { readonly kind: "cancelled"; } | { readonly kind: "gone"; } | Refusal;
+/** `gone`: there is no such submission, and none of a write that is still on its way to the store will run. */
+export type CancelResult =
+    | { readonly kind: "cancelled"; }
+    | { readonly kind: "gone"; readonly detail?: string; }
+    | Refusal;
 export type CountResult = { readonly kind: "count"; readonly pendingSubmissions: number; } | Refusal;
 
 /** Questions to the scheduling leader; each answer is `undefined` where the leader can't be reached. */
--- a/src/submissions/test/overload.feature
+++ b/src/submissions/test/overload.feature
@@ -105,3 +105,11 @@
             | with a long-running step           |
             | that is repeated                   |
             | with a critical path of 20 seconds |
+
+    Scenario: a cancelled submission arrives at an overloaded entry
+        Guards against an answer "accepted" to a submission that never runs.
+
+        Given an overloaded entry
+        And "aa" was cancelled before it was stored
+        When submission "aa" arrives
+        Then the last answer is "cancelledBefore"
--- a/src/submissions/test/overload.steps.ts
+++ b/src/submissions/test/overload.steps.ts
@@ -9,6 +9,7 @@
     createLoadCheck,
     createRecordWriter,
     createSubmissionApi,
+    createTombstone,
     encodeRecord,
     type Step,
     type SubmissionApi,
@@ -85,6 +86,7 @@
         store,
         writer: createRecordWriter(store, nowMs),
         leader: { findState: () => Promise.resolve(undefined), countPending: () => Promise.resolve(undefined) },
+        cancelBudget: { spend: () => 0 },
         loadCheck: createLoadCheck({
             admission: {
                 ...admission,
@@ -112,6 +114,10 @@
     this.store.put(submissionKey(hex(id)), encodeRecord({ kind: "open", submission, isCancelled: false }));
 });
 
+Given("{string} was cancelled before it was stored", function(this: World, id: string) {
+    this.store.put(submissionKey(hex(id)), encodeRecord(createTombstone("stalls", Date.now())));
+});
+
 Given("the store applies writes late", function(this: World) {
     this.store.setFault("entry-1", "late");
 });
--- a/src/submissions/test/storeLoss.steps.ts
+++ b/src/submissions/test/storeLoss.steps.ts
@@ -66,6 +66,7 @@
         store,
         writer,
         leader: { findState: () => Promise.resolve(undefined), countPending: () => Promise.resolve(undefined) },
+        cancelBudget: { spend: () => 0 },
         loadCheck: createLoadCheck({
             admission: createAdmission(() => 0),
             store,
--- a/src/submissions/test/submissions.feature
+++ b/src/submissions/test/submissions.feature
@@ -125,6 +125,45 @@
         When a submission that was never submitted is cancelled
         Then the answer is "gone"
 
+    Scenario: a submission is cancelled before the store carries out its write
+        Guards against a submission that runs after its cancellation was acknowledged, because the store carried out its
+        write seconds later.
+
+        Given the store is "late"
+        When a client submits a submission and gives up after 1000 ms
+        And the store works again
+        And it is cancelled
+        Then the answer is "gone"
+        When 5000 ms pass
+        Then the submission is not open in the store
+        When its state is asked for
+        Then the answer is "gone"
+        When it is cancelled
+        Then the answer is "gone"
+
+    Scenario: a cancelled submission arrives again
+        Guards against a submission that runs because its request arrived after that of its cancellation.
+
+        When it is cancelled
+        Then the answer is "gone"
+        When a submission is submitted
+        Then the answer is "cancelledBefore"
+        And the submission is not open in the store
+
+    Scenario: a cancellation is stored late
+        Guards against a cancellation that is acknowledged before anything keeps the submission from being stored.
+
+        Given the store is "late"
+        When it is cancelled
+        Then the answer is "unknown"
+
+    Scenario: many unknown submissions are cancelled
+        Guards against cancellations that take the store's writes from submissions.
+
+        When 200 unknown submissions are cancelled at once
+        Then at least 20 of the answers are "gone"
+        And at least 150 of the answers are "tooManyCancels"
+
     Scenario: a state is read while there is no leader
         Guards against a client without an answer after the leader was killed and before another entry has taken over: the
         state is read from the store.
--- a/src/submissions/test/submissions.steps.ts
+++ b/src/submissions/test/submissions.steps.ts
@@ -11,6 +11,7 @@
 } from "../../../standins/scheduling";
 import type { Policy } from "../../policy";
 import {
+    createCancelBudget,
     createRecordWriter,
     createSubmissionApi,
     decodeRecord,
@@ -54,6 +55,11 @@
         store,
         writer: createRecordWriter(store, steadyMs),
         leader: { findState: () => Promise.resolve(undefined), countPending: () => Promise.resolve(undefined) },
+        cancelBudget: createCancelBudget({
+            storeWritesPerSecond: 400,
+            entryCount: () => 9,
+            nowMs: () => performance.now(),
+        }),
         report() {},
         steadyMs,
         revokeMs: 5000,
@@ -128,6 +134,31 @@
     assert.ok(performance.now() - this.requestedAtMs <= ms);
 });
 
+When("{int} ms pass", async function(this: World, ms: number) {
+    await this.clock.advance(ms);
+});
+
+When("its state is asked for", async function(this: World) {
+    await waitForAnswer(this, this.api.state(createContext(`/stalls/${id}`, "key-1"), id));
+});
+
+When("{int} unknown submissions are cancelled at once", async function(this: World, count: number) {
+    const ids = Array.from({ length: count }, (_, index) => index.toString(16).padStart(16, "c"));
+    const calls = ids.map(async (each) => {
+        this.answers.push(await this.api.cancel(createContext(`/stalls/${each}`, "key-1"), each));
+    });
+    await waitForAnswer(this, Promise.all(calls).then(() => ({ kind: "done" })));
+});
+
+Then("at least {int} of the answers are {string}", function(this: World, count: number, kind: string) {
+    const counted = this.answers.filter((answer) => answer.kind === kind).length;
+    assert.ok(counted >= count, `${counted} are ${kind}`);
+});
+
+Then("the submission is not open in the store", function(this: World) {
+    assert.notEqual(decodeRecord(this.store.get(submissionKey(id))?.text ?? "")?.kind, "open");
+});
+
 Given("there is no configuration", function(this: World) {
     this.policy = undefined;
 });
@@ -136,6 +167,11 @@
     await submit(this);
 });
 
+When("a client submits a submission and gives up after {int} ms", async function(this: World, timeoutMs: number) {
+    const context = { ...createContext(`/stalls/${id}`, "key-1"), timeoutMs };
+    await waitForAnswer(this, this.api.accept(context, createRequest([{}])));
+});
+
 When("it is submitted again", async function(this: World) {
     await submit(this);
 });
--- a/test/scheduling/removal.feature
+++ b/test/scheduling/removal.feature
@@ -1,5 +1,28 @@
 Feature: Records of ended submissions are removed
 
+    Scenario: the tombstone of a cancellation
+        Guards against records that nothing removes after the leader that saw them has gone, and against a submission that
+        is shown although nobody submitted it.
+
+        Given 2 entries and 1 worker
+        When an unknown submission is cancelled
+        And 30000 ms pass
+        Then the submission is shown as unknown
+        When the owner is killed
+        And 80000 ms pass
+        Then the record is in the store
+        When 20000 ms pass
+        Then the record is not in the store
+
+    Scenario: a write is carried out after the cancellation
+        Guards against a submission that runs although its cancellation was acknowledged.
+
+        Given 1 entry and 1 worker
+        When an unknown submission is cancelled
+        And the store carries out the submission's write 6000 ms late
+        And 9000 ms pass
+        Then no task was started
+
     Scenario: a removal is carried out late
         Guards against the loss of a submission that came under the id of one whose records had just been removed.
 
