fix(schedule): speculative runs pass the checks of first runs

What callers saw: an account had twice its limit running whenever a worker turned slow, and the others waited for the difference.

Cause: speculative runs were placed by a planner of their own, without the account's limit, the workers that the advice service allows, or the bound on starts in flight.

Change: a planning round has one gate that every new run passes, whichever planner proposes it. First runs leave one start of the round to speculative runs where there are stragglers. Where there is room for some only, one submission after the other gets its runs, since a submission ends with its last task.

--- a/src/schedule/index.ts
+++ b/src/schedule/index.ts
@@ -1,6 +1,7 @@
 /** Scheduling decisions, without I/O or clock: which tasks wait, in which order they start, and on which worker. */
 export { failIfExhausted, hasAttemptLeft, setMaxAttempts } from "./attempts";
 export { createAccountShares } from "./createAccountShares";
+export { createStartGate, type StartGate } from "./createStartGate";
 export { createWorker } from "./createWorker";
 export { desiredCpuMillis } from "./desiredCpuMillis";
 export { estimateRemaining, targetAgeMs } from "./estimateRemaining";
@@ -21,8 +22,8 @@
     isOperational,
     placeTask,
 } from "./placeTask";
-export { planSpeculativeRuns } from "./planSpeculativeRuns";
-export { groupByPool, listAdviceCandidates, planStarts, type StartsInFlight } from "./planStarts";
+export { listStragglers, planSpeculativeRuns } from "./planSpeculativeRuns";
+export { createCapIndex, groupByPool, listAdviceCandidates, planStarts, type StartsInFlight } from "./planStarts";
 export { findMaxAttempts, queueOf, type SubmissionQueue } from "./queueOf";
 export { listPlacementUnits, type PlacementUnit, type RankedEntry, rankSubmissions } from "./rankSubmissions";
 export { addRun, moveRun, removeRun } from "./runs";
--- a/src/schedule/placeUnit.ts
+++ b/src/schedule/placeUnit.ts
@@ -16,8 +16,17 @@
     ) => ReadonlySet<string> | "unknown" | undefined;
 }
 
-/** Places all tasks of a unit, or none. */
-export function placeUnit(unit: PlacementUnit, workers: readonly Worker[], opts: PlaceUnitOptions): readonly Run[] {
+/**
+ * Places all tasks of a unit, or none.
+ *
+ * @param excluded workers that already run the task
+ */
+export function placeUnit(
+    unit: PlacementUnit,
+    workers: readonly Worker[],
+    opts: PlaceUnitOptions,
+    excluded?: ReadonlySet<Worker>,
+): readonly Run[] {
     const allowed = opts.allowedWorkers(unit, workers);
     if (allowed === "unknown") {
         return [];
@@ -26,7 +35,12 @@
     const runs: Run[] = [];
     for (const candidates of listCandidates(unit, workers)) {
         for (const task of unit.tasks) {
-            const place = { workers: candidates, nowMs: opts.nowMs, ...allowed === undefined ? {} : { allowed } };
+            const place = {
+                workers: candidates,
+                nowMs: opts.nowMs,
+                ...allowed === undefined ? {} : { allowed },
+                ...excluded === undefined ? {} : { excluded },
+            };
             const worker = placeTask(task, place);
             if (worker === undefined) {
                 break;
--- a/src/schedule/planStarts.ts
+++ b/src/schedule/planStarts.ts
@@ -1,12 +1,13 @@
 import type { Policy } from "../policy";
+import type { Resources } from "../resources";
 import type { Step } from "../submissions";
 import { createAccountShares } from "./createAccountShares";
+import { createStartGate, type StartGate } from "./createStartGate";
 import { divideStarts } from "./divideStarts";
 import { type DurationEstimates } from "./estimates";
 import { findMaxFree, fits, fitsStep, type MaxFree } from "./findMaxFree";
-import { isWithinTenantLimit } from "./isWithinTenantLimit";
 import { isEligible } from "./placeTask";
-import { placeUnit, type PlaceUnitOptions } from "./placeUnit";
+import type { PlaceUnitOptions } from "./placeUnit";
 import { queueOf } from "./queueOf";
 import { listPlacementUnits, type PlacementUnit, type RankedEntry, rankSubmissions } from "./rankSubmissions";
 import type { Run, SchedulerState, SubmissionEntry, Worker } from "./schedulerState";
@@ -22,6 +23,8 @@
     readonly maxStarts: number;
     /** Starts in flight, of which `maxStarts` is the free part; `undefined`: none are in flight. */
     readonly window?: StartsInFlight;
+    /** Gate of the planning round; `undefined`: starts are all that is planned in it. */
+    readonly gate?: StartGate;
 }
 
 /** Starts in flight and their bound. */
@@ -39,14 +42,9 @@
     const pools = new Map(
         [...groupByPool(state)].map(([pool, workers]) => [pool, { workers, maxFree: findMaxFree(workers) }]),
     );
-    const caps = new Map(policy.tenants.map(({ name, cap }) => [name, cap]));
-    const isWithinLimit = ({ entry, tasks }: PlacementUnit) => {
-        const { tenant } = entry.submission;
-        const size = tasks[0]?.step.size;
-        return size === undefined || isWithinTenantLimit(state, tenant, caps.get(tenant ?? ""), size, tasks.length);
-    };
+    const gate = opts.gate ?? createStartGate({ ...opts, capOf: createCapIndex(policy) });
     const mayRunMore = ({ submission: { tenant } }: SubmissionEntry, { size }: Step) =>
-        isWithinTenantLimit(state, tenant, caps.get(tenant ?? ""), size);
+        gate.isWithinLimit(tenant, size, 1);
     const ranked = rankSubmissions({
         entries: listPlaceable(
             state,
@@ -71,10 +69,16 @@
         failedPlacements: new Map(),
         startedByPool: new Map(),
         started: [],
-        isWithinLimit,
+        gate,
     });
 }
 
+/** Limits of the client accounts by name, as they are configured. */
+export function createCapIndex(policy: Policy): (account: string | undefined) => Resources | undefined {
+    const caps = new Map(policy.tenants.map(({ name, cap }) => [name, cap]));
+    return (account) => account === undefined ? undefined : caps.get(account);
+}
+
 /** State of one planning round. */
 interface Round {
     readonly opts: PlanOptions;
@@ -82,7 +86,7 @@
     readonly failedPlacements: Map<string, number>;
     readonly startedByPool: Map<string, number>;
     readonly started: Run[];
-    isWithinLimit(unit: PlacementUnit): boolean;
+    readonly gate: StartGate;
 }
 
 interface PoolOfRound {
@@ -138,7 +142,7 @@
     mayStart: (pool: string) => boolean,
     round: Round,
 ): readonly PlacementUnit[] {
-    const { opts, failedPlacements, startedByPool, started } = round;
+    const { gate, failedPlacements, startedByPool, started } = round;
     const pool = round.pools.get(poolName);
     for (const [at, unit] of units.entries()) {
         if (pool === undefined || isExhausted(poolName, round)) {
@@ -147,10 +151,10 @@
         if (!mayStart(poolName)) {
             return units.slice(at);
         }
-        if (!round.isWithinLimit(unit)) {
+        if (!gate.isAllowed(unit)) {
             continue;
         }
-        const runs = fits(unit, pool.maxFree) ? placeUnit(unit, pool.workers, opts) : [];
+        const runs = fits(unit, pool.maxFree) ? gate.place(unit, pool.workers) : [];
         if (runs.length === 0) {
             failedPlacements.set(poolName, (failedPlacements.get(poolName) ?? 0) + 1);
         }
--- a/src/schedule/test/excess.steps.ts
+++ b/src/schedule/test/excess.steps.ts
@@ -10,11 +10,14 @@
     addRun,
     addSubmission,
     createAccountShares,
+    createCapIndex,
     createDurationEstimates,
     createSchedulerState,
+    createStartGate,
     createWorker,
     estimateRemaining,
     groupByPool,
+    listStragglers,
     placeTask,
     planSpeculativeRuns,
     planStarts,
@@ -176,12 +179,18 @@
         run.phase = "running";
     });
     addWorker(this, "stalls", 1);
-    this.speculative = planSpeculativeRuns({
-        state: this.state,
-        workersOf: (pool) => groupByPool(this.state).get(pool) ?? [],
-        poolOf: ({ service }) => service,
-        estimates,
-        nowMs: nowMs + 5000,
+    const { state, policy } = this;
+    const later = { state, policy, estimates, nowMs: nowMs + 5000 };
+    const gate = createStartGate({
+        ...later,
+        allowedWorkers: () => undefined,
+        capOf: createCapIndex(policy),
+        maxStarts: 200,
+    });
+    this.speculative = planSpeculativeRuns(listStragglers(later), {
+        gate,
+        policy,
+        workersOf: (pool) => groupByPool(state).get(pool) ?? [],
     });
 });
 
--- a/src/schedule/test/schedule.feature
+++ b/src/schedule/test/schedule.feature
@@ -121,6 +121,50 @@
         And tasks of "once" have started: 2
         And no worker has two runs of a task
 
+    Scenario: speculative runs stay within the limit of the tenant
+        Guards against twice a tenant's limit running whenever a worker turns slow.
+
+        Given 2 workers with 4 cores
+        And the tenant may have 3 cores
+        And a submission "checked" of 2 tasks that allow speculative runs
+        When starts are planned
+        And 3000 ms later speculative runs are planned
+        Then tasks of "checked" have started: 3
+
+    Scenario: speculative runs count as starts of the round
+        Guards against more starts in flight than the leader can handle in time.
+
+        Given 2 workers with 4 cores
+        And a submission "checked" of 3 tasks that allow speculative runs
+        When starts are planned
+        And 3000 ms later speculative runs are planned with 1 start left
+        Then tasks of "checked" have started: 4
+
+    Scenario: speculative runs wait for the advice service
+        Guards against starts that every worker rejects for want of a ticket.
+
+        Given 3 workers with 4 cores
+        And a submission "checked" of 2 tasks that allow speculative runs
+        When starts are planned
+        And 3000 ms later speculative runs are planned without an answer of the advice service
+        Then tasks of "checked" have started: 2
+        When 100 ms later speculative runs are planned with a permit for worker 3
+        Then tasks of "checked" have started: 4
+        And worker 2 is empty
+
+    Scenario: there is room for some speculative runs only
+        Guards against speculative runs spread over submissions of which none can end by them. The load: a worker turns slow
+        with more stragglers than a tenant may run beside them.
+
+        Given 2 workers with 16 cores
+        And the tenant may have 8 cores
+        And a submission "large" of 4 tasks that allow speculative runs
+        And a submission "small" of 2 tasks that allow speculative runs
+        When starts are planned
+        And 3000 ms later speculative runs are planned
+        Then tasks of "small" have started: 4
+        And tasks of "large" have started: 4
+
     Scenario: a full pool is not searched for each waiting task
         Guards against planning that takes the leader's whole processor and delays requests to workers and lease
         renewals. In a busy period thousands of tasks wait for a pool of a few hundred workers, and searching it for
--- a/src/schedule/test/schedule.steps.ts
+++ b/src/schedule/test/schedule.steps.ts
@@ -7,10 +7,13 @@
     addDueOccurrences,
     addRun,
     addSubmission,
+    createCapIndex,
     createDurationEstimates,
     createSchedulerState,
+    createStartGate,
     createWorker,
     groupByPool,
+    listStragglers,
     planSpeculativeRuns,
     planStarts,
     recordFailure,
@@ -192,18 +195,52 @@
     plan(this, () => undefined);
 });
 
-When("{int} ms later speculative runs are planned", function(this: World, ms: number) {
-    this.nowMs += ms;
-    for (const { runs } of this.state.workers.values()) {
+function speculate(
+    world: World,
+    ms: number,
+    { maxStarts = 200, allowed }: { maxStarts?: number; allowed?: ReadonlySet<string> | "unknown"; } = {},
+): void {
+    world.nowMs += ms;
+    const { state, policy, nowMs } = world;
+    for (const { runs } of state.workers.values()) {
         runs.forEach((run) => run.phase = "running");
     }
-    planSpeculativeRuns({
-        state: this.state,
-        workersOf: (pool) => groupByPool(this.state).get(pool) ?? [],
-        poolOf: () => "stalls",
-        estimates: createDurationEstimates(),
-        nowMs: this.nowMs,
+    const gate = createStartGate({
+        state,
+        nowMs,
+        allowedWorkers: () => allowed,
+        capOf: createCapIndex(policy),
+        maxStarts,
     });
+    const stragglers = listStragglers({ state, policy, estimates: createDurationEstimates(), nowMs });
+    planSpeculativeRuns(stragglers, { gate, policy, workersOf: (pool) => groupByPool(state).get(pool) ?? [] });
+}
+
+When("{int} ms later speculative runs are planned", function(this: World, ms: number) {
+    speculate(this, ms);
+});
+
+When("{int} ms later speculative runs are planned with {int} start(s) left", function(
+    this: World,
+    ms: number,
+    maxStarts: number,
+) {
+    speculate(this, ms, { maxStarts });
+});
+
+When("{int} ms later speculative runs are planned without an answer of the advice service", function(
+    this: World,
+    ms: number,
+) {
+    speculate(this, ms, { allowed: "unknown" });
+});
+
+When("{int} ms later speculative runs are planned with a permit for worker {int}", function(
+    this: World,
+    ms: number,
+    number: number,
+) {
+    speculate(this, ms, { allowed: new Set([workerOf(this, number).id]) });
 });
 
 When("worker {int} becomes unreachable", function(this: World, number: number) {
--- a/src/scheduler/createPlanner.ts
+++ b/src/scheduler/createPlanner.ts
@@ -3,13 +3,15 @@
 import type { Policy } from "../policy";
 import type { StartWindow } from "../runs";
 import {
+    createCapIndex,
+    createStartGate,
     type DurationEstimates,
     groupByPool,
     listAdviceCandidates,
+    listStragglers,
     type PlacementUnit,
     planSpeculativeRuns,
     planStarts,
-    queueOf,
     type Run,
     type SchedulerState,
     type SubmissionEntry,
@@ -48,6 +50,9 @@
  */
 const pauseFactor = 3;
 
+/** Starts of a round that are left to speculative runs, which a long backlog would otherwise keep waiting. */
+const speculativeReserve = 1;
+
 /** Plans starts and speculative runs in rounds. */
 export function createPlanner(opts: PlannerOptions): Planner {
     const { state, estimates, steadyMs } = opts;
@@ -76,23 +81,25 @@
         if (isStopped || policy === undefined || !opts.tenure.isValid() || maxStarts === 0) {
             return;
         }
+        const allowedWorkers = findAllowedWorkers;
+        const gate = createStartGate({ state, nowMs, allowedWorkers, maxStarts, capOf: createCapIndex(policy) });
+        const stragglers = listStragglers({ state, policy, estimates, nowMs });
         const planned = planStarts({
             state,
             policy,
             estimates,
             nowMs,
             timeOfDayMs: Date.now(),
-            allowedWorkers: findAllowedWorkers,
-            maxStarts,
+            allowedWorkers,
+            gate,
+            maxStarts: stragglers.length > 0 ? Math.max(1, maxStarts - speculativeReserve) : maxStarts,
             window: { sizeStarts: opts.window.size(), inFlightByPool: opts.window.inFlightByPool() },
         });
         const pools = groupByPool(state);
-        const speculative = planSpeculativeRuns({
-            state,
+        const speculative = planSpeculativeRuns(stragglers, {
+            gate,
+            policy,
             workersOf: (pool) => pools.get(pool) ?? [],
-            poolOf: (submission) => queueOf(policy, submission).service,
-            estimates,
-            nowMs,
         });
         const bySubmission = new Map<SubmissionEntry, Run[]>();
         opts.window.add([...planned, ...speculative]);
