fix(scheduler, progress): runs of an ended submission count against their account across a change of leaders

What callers saw: an account at its limit cancels a submission, the leader is stopped 0.1 s later, and the next one starts up to the limit once more while the cancelled runs are still being stopped. Other accounts wait for the difference.

Cause: the final record names no runs, and the progress record is removed with it. A new leader kept work off the workers that list such runs, and counted them against nobody.

Change: the final record holds the runs that had not ended, with the submission less its payload. A new leader restores them as unconfirmed, stops them, and drops them by the worker's list or the end of its lease, as it does with other runs. Records that ended more than two leases ago are not looked at. A submission whose last run ends after its final record is forgotten then. Earlier builds ignore the field.

--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -43,6 +43,12 @@
  */
 const joinOverheadMs = 250;
 
+/**
+ * Longest leases after the end of a submission in which its runs may still be running. One would do on a single clock, but
+ * the end was recorded by another entry's time of day.
+ */
+const remainingLeases = 2;
+
 /** Schedules tasks and machines of all pools while the tenure lasts. */
 export function createScheduler(opts: SchedulerOptions): Scheduler {
     const { store, tenure, clocks, report } = opts;
@@ -120,7 +126,11 @@
             }),
         async save(entry) {
             submissionTracker.settle(entry);
-            return submissionTracker.hasEnded(entry) || await progressWriter.save(entry, SavePurpose.end);
+            if (submissionTracker.hasEnded(entry)) {
+                submissionTracker.forgetIfOver(entry);
+                return true;
+            }
+            return progressWriter.save(entry, SavePurpose.end);
         },
         drop,
         sendStops: runControl.sendStops,
@@ -159,6 +169,7 @@
         policy: opts.policy,
         report,
         steadyMs: clocks.monotonicMs,
+        remainingRunMs: remainingLeases * opts.bounds.maxLeaseMs,
         stop: runControl.stop,
         findWorker: (id, bornMs) => workerTracker.findRecorded(id, bornMs),
         save: (entry) => void progressWriter.save(entry, SavePurpose.end),
--- a/src/scheduler/createSubmissionTracker.ts
+++ b/src/scheduler/createSubmissionTracker.ts
@@ -17,10 +17,18 @@
     type Worker,
 } from "../schedule";
 import type { StoreItem } from "../store";
-import { decodeRecord, type FinalState, isTombstone, submissionPrefix, SubmissionState } from "../submissions";
+import {
+    decodeRecord,
+    type FinalState,
+    isTombstone,
+    type RemainingRuns,
+    submissionPrefix,
+    SubmissionState,
+} from "../submissions";
 import type { EndedSubmission } from "./createRecordRemover";
 import type { SubmissionClassifier } from "./createSubmissionClassifier";
 import { restoreProgress } from "./restoreProgress";
+import { restoreRemaining } from "./restoreRemaining";
 
 export interface SubmissionTrackerOptions {
     readonly state: SchedulerState;
@@ -31,6 +39,8 @@
     readonly policy: () => Policy | undefined;
     readonly report: Reporter;
     readonly steadyMs: () => number;
+    /** How long after its submission has ended a run may still be running, in milliseconds. */
+    readonly remainingRunMs: number;
     stop(run: Run, reason: string): void;
     /** Finds or adds the worker of a run that an earlier leader recorded. */
     findWorker(id: string, bornMs: number): Worker;
@@ -100,7 +110,8 @@
         }
         if (record.kind === "final") {
             // The end of a submission that this leader has read while it was open is not counted again.
-            if (!finalStates.has(id) && !schedulerState.submissions.has(id)) {
+            const isNew = !finalStates.has(id) && !schedulerState.submissions.has(id);
+            if (isNew) {
                 opts.classifier.addFinal(record.tenant, record.acceptedAtMs);
             }
             finalStates.set(id, {
@@ -108,6 +119,9 @@
                 atMs: record.endedAtMs,
                 revision: item.revision,
             });
+            if (isNew && record.remaining !== undefined && isWithin(record.endedAtMs, opts.remainingRunMs)) {
+                stopRemaining(record.remaining, record.state, item.revision);
+            }
             return;
         }
         const known = schedulerState.submissions.get(id);
@@ -146,6 +160,25 @@
         settle(entry);
     }
 
+    function stopRemaining(remaining: RemainingRuns, finalState: FinalState, revision: number): void {
+        const entry = restoreRemaining(
+            schedulerState,
+            remaining,
+            finalState,
+            revision,
+            opts.findWorker,
+            steadyMs(),
+        );
+        reportChange(entry, "stillStopping");
+        stopRuns(entry, finalState);
+    }
+
+    function stopRuns(entry: SubmissionEntry, finalState: FinalState): void {
+        for (const { runs } of tasksOf(entry)) {
+            [...runs].forEach((run) => opts.stop(run, `its submission is ${finalState}`));
+        }
+    }
+
     function findAttempts(entry: SubmissionEntry): void {
         const maxAttempts = findMaxAttempts(opts.policy(), entry.submission);
         if (maxAttempts !== undefined) {
@@ -189,8 +222,7 @@
         else {
             return;
         }
-        const { finalState } = entry;
-        tasks.forEach((task) => [...task.runs].forEach((run) => opts.stop(run, `its submission is ${finalState}`)));
+        stopRuns(entry, entry.finalState);
         opts.save(entry);
     }
 
@@ -245,3 +277,8 @@
         },
     };
 }
+
+/** Whether a time of day is less than this long ago or, by another entry's clock, ahead. */
+function isWithin(timeOfDayMs: number, spanMs: number): boolean {
+    return Math.abs(Date.now() - timeOfDayMs) < spanMs;
+}
--- /dev/null
+++ b/src/scheduler/restoreRemaining.ts
@@ -0,0 +1,37 @@
+import {
+    addOccurrence,
+    addRun,
+    addSubmission,
+    type SchedulerState,
+    type SubmissionEntry,
+    type Worker,
+} from "../schedule";
+import type { RemainingRuns } from "../submissions";
+
+/**
+ * Restores the runs that had not ended when an earlier leader recorded the end of their submission, so that they count
+ * against their worker and their client account until they are known to have ended. They stay `unconfirmed` until their
+ * worker has been polled or its leases have expired.
+ */
+export function restoreRemaining(
+    state: SchedulerState,
+    { submission, runs }: RemainingRuns,
+    finalState: NonNullable<SubmissionEntry["finalState"]>,
+    revision: number,
+    findWorker: (id: string, bornMs: number) => Worker,
+    nowMs: number,
+): SubmissionEntry {
+    const entry = addSubmission(state, submission, revision, finalState === "cancelled", nowMs);
+    entry.finalState = finalState;
+    entry.hasStarted = true;
+    for (const { occurrence, step, index, number, workerId, bornMs } of runs) {
+        while (entry.occurrences.length <= occurrence) {
+            addOccurrence(entry, nowMs);
+        }
+        const task = entry.occurrences[occurrence]?.tasks[step]?.[index];
+        if (task !== undefined) {
+            addRun(state, task, findWorker(workerId, bornMs), number, "unconfirmed", nowMs);
+        }
+    }
+    return entry;
+}
--- a/src/scheduler/test/classifier.steps.ts
+++ b/src/scheduler/test/classifier.steps.ts
@@ -43,6 +43,7 @@
         policy: () => this.appliedPolicy,
         report,
         steadyMs,
+        remainingRunMs: 12_000,
         stop() {},
         findWorker: (id, bornMs) => createWorker(id, bornMs),
         save() {},
--- a/src/submissions/index.ts
+++ b/src/submissions/index.ts
@@ -10,6 +10,8 @@
     encodeRecord,
     isTombstone,
     minKeepFinishedMs,
+    type RemainingRun,
+    type RemainingRuns,
     submissionKey,
     submissionPrefix,
     type SubmissionRecord,
--- a/src/submissions/record.ts
+++ b/src/submissions/record.ts
@@ -9,6 +9,23 @@
  */
 export const minKeepFinishedMs = 30_000;
 
+/** A run that was being stopped, or whose end had not been listed yet, when its submission ended. */
+export interface RemainingRun {
+    readonly occurrence: number;
+    readonly step: number;
+    readonly index: number;
+    readonly number: number;
+    readonly workerId: string;
+    /** When the worker's incarnation started, in milliseconds since 1970. */
+    readonly bornMs: number;
+}
+
+/** Remaining runs of an ended submission, and the submission without its payload. */
+export interface RemainingRuns {
+    readonly submission: Submission;
+    readonly runs: readonly RemainingRun[];
+}
+
 /** Record of a submission in the store, under `submissionPrefix` followed by its id. */
 export type SubmissionRecord =
     | { readonly kind: "open"; readonly submission: Submission; readonly isCancelled: boolean; }
@@ -20,6 +37,8 @@
         /** Client account and time of acceptance; missing in records of builds that did not write them. */
         readonly tenant?: string | undefined;
         readonly acceptedAtMs?: number | undefined;
+        /** Runs that had not ended; missing if there were none, and in records of builds that did not write them. */
+        readonly remaining?: RemainingRuns;
         /**
          * Nobody submitted it as far as the store knows: a cancellation found no record. While this one exists, a write of
          * the submission that is carried out late fails. Clients are answered as if there were no record. Builds that don't
--- a/test/scheduling/account-limits.feature
+++ b/test/scheduling/account-limits.feature
@@ -20,3 +20,35 @@
         And 6000 ms pass
         Then at most 6 tasks ran at once
         And 1 submission is complete
+
+    Scenario: the leader stops while runs of a cancelled submission are being stopped
+        Guards against runs that a new leader does not count, because their submission has ended.
+
+        Given 2 entries and 2 workers
+        And the tenant may run 4 tasks at once
+        And a stop takes 800 ms
+        When 1 submission of 4 tasks of 60000 ms comes
+        And 1000 ms pass
+        And the submission is cancelled
+        And 1 submission of 4 tasks of 300 ms comes
+        And 100 ms pass
+        And the owner is stopped
+        And 6000 ms pass
+        Then at most 4 tasks ran at once
+        And 1 submission is complete
+
+    Scenario: the worker crashes that still ran tasks of a cancelled submission
+        Guards against runs of ended submissions that count against their account for good.
+
+        Given 2 entries and 2 workers
+        And the tenant may run 4 tasks at once
+        When 1 submission of 4 tasks of 60000 ms comes
+        And 1000 ms pass
+        And the worker that runs it is "cut"
+        And the submission is cancelled
+        And 1 submission of 4 tasks of 300 ms comes
+        And 100 ms pass
+        And the owner is killed
+        And 14000 ms pass
+        Then at most 4 tasks ran at once
+        And 1 submission is complete
