fix(schedule, submissions): an account that is removed from the configuration keeps its limit

What callers saw: work of an account that operators had removed ran without any limit, at the expense of the other accounts.

Cause: the limits were looked up in the configuration, and a name that isn't found meant no limit. Class: what a decision takes from a view that may be incomplete.

Change: a leader remembers the limits that it has read, and the record of a submission holds that of its account at the time of acceptance, for a leader that has not read any. The planner and the measured backlog ask the same place.

Measured: the last scenario of test/scheduling/account-limits.feature failed before (eight tasks at a limit of four, across a change of leaders) and passes now.

--- a/src/schedule/index.ts
+++ b/src/schedule/index.ts
@@ -1,5 +1,6 @@
 /** Scheduling decisions, without I/O or clock: which tasks wait, in which order they start, and on which worker. */
 export { failIfExhausted, hasAttemptLeft, setMaxAttempts } from "./attempts";
+export { type AccountLimits, createAccountLimits } from "./createAccountLimits";
 export { createAccountShares } from "./createAccountShares";
 export { createStartGate, type StartGate } from "./createStartGate";
 export { createWorker } from "./createWorker";
@@ -23,7 +24,7 @@
     placeTask,
 } from "./placeTask";
 export { listStragglers, planSpeculativeRuns } from "./planSpeculativeRuns";
-export { createCapIndex, groupByPool, listAdviceCandidates, planStarts, type StartsInFlight } from "./planStarts";
+export { groupByPool, listAdviceCandidates, planStarts, type StartsInFlight } from "./planStarts";
 export { findMaxAttempts, queueOf, type SubmissionQueue } from "./queueOf";
 export { listPlacementUnits, type PlacementUnit, type RankedEntry, rankSubmissions } from "./rankSubmissions";
 export { addRun, moveRun, removeRun } from "./runs";
--- a/src/schedule/planStarts.ts
+++ b/src/schedule/planStarts.ts
@@ -1,6 +1,6 @@
 import type { Policy } from "../policy";
-import type { Resources } from "../resources";
 import type { Step } from "../submissions";
+import { createAccountLimits } from "./createAccountLimits";
 import { createAccountShares } from "./createAccountShares";
 import { createStartGate, type StartGate } from "./createStartGate";
 import { divideStarts } from "./divideStarts";
@@ -42,7 +42,7 @@
     const pools = new Map(
         [...groupByPool(state)].map(([pool, workers]) => [pool, { workers, maxFree: findMaxFree(workers) }]),
     );
-    const gate = opts.gate ?? createStartGate({ ...opts, capOf: createCapIndex(policy) });
+    const gate = opts.gate ?? createConfiguredGate(opts);
     const mayRunMore = ({ submission: { tenant } }: SubmissionEntry, { size }: Step) =>
         gate.isWithinLimit(tenant, size, 1);
     const ranked = rankSubmissions({
@@ -73,10 +73,11 @@
     });
 }
 
-/** Limits of the client accounts by name, as they are configured. */
-export function createCapIndex(policy: Policy): (account: string | undefined) => Resources | undefined {
-    const caps = new Map(policy.tenants.map(({ name, cap }) => [name, cap]));
-    return (account) => account === undefined ? undefined : caps.get(account);
+/** Gate of a round by the limits that are configured. */
+function createConfiguredGate(opts: PlanOptions): StartGate {
+    const limits = createAccountLimits();
+    limits.applyPolicy(opts.policy);
+    return createStartGate({ ...opts, capOf: limits.capOf });
 }
 
 /** State of one planning round. */
--- a/src/schedule/test/excess.steps.ts
+++ b/src/schedule/test/excess.steps.ts
@@ -9,8 +9,8 @@
     addDueOccurrences,
     addRun,
     addSubmission,
+    createAccountLimits,
     createAccountShares,
-    createCapIndex,
     createDurationEstimates,
     createSchedulerState,
     createStartGate,
@@ -181,10 +181,12 @@
     addWorker(this, "stalls", 1);
     const { state, policy } = this;
     const later = { state, policy, estimates, nowMs: nowMs + 5000 };
+    const limits = createAccountLimits();
+    limits.applyPolicy(policy);
     const gate = createStartGate({
         ...later,
         allowedWorkers: () => undefined,
-        capOf: createCapIndex(policy),
+        capOf: limits.capOf,
         maxStarts: 200,
     });
     this.speculative = planSpeculativeRuns(listStragglers(later), {
--- a/src/schedule/test/schedule.steps.ts
+++ b/src/schedule/test/schedule.steps.ts
@@ -7,7 +7,7 @@
     addDueOccurrences,
     addRun,
     addSubmission,
-    createCapIndex,
+    createAccountLimits,
     createDurationEstimates,
     createSchedulerState,
     createStartGate,
@@ -205,11 +205,13 @@
     for (const { runs } of state.workers.values()) {
         runs.forEach((run) => run.phase = "running");
     }
+    const limits = createAccountLimits();
+    limits.applyPolicy(policy);
     const gate = createStartGate({
         state,
         nowMs,
         allowedWorkers: () => allowed,
-        capOf: createCapIndex(policy),
+        capOf: limits.capOf,
         maxStarts,
     });
     const stragglers = listStragglers({ state, policy, estimates: createDurationEstimates(), nowMs });
--- a/src/scheduler/createBacklogMeter.ts
+++ b/src/scheduler/createBacklogMeter.ts
@@ -2,7 +2,7 @@
 import type { Clocks } from "../clock";
 import type { Tenure } from "../duties";
 import type { Policy } from "../policy";
-import type { DurationEstimates, SchedulerState, SubmissionEntry } from "../schedule";
+import type { AccountLimits, DurationEstimates, SchedulerState, SubmissionEntry } from "../schedule";
 import type { MeasuredDemand } from "./createFleetController";
 import { measureBacklog } from "./measureBacklog";
 
@@ -12,6 +12,7 @@
     readonly tenure: Tenure;
     readonly clocks: Clocks;
     readonly policy: () => Policy | undefined;
+    readonly capOf: AccountLimits["capOf"];
     readonly latestDemand: () => MeasuredDemand | undefined;
     /** Whether a submission was accepted beyond the rate of its account. */
     readonly isExcess: (entry: SubmissionEntry) => boolean;
@@ -40,6 +41,7 @@
         const pools = measureBacklog({
             state,
             policy,
+            capOf: opts.capOf,
             estimates,
             demand: demand.pools,
             idle: demand.idle,
--- a/src/scheduler/createPlanner.ts
+++ b/src/scheduler/createPlanner.ts
@@ -3,7 +3,7 @@
 import type { Policy } from "../policy";
 import type { StartWindow } from "../runs";
 import {
-    createCapIndex,
+    type AccountLimits,
     createStartGate,
     type DurationEstimates,
     groupByPool,
@@ -25,6 +25,7 @@
     readonly tenure: Tenure;
     readonly steadyMs: () => number;
     readonly policy: () => Policy | undefined;
+    readonly limits: AccountLimits;
     readonly permits: PermitCache;
     readonly window: StartWindow;
     /** Records new runs of a submission and sends their start requests. */
@@ -81,8 +82,10 @@
         if (isStopped || policy === undefined || !opts.tenure.isValid() || maxStarts === 0) {
             return;
         }
+        opts.limits.applyPolicy(policy);
+        const { capOf } = opts.limits;
         const allowedWorkers = findAllowedWorkers;
-        const gate = createStartGate({ state, nowMs, allowedWorkers, maxStarts, capOf: createCapIndex(policy) });
+        const gate = createStartGate({ state, nowMs, allowedWorkers, maxStarts, capOf });
         const stragglers = listStragglers({ state, policy, estimates, nowMs });
         const planned = planStarts({
             state,
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -12,6 +12,7 @@
 } from "../runs";
 import {
     addDueOccurrences,
+    createAccountLimits,
     createDurationEstimates,
     createSchedulerState,
     removeRun,
@@ -160,12 +161,14 @@
         ensurePolling: polling.ensurePolling,
     });
     const rates = createAccountRates();
+    const limits = createAccountLimits();
     const classifier = createSubmissionClassifier({ rates, policy: opts.policy, report, steadyMs: clocks.monotonicMs });
     const submissionTracker = createSubmissionTracker({
         state,
         estimates,
         meter,
         classifier,
+        limits,
         policy: opts.policy,
         report,
         steadyMs: clocks.monotonicMs,
@@ -186,6 +189,7 @@
         tenure,
         steadyMs: clocks.monotonicMs,
         policy: () => opts.isPolicyFresh() ? opts.policy() : undefined,
+        limits,
         permits: permitCache,
         window: startWindow,
         startAll: (entry, group) => void startAll(entry, group),
@@ -228,6 +232,7 @@
         tenure,
         clocks,
         policy: opts.policy,
+        capOf: limits.capOf,
         latestDemand: fleetController.latestDemand,
         isExcess: (entry) => entry.isExcess,
     });
--- a/src/scheduler/createSubmissionTracker.ts
+++ b/src/scheduler/createSubmissionTracker.ts
@@ -3,6 +3,7 @@
 import type { Policy } from "../policy";
 import { progressKey, type TaskProgress } from "../progress";
 import {
+    type AccountLimits,
     addDueOccurrences,
     addSubmission,
     type DurationEstimates,
@@ -34,6 +35,7 @@
     readonly state: SchedulerState;
     readonly estimates: DurationEstimates;
     readonly meter: DemandMeter;
+    readonly limits: Pick<AccountLimits, "learn">;
     readonly classifier: Pick<SubmissionClassifier, "addOpen" | "addFinal">;
     /** Current configuration; `undefined` until one has been read. */
     readonly policy: () => Policy | undefined;
@@ -145,6 +147,7 @@
         }
         addDueOccurrences(entry, Date.now(), nowMs);
         findAttempts(entry);
+        opts.limits.learn(record.submission);
         const ageMs = Math.max(0, Date.now() - record.submission.acceptedAtMs);
         const { workCoreMs, criticalPathMs } = estimateRemaining(entry, opts.estimates, nowMs);
         if (workCoreMs > 0) {
--- a/src/scheduler/measureBacklog.ts
+++ b/src/scheduler/measureBacklog.ts
@@ -1,8 +1,8 @@
 import type { PoolBacklog } from "../admission";
 import type { IdleMachine, PoolDemand } from "../machines";
 import type { Policy } from "../policy";
-import type { Resources } from "../resources";
 import {
+    type AccountLimits,
     type DurationEstimates,
     estimateRemaining,
     groupByPool,
@@ -19,6 +19,8 @@
 export interface BacklogOptions {
     readonly state: SchedulerState;
     readonly policy: Policy;
+    /** Limit of a client account; `undefined`: none is known. */
+    readonly capOf: AccountLimits["capOf"];
     readonly estimates: DurationEstimates;
     /** The latest measured demand of all pools. */
     readonly demand: readonly PoolDemand[];
@@ -96,13 +98,9 @@
 
 function groupEntriesBefore(opts: BacklogOptions): ReadonlyMap<string, readonly SubmissionEntry[]> {
     const pools = new Map<string, SubmissionEntry[]>();
-    const limited = opts.policy.tenants.filter(({ cap }) =>
-        cap.cpuMillis > 0 || cap.memoryMb > 0 || cap.accelerators > 0
-    );
-    const caps = new Map(limited.map(({ name, cap }) => [name, cap]));
     const poolsByRoute = new Map<string, string>();
     for (const entry of opts.state.submissions.values()) {
-        if (ranksBeforeNewExcess(entry, opts) && !isHeldByLimit(entry, caps, opts.state)) {
+        if (ranksBeforeNewExcess(entry, opts) && !isHeldByLimit(entry, opts)) {
             const { route } = entry.submission;
             const pool = poolsByRoute.get(route) ?? queueOf(opts.policy, entry.submission).service;
             poolsByRoute.set(route, pool);
@@ -136,9 +134,8 @@
 /** Whether the submission waits because its account may use no more; it then takes no processors from others. */
 function isHeldByLimit(
     { submission: { tenant, steps } }: SubmissionEntry,
-    caps: ReadonlyMap<string, Resources>,
-    state: SchedulerState,
+    { capOf, state }: BacklogOptions,
 ): boolean {
-    const cap = caps.get(tenant ?? "");
+    const cap = capOf(tenant);
     return cap !== undefined && steps.every(({ size }) => !isWithinTenantLimit(state, tenant, cap, size));
 }
--- a/src/scheduler/test/backlog.steps.ts
+++ b/src/scheduler/test/backlog.steps.ts
@@ -8,6 +8,7 @@
     addDueOccurrences,
     addRun,
     addSubmission,
+    createAccountLimits,
     createDurationEstimates,
     createSchedulerState,
     createWorker,
@@ -144,7 +145,10 @@
 });
 
 function measureAll(world: World): readonly PoolBacklog[] {
+    const limits = createAccountLimits();
+    limits.applyPolicy(world.backlogPolicy);
     return measureBacklog({
+        capOf: limits.capOf,
         state: world.backlogState,
         policy: world.backlogPolicy,
         estimates: world.durations,
--- a/src/scheduler/test/classifier.steps.ts
+++ b/src/scheduler/test/classifier.steps.ts
@@ -6,7 +6,13 @@
 import type { LogEvent } from "../../logging";
 import { createDemandMeter } from "../../machines";
 import type { Policy } from "../../policy";
-import { createDurationEstimates, createSchedulerState, createWorker, type SchedulerState } from "../../schedule";
+import {
+    createAccountLimits,
+    createDurationEstimates,
+    createSchedulerState,
+    createWorker,
+    type SchedulerState,
+} from "../../schedule";
 import { encodeRecord, submissionKey, type SubmissionRecord } from "../../submissions";
 import { createSubmissionClassifier, type SubmissionClassifier } from "../createSubmissionClassifier";
 import { createSubmissionTracker, type SubmissionTracker } from "../createSubmissionTracker";
@@ -41,6 +47,7 @@
         meter: createDemandMeter(1000),
         classifier: this.classifier,
         policy: () => this.appliedPolicy,
+        limits: createAccountLimits(),
         report,
         steadyMs,
         remainingRunMs: 12_000,
--- a/src/submissions/createSubmissionApi.ts
+++ b/src/submissions/createSubmissionApi.ts
@@ -376,6 +376,7 @@
         service: queue.service,
         acceptedAtMs: Date.now(),
         terms: termsOf(queue),
+        ...tenant === undefined ? {} : { accountCap: tenant.cap },
     };
 }
 
--- a/src/submissions/submission.ts
+++ b/src/submissions/submission.ts
@@ -64,6 +64,8 @@
     readonly acceptedAtMs: number;
     /** Terms of the queue when the submission was accepted; missing in records of builds that did not write them. */
     readonly terms?: QueueTerms;
+    /** Limit of the client account when the submission was accepted; missing in records of builds that did not write it. */
+    readonly accountCap?: Resources;
 }
 
 export const SubmissionState = {
--- a/standins/scheduling/createSchedulingWorld.ts
+++ b/standins/scheduling/createSchedulingWorld.ts
@@ -259,8 +259,10 @@
         },
         submit(id, steps, { route = "stalls", tenant = "giza", hasTerms = true } = {}) {
             const queue = world.policy.queues.find(({ name }) => name === route);
+            const account = world.policy.tenants.find(({ name }) => name === tenant);
             const terms = hasTerms && queue !== undefined ? { terms: termsOf(queue) } : {};
-            const submission = { ...plainSubmission(id, steps), tenant, route, ...terms };
+            const cap = hasTerms && account !== undefined ? { accountCap: account.cap } : {};
+            const submission = { ...plainSubmission(id, steps), tenant, route, ...terms, ...cap };
             store.put(submissionKey(id), encodeRecord({ kind: "open", submission, isCancelled: false }));
         },
         cancel(id) {
--- a/test/scheduling/account-limits.feature
+++ b/test/scheduling/account-limits.feature
@@ -52,3 +52,17 @@
         And 14000 ms pass
         Then at most 4 tasks ran at once
         And 1 submission is complete
+
+    Scenario: an account is removed from the configuration with work waiting
+        Guards against an account that counts as unlimited because the configuration no longer names it.
+
+        Given 2 entries and 2 workers
+        And the tenant may run 4 tasks at once
+        When 1 submission of 8 tasks of 2000 ms comes
+        And 500 ms pass
+        And operators remove the account
+        And 1000 ms pass
+        And the owner is killed
+        And 9000 ms pass
+        Then at most 4 tasks ran at once
+        And 1 submission is complete
--- a/test/scheduling/accountLimits.steps.ts
+++ b/test/scheduling/accountLimits.steps.ts
@@ -27,3 +27,7 @@
     }
     assert.ok(mostRunning <= most, `${mostRunning} tasks ran at once`);
 });
+
+When("operators remove the account", function(this: World) {
+    this.world.applyPolicy({ ...this.world.policy, version: this.world.policy.version + 1, tenants: [] });
+});
