fix(daemon, submissions): entries learn of each other's writes without an answer before they refuse a submission

What callers saw: a submission whose write got no answer is sent again to another entry, which refuses it for load (429) or because the store is gone (503) and says that nothing was stored. The first write may be carried out seconds later, and the submission runs.

Cause: an entry knew of its own attempts only.

Measured: the two new scenarios of src/submissions fail without the record of other entries' writes (overloaded, storeUnavailable) and pass with it.

--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -39,10 +39,17 @@
 import { createPolicyWatcher, isFreshEnoughToStart } from "../policy";
 import { createRelayedWorkerApi } from "../runs";
 import { createScheduler, createStandbyCopy, type Scheduler } from "../scheduler";
-import { createCancelBudget, createLoadCheck, createRecordWriter, createSubmissionApi } from "../submissions";
+import {
+    createCancelBudget,
+    createLoadCheck,
+    createRecordWriter,
+    createSubmissionApi,
+    submissionIdOf,
+} from "../submissions";
 import { createAcceptanceNotifier } from "./createAcceptanceNotifier";
 import { createLeaderQueries } from "./createLeaderQueries";
 import { createStoreAccess } from "./createStoreAccess";
+import { createUnsettledNotifier } from "./createUnsettledNotifier";
 
 export interface Daemon {
     start(): Promise<void>;
@@ -265,7 +272,25 @@
         report,
         nowMs: clocks.monotonicMs,
     });
-    const writer = createRecordWriter(store, clocks.monotonicMs, storeHealth.isLost);
+    const loadCheck = createLoadCheck({
+        admission,
+        store,
+        isStoreSlow: storeHealth.isSlow,
+        report,
+        nowMs: clocks.monotonicMs,
+    });
+    const unsettledNotifier = createUnsettledNotifier({
+        peers,
+        leaderBoot: presence.leaderBoot,
+        isLeader: () => scheduler !== undefined,
+        onUnsettled: (ids) => ids.forEach(loadCheck.recordElsewhere),
+    });
+    const writer = createRecordWriter(
+        store,
+        clocks.monotonicMs,
+        storeHealth.isLost,
+        (writes) => unsettledNotifier.notify(writes.map(({ key }) => submissionIdOf(key))),
+    );
     const submissionApi = createSubmissionApi({
         policySource: {
             ...policyWatcher,
@@ -280,13 +305,7 @@
             entryCount: presence.entryCount,
             nowMs: clocks.monotonicMs,
         }),
-        loadCheck: createLoadCheck({
-            admission,
-            store,
-            isStoreSlow: storeHealth.isSlow,
-            report,
-            nowMs: clocks.monotonicMs,
-        }),
+        loadCheck,
         report,
         steadyMs: clocks.monotonicMs,
         revokeMs: settings.revokeMs,
--- a/src/scheduler/createSubmissionTracker.ts
+++ b/src/scheduler/createSubmissionTracker.ts
@@ -23,7 +23,7 @@
     type FinalState,
     isTombstone,
     type RemainingRuns,
-    submissionPrefix,
+    submissionIdOf,
     SubmissionState,
 } from "../submissions";
 import type { EndedSubmission } from "./createRecordRemover";
@@ -104,7 +104,7 @@
     let storedProgress: ReadonlyMap<string, StoredProgress> = new Map();
 
     function applyRecord(key: string, item: StoreItem | undefined): void {
-        const id = key.slice(submissionPrefix.length);
+        const id = submissionIdOf(key);
         const record = item === undefined ? undefined : decodeRecord(item.text);
         if (item === undefined || record === undefined) {
             finalStates.delete(id);
--- a/src/submissions/createAttemptLog.ts
+++ b/src/submissions/createAttemptLog.ts
@@ -1,8 +1,10 @@
-/** Remembers the submissions that this entry has tried to write and that may be in the store, or may still get there. */
+/** Remembers the submissions that entries have tried to write and that may be in the store, or may still get there. */
 export interface AttemptLog {
     begin(id: string): void;
     /** @param mayBeStored false if the write is known not to be in the store, now and later */
     end(id: string, mayBeStored: boolean): void;
+    /** Another entry has tried to write it, and may not have had an answer. */
+    recordElsewhere(id: string): void;
     /** True while an attempt is in progress, and for `rememberedMs` after one that may have been stored. */
     mayBeStored(id: string): boolean;
 }
@@ -24,6 +26,11 @@
         }
     }
 
+    function remember(id: string): void {
+        endedAtMs.delete(id);
+        endedAtMs.set(id, nowMs());
+    }
+
     return {
         begin: (id) => void open.set(id, (open.get(id) ?? 0) + 1),
         end(id, mayBeStored) {
@@ -35,11 +42,14 @@
                 open.delete(id);
             }
             if (mayBeStored) {
-                endedAtMs.delete(id);
-                endedAtMs.set(id, nowMs());
+                remember(id);
             }
             forgetOld();
         },
+        recordElsewhere(id) {
+            remember(id);
+            forgetOld();
+        },
         mayBeStored(id) {
             forgetOld();
             return open.has(id) || endedAtMs.has(id);
--- a/src/submissions/createLoadCheck.ts
+++ b/src/submissions/createLoadCheck.ts
@@ -29,7 +29,9 @@
     ): Promise<AcceptResult | undefined>;
     /** Stores a submission that `check` has let through, and remembers the attempt. */
     track(id: string, store: () => Promise<AcceptResult>): Promise<AcceptResult>;
-    /** Whether an attempt of this entry, in progress or one of the last seconds, may have stored the submission. */
+    /** Another entry has written the submission without an answer of the store. */
+    recordElsewhere(id: string): void;
+    /** Whether an attempt, in progress here or one of the last seconds, may have stored the submission. */
     mayBeStored(id: string): boolean;
 }
 
@@ -40,7 +42,7 @@
  * Creates a check by the entry's admission.
  *
  * The client may have sent the submission before, and its tasks run then. So a submission is refused only if the store
- * has no record of it and no attempt of this entry can still add one. In doubt the submission takes the usual path.
+ * has no record of it and no attempt that this entry knows of can still add one. In doubt the submission takes the usual path.
  */
 export function createLoadCheck(opts: LoadCheckOptions): LoadCheck {
     const { admission, nowMs } = opts;
@@ -110,6 +112,7 @@
             attempts.end(id, result.kind !== "storeUnavailable");
             return result;
         },
+        recordElsewhere: attempts.recordElsewhere,
         mayBeStored: attempts.mayBeStored,
     };
 }
--- a/src/submissions/createRecordWriter.ts
+++ b/src/submissions/createRecordWriter.ts
@@ -55,11 +55,13 @@
  * In a burst of submissions one call stores up to 16 of them; a single write is sent without delay.
  *
  * @param isStoreLost while it returns true, writes are settled as `notWritten` at once
+ * @param onUnanswered called with the writes of each commit without an answer
  */
 export function createRecordWriter(
     store: Store,
     steadyMs: () => number,
     isStoreLost: () => boolean = () => false,
+    onUnanswered: (writes: readonly RecordWrite[]) => void = () => undefined,
 ): RecordWriter {
     let queue: PendingWrite[] = [];
     let isFlushing = false;
@@ -112,8 +114,15 @@
         }
     }
 
+    function markUnanswered(batch: readonly PendingWrite[]): void {
+        batch.forEach((pending) => pending.mayBeWritten = true);
+        if (batch.length > 0) {
+            onUnanswered(batch.map(({ write }) => write));
+        }
+    }
+
     function abandonAll(detail: string): void {
-        sent.forEach((pending) => pending.mayBeWritten = true);
+        markUnanswered(sent);
         const abandoned = [...sent, ...queue];
         queue = [];
         sent = [];
@@ -130,7 +139,7 @@
                 settleConflict(batch, result.items);
                 return;
             case "unknown":
-                batch.forEach((pending) => pending.mayBeWritten = true);
+                markUnanswered(batch);
                 break;
             case "unavailable":
             case "leaseEnded":
--- a/src/submissions/index.ts
+++ b/src/submissions/index.ts
@@ -12,6 +12,7 @@
     minKeepFinishedMs,
     type RemainingRun,
     type RemainingRuns,
+    submissionIdOf,
     submissionKey,
     submissionPrefix,
     type SubmissionRecord,
--- a/src/submissions/record.ts
+++ b/src/submissions/record.ts
@@ -51,6 +51,10 @@
     return submissionPrefix + id;
 }
 
+export function submissionIdOf(key: string): string {
+    return key.slice(submissionPrefix.length);
+}
+
 /** Record that a cancellation leaves where it finds none. */
 export function createTombstone(route: string, nowMs: number): SubmissionRecord {
     return { kind: "final", route, state: "cancelled", endedAtMs: nowMs, isTombstone: true };
--- a/src/submissions/test/overload.feature
+++ b/src/submissions/test/overload.feature
@@ -113,3 +113,20 @@
         And "aa" was cancelled before it was stored
         When submission "aa" arrives
         Then the last answer is "cancelledBefore"
+
+    Scenario: another entry has written a submission without an answer
+        Guards against a refusal that is untrue: the client sends its submission to another entry, and the write of the first
+        one is carried out later.
+
+        Given an overloaded entry
+        And another entry has written "a" without an answer
+        When submission "a" arrives
+        Then the last answer is "accepted"
+        And the skipped refusal is logged as "earlierAttempt"
+
+    Scenario: another entry has written a submission without an answer, and the store is gone
+        Given an overloaded entry
+        And another entry has written "a" without an answer
+        And the store refuses all calls
+        When submission "a" arrives
+        Then the last answer is "unknown"
--- a/src/submissions/test/overload.steps.ts
+++ b/src/submissions/test/overload.steps.ts
@@ -11,6 +11,7 @@
     createSubmissionApi,
     createTombstone,
     encodeRecord,
+    type LoadCheck,
     type Step,
     type SubmissionApi,
     submissionKey,
@@ -27,6 +28,7 @@
     clock: Clock;
     store: FakeStore;
     loadedApi: SubmissionApi;
+    loadCheck: LoadCheck;
     isOverloaded: boolean;
     isSlow: boolean;
     /** Extra time that each read takes, in milliseconds; infinite: reads are not answered. */
@@ -87,7 +89,7 @@
         writer: createRecordWriter(store, nowMs),
         leader: { findState: () => Promise.resolve(undefined), countPending: () => Promise.resolve(undefined) },
         cancelBudget: { spend: () => 0 },
-        loadCheck: createLoadCheck({
+        loadCheck: this.loadCheck = createLoadCheck({
             admission: {
                 ...admission,
                 decide: (request, atMs) => {
@@ -118,6 +120,10 @@
     this.store.put(submissionKey(hex(id)), encodeRecord(createTombstone("stalls", Date.now())));
 });
 
+Given("another entry has written {string} without an answer", function(this: World, id: string) {
+    this.loadCheck.recordElsewhere(hex(id));
+});
+
 Given("the store applies writes late", function(this: World) {
     this.store.setFault("entry-1", "late");
 });
