--- a/src/daemon/createUnsettledNotifier.ts
+++ b/src/daemon/createUnsettledNotifier.ts
@@ -3,7 +3,11 @@
 import type { Peers } from "../peers";
 
 const unsettledTopic = "submissionsUnsettled";
-const unsettledSchema = z.object({ ids: z.array(z.string()).max(1000), isFromLeader: z.boolean() });
+
+/** Most submissions in one message, which bounds what the leader sends in an outage of the store. */
+const maxIds = 1000;
+
+const unsettledSchema = z.object({ ids: z.array(z.string()).max(maxIds), isFromLeader: z.boolean() });
 
 /** Pause in which the leader collects what it passes on, in milliseconds: each message goes to all entries. */
 const collectMs = 250;
@@ -30,18 +34,18 @@
  */
 export function createUnsettledNotifier(opts: UnsettledNotifierOptions): UnsettledNotifier {
     const { peers } = opts;
-    let collected = new Set<string>();
+    /** What the leader still has to pass on. */
+    const collected = new Set<string>();
 
     async function passOn(ids: readonly string[]): Promise<void> {
-        const isScheduled = collected.size > 0;
+        const isPassingOn = collected.size > 0;
         ids.forEach((id) => collected.add(id));
-        if (isScheduled || collected.size === 0) {
-            return;
+        while (!isPassingOn && collected.size > 0) {
+            await pause(collectMs);
+            const sent = [...collected].slice(0, maxIds);
+            peers.broadcast(unsettledTopic, { ids: sent, isFromLeader: true });
+            sent.forEach((id) => collected.delete(id));
         }
-        await pause(collectMs);
-        const message = { ids: [...collected], isFromLeader: true };
-        collected = new Set();
-        peers.broadcast(unsettledTopic, message);
     }
 
     peers.onMessage(unsettledTopic, (_from, body) => {
--- a/src/progress/createProgressWriter.ts
+++ b/src/progress/createProgressWriter.ts
@@ -3,7 +3,7 @@
 import type { Reporter } from "../logging";
 import { type SubmissionEntry, tasksOf } from "../schedule";
 import type { Commit, CommitResult, Store, StoreItem } from "../store";
-import { decodeRecord, encodeRecord, type RemainingRuns, submissionKey } from "../submissions";
+import { decodeRecord, encodeRecord, type RemainingRun, type RemainingRuns, submissionKey } from "../submissions";
 import { createCommitLimit } from "./createCommitLimit";
 import { encodeProgress, progressKey } from "./progressRecord";
 import { type PendingSave, SavePurpose, takeBatch } from "./takeBatch";
@@ -25,24 +25,6 @@
     save(entry: SubmissionEntry, purpose: SavePurpose): Promise<boolean>;
 }
 
-/**
- * Runs that have not ended, for the final record. A leader that took the submission for ended would not count them against
- * the limit of their account.
- */
-function listRemaining(entry: SubmissionEntry): { readonly remaining?: RemainingRuns; } {
-    const runs = [...tasksOf(entry)].flatMap(({ occurrence, stepNumber: step, index, runs: taskRuns }) =>
-        taskRuns.map(({ number, worker: { id: workerId, bornMs } }) => ({
-            occurrence,
-            step,
-            index,
-            number,
-            workerId,
-            bornMs,
-        }))
-    );
-    return runs.length === 0 ? {} : { remaining: { submission: { ...entry.submission, payload: "" }, runs } };
-}
-
 /** Delay before a failed or unanswered commit is retried, in milliseconds. */
 const retryDelayMs = 60;
 
@@ -278,3 +260,21 @@
             }),
     };
 }
+
+/**
+ * Runs that have not ended, for the final record. A leader that took the submission for ended would not count them against
+ * the limit of their account.
+ */
+function listRemaining(entry: SubmissionEntry): { readonly remaining?: RemainingRuns; } {
+    const runs = [...tasksOf(entry)].flatMap((task) =>
+        task.runs.map(({ number, worker }): RemainingRun => [
+            task.occurrence,
+            task.stepNumber,
+            task.index,
+            number,
+            worker.id,
+            worker.bornMs,
+        ])
+    );
+    return runs.length === 0 ? {} : { remaining: { submission: { ...entry.submission, payload: "" }, runs } };
+}
--- a/src/schedule/createStartGate.ts
+++ b/src/schedule/createStartGate.ts
@@ -15,8 +15,6 @@
 
 /** What every new run of a planning round has to pass, whichever planner proposes it. */
 export interface StartGate {
-    /** Starts that the round has left. */
-    startsLeft(): number;
     /** Whether an account may run `count` more tasks of a size. */
     isWithinLimit(account: string | undefined, size: Resources, count: number): boolean;
     /** Whether the tasks may be started on some worker: attempts and the limit of the account. */
@@ -45,7 +43,6 @@
     }
 
     return {
-        startsLeft: () => opts.maxStarts - started,
         isWithinLimit,
         isAllowed,
         place(unit, workers, excluded) {
--- a/src/scheduler/createRecordRemover.ts
+++ b/src/scheduler/createRecordRemover.ts
@@ -65,7 +65,7 @@
         }
     }
 
-    async function run(): Promise<void> {
+    async function removeExpired(): Promise<void> {
         for (let commits = 0; commits < maxCommitsPerRun && tenure.isValid(); commits++) {
             const batch = [...pending, ...takeExpired(maxPerCommit - pending.length)];
             if (batch.length === 0) {
@@ -84,7 +84,7 @@
         async run() {
             if (!isRunning) {
                 isRunning = true;
-                await run();
+                await removeExpired();
                 isRunning = false;
             }
         },
--- a/src/scheduler/restoreRemaining.ts
+++ b/src/scheduler/restoreRemaining.ts
@@ -24,7 +24,7 @@
     const entry = addSubmission(state, submission, revision, finalState === "cancelled", nowMs);
     entry.finalState = finalState;
     entry.hasStarted = true;
-    for (const { occurrence, step, index, number, workerId, bornMs } of runs) {
+    for (const [occurrence, step, index, number, workerId, bornMs] of runs) {
         while (entry.occurrences.length <= occurrence) {
             addOccurrence(entry, nowMs);
         }
--- a/src/submissions/createSubmissionApi.ts
+++ b/src/submissions/createSubmissionApi.ts
@@ -248,7 +248,7 @@
         }
         const text = encodeRecord(createTombstone(queue.name, Date.now()));
         const write = { key: submissionKey(id), revision: 0, text };
-        return writeCancel(context, id, queue, write, { kind: "gone", detail: "recorded before it was stored" });
+        return writeCancel(context, id, queue, write, { kind: "gone", detail: "cancelled before it was stored" });
     }
 
     async function writeCancel(
--- a/src/submissions/record.ts
+++ b/src/submissions/record.ts
@@ -9,16 +9,18 @@
  */
 export const minKeepFinishedMs = 30_000;
 
-/** A run that was being stopped, or whose end had not been listed yet, when its submission ended. */
-export interface RemainingRun {
-    readonly occurrence: number;
-    readonly step: number;
-    readonly index: number;
-    readonly number: number;
-    readonly workerId: string;
-    /** When the worker's incarnation started, in milliseconds since 1970. */
-    readonly bornMs: number;
-}
+/**
+ * A run that was being stopped, or whose end had not been listed yet, when its submission ended. `bornMs` is when the
+ * worker's incarnation started, in milliseconds since 1970.
+ */
+export type RemainingRun = readonly [
+    occurrence: number,
+    step: number,
+    index: number,
+    number: number,
+    workerId: string,
+    bornMs: number,
+];
 
 /** Remaining runs of an ended submission, and the submission without its payload. */
 export interface RemainingRuns {
