test(soak): a client that does not know whether its submission was stored cancels it

The judge's rule on starts after an acknowledged cancellation covers submissions without an answer as well.

--- a/soak/createClients.ts
+++ b/soak/createClients.ts
@@ -4,6 +4,7 @@
 import { plainRoute } from "../standins/scheduling";
 import { encodeSubmission } from "../standins/usersPlatform";
 import { burstKey, keptKey, type World } from "./createWorld";
+import { refusals } from "./judge";
 
 /** What one client knows of a submission. */
 export interface SubmissionStory {
@@ -112,6 +113,17 @@
         }
     }
 
+    async function cancel(id: string): Promise<void> {
+        const story = stories.get(id);
+        for (let tries = 0; tries < maxTries && story !== undefined && story.cancelledAtMs === undefined; tries++) {
+            const { status } = await call("DELETE", id, validKey(story));
+            if (status === 200 || status === 410 && story.acceptedAtMs === undefined) {
+                story.cancelledAtMs = performance.now();
+            }
+            await pause(retryMs);
+        }
+    }
+
     void watchReadiness();
     return {
         stories,
@@ -146,6 +158,9 @@
                     await pause(retryMs);
                 }
             }
+            if (!isClosed && isUnsettled(story)) {
+                await cancel(id);
+            }
             if (!isClosed && story.acceptedAtMs === undefined) {
                 // A refused submission must stay unknown.
                 await pause(askMs);
@@ -156,16 +171,7 @@
                 await ask(story);
             }
         },
-        async cancel(id) {
-            const story = stories.get(id);
-            for (let tries = 0; tries < maxTries && story !== undefined && story.cancelledAtMs === undefined; tries++) {
-                const { status } = await call("DELETE", id, validKey(story));
-                if (status === 200) {
-                    story.cancelledAtMs = performance.now();
-                }
-                await pause(retryMs);
-            }
-        },
+        cancel,
         async close() {
             isClosed = true;
             await agent.destroy();
@@ -173,6 +179,11 @@
     };
 }
 
+/** Whether a client that gives up does not know if its submission was stored, so that it cancels it. */
+function isUnsettled({ answers, acceptedAtMs }: SubmissionStory): boolean {
+    return acceptedAtMs === undefined && answers.some((status) => !refusals.has(status));
+}
+
 /** A key of the same account that is not taken away. */
 function validKey({ key }: SubmissionStory): string {
     return key === burstKey ? burstKey : keptKey;
--- a/soak/judge.ts
+++ b/soak/judge.ts
@@ -28,7 +28,7 @@
 const cancelMs = 3000;
 
 /** Answers that say that a submission was not taken and never runs. */
-const refusals = new Set([401, 404, 429, 503]);
+export const refusals = new Set([401, 404, 429, 503]);
 
 /** Every promise that was broken, as clients, workers and the platform saw it. */
 export function judge(evidence: Evidence): readonly string[] {
