fix(scheduler): records are not removed in the first 10 s of a tenure

What callers would see: a submission whose cancellation was acknowledged runs after an outage of the store that is longer than records are kept. The record of the cancellation expires by the time of day while the store is down, a new leader removes it at once, and a write from before the outage is carried out then.

Change: a leader removes records only once its tenure has lasted longer than the store may take to carry out a write. Ends of submissions restored by a new leader no longer count in the histogram of their durations.

Measured: "a write from before a long outage is carried out after it" (test/scheduling/removal.feature) fails without the wait and passes with it.

--- a/src/metrics/createEventMetrics.ts
+++ b/src/metrics/createEventMetrics.ts
@@ -199,7 +199,7 @@
                     if (event.class !== undefined) {
                         submissionClasses.inc({ class: event.class });
                     }
-                    if (event.change !== "taken") {
+                    if (event.change !== "taken" && event.change !== "stillStopping") {
                         submissionTime.observe({ change: event.change }, event.sinceAcceptedMs / 1000);
                     }
                     return;
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -21,7 +21,7 @@
     type SubmissionEntry,
     type Worker,
 } from "../schedule";
-import { minKeepFinishedMs, submissionPrefix } from "../submissions";
+import { lateWriteMs, minKeepFinishedMs, submissionPrefix } from "../submissions";
 import { createBacklogMeter } from "./createBacklogMeter";
 import { createFirstStartReport } from "./createFirstStartReport";
 import { createFleetController } from "./createFleetController";
@@ -275,7 +275,10 @@
         }
         watchdog.tick();
         classifier.tick();
-        void recordRemover.run();
+        // A new tenure may follow an outage in which records have expired. Writes from before it may still be carried out.
+        if (nowMs - startedAtMs > lateWriteMs) {
+            void recordRemover.run();
+        }
         planner.planSoon();
     }
 
--- a/src/submissions/createAttemptLog.ts
+++ b/src/submissions/createAttemptLog.ts
@@ -1,3 +1,5 @@
+import { lateWriteMs } from "./record";
+
 /** Remembers the submissions that entries have tried to write and that may be in the store, or may still get there. */
 export interface AttemptLog {
     begin(id: string): void;
@@ -5,13 +7,10 @@
     end(id: string, mayBeStored: boolean): void;
     /** Another entry has tried to write it, and may not have had an answer. */
     recordElsewhere(id: string): void;
-    /** True while an attempt is in progress, and for `rememberedMs` after one that may have been stored. */
+    /** True while an attempt is in progress, and for `lateWriteMs` after one that may have been stored. */
     mayBeStored(id: string): boolean;
 }
 
-/** How long an ended attempt is remembered, in milliseconds. The store applies a late write within seconds. */
-const rememberedMs = 10_000;
-
 export function createAttemptLog(nowMs: () => number): AttemptLog {
     const open = new Map<string, number>();
     /** Ends of attempts, oldest first. */
@@ -19,7 +18,7 @@
 
     function forgetOld(): void {
         for (const [id, atMs] of endedAtMs) {
-            if (nowMs() - atMs < rememberedMs) {
+            if (nowMs() - atMs < lateWriteMs) {
                 return;
             }
             endedAtMs.delete(id);
--- a/src/submissions/index.ts
+++ b/src/submissions/index.ts
@@ -9,6 +9,7 @@
     decodeRecord,
     encodeRecord,
     isTombstone,
+    lateWriteMs,
     minKeepFinishedMs,
     type RemainingRun,
     type RemainingRuns,
--- a/src/submissions/record.ts
+++ b/src/submissions/record.ts
@@ -3,11 +3,14 @@
 /** Key prefix of submissions in the store. The entry that accepts one writes its record; the leader writes its end. */
 export const submissionPrefix = "samphirepin/sub/";
 
+/** The store carries out a write without an answer within this time or not at all, in milliseconds. */
+export const lateWriteMs = 10_000;
+
 /**
- * Minimum time for which records of ended submissions are kept, in milliseconds. The store may carry out a write without
- * an answer seconds later, and by then has to find the record that the write is not to replace.
+ * Minimum time for which records of ended submissions are kept, in milliseconds: a late write has to find the record that it
+ * is not to replace, also where the clocks of two entries differ.
  */
-export const minKeepFinishedMs = 30_000;
+export const minKeepFinishedMs = 3 * lateWriteMs;
 
 /**
  * A run that was being stopped, or whose end had not been listed yet, when its submission ended. `bornMs` is when the
--- a/test/scheduling/removal.feature
+++ b/test/scheduling/removal.feature
@@ -23,6 +23,18 @@
         And 9000 ms pass
         Then no task was started
 
+    Scenario: a write from before a long outage is carried out after it
+        Guards against a tombstone that expires while the store is down, and is removed before the write that it has to stop.
+
+        Given 1 entry and 1 worker
+        When an unknown submission is cancelled
+        And every store is "refused"
+        And the store carries out the submission's write 136000 ms late
+        And 130000 ms pass
+        And every store is well
+        And 14000 ms pass
+        Then no task was started
+
     Scenario: a removal is carried out late
         Guards against the loss of a submission that came under the id of one whose records had just been removed.
 
