--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,81 +1,83 @@
-/** The platform leaves an upkeep order unanswered, refuses its repetition and carries the first one out late. */
+/** A queue's policy allows one of 35 workers to run a step, and it is not among the first 30 of the pool. */
 import { bounds, callClient, createConfig, runCase, startFleet } from "../fleet-2.mjs";
-import { createWorkers, pause, startCloud, startStore } from "../platform-2.mjs";
+import { createWorkers, pause, serve, startStore } from "../platform-2.mjs";
 
-/** How much later the unanswered order is carried out, in milliseconds. */
-const lateMs = 3400;
-
-const maxDown = 1;
-
-/** Three of the four machines are busy from 2.3 s after the wave was asked for. */
-const busyAfterMs = 2300;
-const busy = { count: 3, cpu: 50_000, memMb: 1024, estimateMs: 4000 };
+const key = "key-giza";
+const id = "5c0e7a21d94b36f8";
+const step = { count: 2, cpu: 1000, memMb: 512, estimateMs: 800 };
+const advice = { decisionMs: 50, perWorkerMs: 5, validityMs: 3000 };
+const workerCount = 35;
 
 await runCase(import.meta.url, async ({ note, events }, onClose, hasTrouble) => {
     const store = await startStore();
     onClose(() => store.close());
-    store.put("op/config", createConfig({ services: ["ordre"] }));
+    const cloud = await serve(({ call }) =>
+        call === "GET /machines" ? { status: 200, body: { machines: [], nextToken: "" } } : { status: 503 }
+    );
+    onClose(() => cloud.close());
+    const config = createConfig({ services: ["ordre"] });
+    store.put("op/config", { ...config, routes: config.routes.map((route) => ({ ...route, advice })) });
     const workers = createWorkers({
         store,
         note,
-        taskOf: () => ({ workMs: 4000 }),
+        taskOf: () => ({ workMs: 800 }),
         bounds: { maxHoldMs: bounds.maxHoldMs, gangTimeoutMs: bounds.gangTimeoutMs, checkpointMs: 1000 },
     });
     onClose(() => workers.close());
-    const upkeepOrders = new Map();
-    const cloud = await startCloud({
-        workers,
-        note,
-        bounds: { maintenanceMs: bounds.maintenanceS * 1000, moveMs: bounds.migrateS * 1000 },
-        treat(call, { machine }) {
-            if (
-                !hasTrouble || call !== "POST /machine-upkeep" || (upkeepOrders.size > 0 && !upkeepOrders.has(machine))
-            ) {
-                return undefined;
-            }
-            const count = (upkeepOrders.get(machine) ?? 0) + 1;
-            upkeepOrders.set(machine, count);
-            return count === 1 ? { lateMs } : count === 2 ? 503 : undefined;
-        },
-    });
-    onClose(() => cloud.close());
-    const ids = ["m-1", "m-2", "m-3", "m-4"];
-    for (const id of ids) {
-        await cloud.addMachine(id, "ordre");
+    const ids = Array.from({ length: workerCount }, (_, at) => `worker-${String(at + 1).padStart(2, "0")}`);
+    for (const name of ids) {
+        await workers.add({ id: name, service: "ordre" });
     }
+    const allowed = hasTrouble ? ids.at(-1) : ids.at(0);
+    let lastDecision = Promise.resolve();
+    const adviser = await serve(({ body }) => {
+        lastDecision = lastDecision.then(async () => {
+            await pause(advice.decisionMs + advice.perWorkerMs * body.workers.length);
+            const good = body.workers.filter((worker) => worker === allowed).map((
+                worker,
+            ) => [worker, `ticket-${worker}`]);
+            note({ kind: "advice", step: body.step, workers: body.workers, good });
+            return { status: 200, body: { good, validityMs: advice.validityMs } };
+        });
+        return lastDecision;
+    });
+    onClose(() => adviser.close());
     const fleet = await startFleet({
         names: ["entry-1", "entry-2", "entry-3"],
         storeAddress: store.address,
         cloudAddress: cloud.address,
         note,
+        settings: { advice: adviser.address },
     });
     onClose(() => fleet.close());
     if (!await fleet.waitReady()) {
         throw new Error("the daemons did not become ready");
     }
-    await pause(4000);
-    store.put("op/wave/1", { wave: 1, machines: ids, completeByS: 40, cap: maxDown });
-    note({ kind: "waveAsked", machines: ids, cap: maxDown });
-    await pause(busyAfterMs);
-    const posted = await callClient(fleet.daemons[0], note, {
+    await pause(5000);
+    const [entry] = fleet.daemons;
+    const posted = await callClient(entry, note, {
         method: "POST",
-        path: "/ordre/5c0e7a21d94b36f8",
-        key: "key-giza",
-        body: { spec: "blend", steps: [busy] },
+        path: `/ordre/${id}`,
+        key,
+        body: { spec: "blend", steps: [step] },
     });
     if (posted.status !== 200) {
         throw new Error("the submission was not accepted");
     }
-    for (let waitedMs = 0; waitedMs < 60_000 && store.get("status/wave/1")?.state !== "complete"; waitedMs += 250) {
-        await pause(250);
-    }
-    note({ kind: "waveStatus", status: store.get("status/wave/1") });
-    if (!events.some(({ kind }) => kind === "upkeepBegins")) {
-        throw new Error("no upkeep began");
+    // From `finish_s` after the end of the traffic on, nothing may run for 3 s only for lack of capacity.
+    await pause((bounds.finish_s + 10) * 1000);
+    const asked = events.filter(({ kind }) => kind === "advice");
+    const hasStarted = events.some(({ kind }) => kind === "start");
+    const { body } = await callClient(entry, note, { method: "GET", path: `/ordre/${id}`, key });
+    if (asked.length === 0) {
+        throw new Error("no advice was asked for");
     }
-    return events
-        .filter(({ kind, downNow }) => kind === "upkeepBegins" && downNow.length >= maxDown)
-        .map(({ atS, machine, downNow }) =>
-            `LIMIT: the upkeep of ${machine} begins at ${atS} s while ${downNow} is down`
-        );
+    return !hasStarted && body.state !== "complete"
+        ? [
+            `LOST: ${
+                bounds.finish_s + 10
+            } s after it was accepted the submission is ${body.state}. Advice was asked for `
+            + `${asked.length} times, never on ${allowed}, which may run it and is empty`,
+        ]
+        : [];
 });
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# Plays the case; `TROUBLE=0` leaves the trouble of the platform out.
+# Plays the case; with `TROUBLE=0` the policy allows the first worker instead of the last.
 cd "$(dirname "$0")" && exec node case.mjs
