--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -3,11 +3,16 @@
 import { createWorkers, pause, serve, startStore } from "../platform-2.mjs";
 
 const key = "key-giza";
-const hopelessCount = 9;
 const hopeless = { count: 5, cpu: 1000, memMb: 512, estimateMs: 900, longRunning: true, requiredLabel: "b" };
 const usual = { count: 2, cpu: 1000, memMb: 512, estimateMs: 800 };
 const usualId = "5c0e7a21d94b36f8";
 
+/** Small submissions of the traffic; each thirty-third of them can never run: 9 of 300, a share of 0.03. */
+const small = { count: 1, cpu: 1000, memMb: 256, estimateMs: 200 };
+const trafficCount = 300;
+const hopelessEach = 33;
+const trafficIntervalMs = 80;
+
 await runCase(import.meta.url, async ({ note, events }, onClose, hasTrouble) => {
     const store = await startStore();
     onClose(() => store.close());
@@ -19,7 +24,7 @@
     const workers = createWorkers({
         store,
         note,
-        taskOf: () => ({ workMs: 800 }),
+        taskOf: (task) => ({ workMs: task.startsWith(usualId) ? 800 : 200 }),
         bounds: { maxHoldMs: bounds.maxHoldMs, gangTimeoutMs: bounds.gangTimeoutMs, checkpointMs: 1000 },
     });
     onClose(() => workers.close());
@@ -40,11 +45,14 @@
     const [entry] = fleet.daemons;
     const submit = (id, steps) =>
         callClient(entry, note, { method: "POST", path: `/ordre/${id}`, key, body: { spec: "blend", steps } });
-    for (let at = 1; hasTrouble && at <= hopelessCount; at++) {
-        const { status } = await submit(`00000000000000${at.toString(16).padStart(2, "0")}`, [hopeless]);
-        if (status !== 200) {
-            throw new Error("a submission was not accepted");
-        }
+    const answers = [];
+    for (let at = 1; at <= trafficCount; at++) {
+        const isHopeless = hasTrouble && at % hopelessEach === 0;
+        answers.push(submit(at.toString(16).padStart(16, "0"), [isHopeless ? hopeless : small]));
+        await pause(trafficIntervalMs);
+    }
+    if ((await Promise.all(answers)).some(({ status }) => status !== 200)) {
+        throw new Error("a submission was not accepted");
     }
     await pause(1000);
     if ((await submit(usualId, [usual])).status !== 200) {
--- a/review/6/case.mjs
+++ b/review/6/case.mjs
@@ -54,14 +54,28 @@
             key,
             body: { spec: "blend", steps },
         });
+    /** Sends a submission again, to each daemon in turn, while it has no answer: a daemon may have ended meanwhile. */
+    async function submitLarge(id) {
+        for (let attempt = 0; attempt < 12; attempt++) {
+            const daemon = fleet.daemons[attempt % fleet.daemons.length];
+            const body = { spec: "blend", steps: [large] };
+            const { status } = await callClient(daemon, note, { method: "POST", path: `/ordre/${id}`, key, body });
+            if (status === 200) {
+                return true;
+            }
+            await pause(300);
+        }
+        return false;
+    }
+
     if ((await submit(usualId, [{ ...usual, count: 40 }, { ...usual, after: [0] }])).status !== 200) {
         throw new Error("the submission was not accepted");
     }
     const larges = Array.from(
         { length: hasTrouble ? largeCount : 0 },
-        (_, at) => submit(`000000000000000${at + 1}`, [large]),
+        (_, at) => submitLarge(`000000000000000${at + 1}`),
     );
-    if ((await Promise.all(larges)).some(({ status }) => status !== 200)) {
+    if (!(await Promise.all(larges)).every(Boolean)) {
         throw new Error("a large submission was not accepted");
     }
     await pause(40_000);
