fix(advice, schedule): a step is offered to all workers of its pool, not to the first 30 again and again

Cause: each request for advice named the first 30 candidates in a fixed order, and an answer was forgotten when its tickets ran out.

Evidence: in a run on all ten requests named worker-01 to worker-30, none had a permitted worker, and worker-35 was the permitted one. Ruled out by the same record: a permit that came too late (none came), busy or missing answers (each was answered).

Change: what an answer says about a worker is kept for its incarnation, since it doesn't change for a step; the next request names others, and only for a task that could not be placed on the permitted workers. A ticket belongs to an incarnation. `advice` log lines and a counter are new.

--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -220,6 +220,18 @@
         /** Number of the task's latest run. */
         readonly lastRun: number;
     }
+    /** The advice service was asked which of some workers may run a step. */
+    | {
+        readonly kind: "advice";
+        readonly step: string;
+        readonly outcome: "permits" | "busy" | "noAnswer";
+        /** Workers that could run the step, apart from permits. */
+        readonly candidates: number;
+        /** Workers that the request named. */
+        readonly asked: number;
+        readonly permitted: number;
+        readonly tookMs: number;
+    }
     /** A worker lists a run that no longer belongs to a task; the leader tells the worker to stop it. */
     | { readonly kind: "stray"; readonly task: string; readonly run: number; readonly worker: string; }
     | {
--- a/src/logs/explainSubmission.ts
+++ b/src/logs/explainSubmission.ts
@@ -23,7 +23,8 @@
 }
 
 function isOwn(line: LogLine, id: string): boolean {
-    return line["submission"] === id || line["requestId"] === id || String(line["task"] ?? "").startsWith(`${id}.`);
+    return line["submission"] === id || line["requestId"] === id
+        || [line["task"], line["step"]].some((name) => String(name ?? "").startsWith(`${id}.`));
 }
 
 function isRelated(line: LogLine, workers: ReadonlySet<string>, from: string, to: string): boolean {
--- a/src/metrics/createEventMetrics.ts
+++ b/src/metrics/createEventMetrics.ts
@@ -52,6 +52,7 @@
         "Runs that failed and count as attempts of their task, by whether the limit is known",
         "limit",
     );
+    const adviceRequests = counter("advice_requests", "Requests to the advice service, by outcome", "outcome");
     const submissions = counter("submissions", "Submissions taken and ended by this owner", "change");
     const machineOrders = counter("machine_orders", "Moves and upkeeps, by outcome", "order", "outcome");
     const duties = counter("duty_changes", "Changes of the scheduling duty", "change");
@@ -194,6 +195,9 @@
                 case "runReappeared":
                     reappeared.inc({ state: event.state });
                     return;
+                case "advice":
+                    adviceRequests.inc({ outcome: event.outcome });
+                    return;
                 case "submission":
                     submissions.inc({ change: event.change });
                     if (event.class !== undefined) {
--- a/src/schedule/placeUnit.ts
+++ b/src/schedule/placeUnit.ts
@@ -6,14 +6,10 @@
 export interface PlaceUnitOptions {
     readonly state: SchedulerState;
     readonly nowMs: number;
-    /**
-     * Ids of the workers that may run a unit's step; `undefined`: all. `"unknown"`: the advice service has to be asked
-     * first.
-     */
-    readonly allowedWorkers: (
-        unit: PlacementUnit,
-        workers: readonly Worker[],
-    ) => ReadonlySet<string> | "unknown" | undefined;
+    /** Ids of the workers that may run a unit's step, as far as is known now; `undefined`: all. */
+    readonly allowedWorkers: (unit: PlacementUnit) => ReadonlySet<string> | undefined;
+    /** Requests advice on further workers, for a unit that could not be placed on those that are known to be allowed. */
+    readonly requestAdvice?: (unit: PlacementUnit, workers: readonly Worker[]) => void;
 }
 
 /**
@@ -27,10 +23,21 @@
     opts: PlaceUnitOptions,
     excluded?: ReadonlySet<Worker>,
 ): readonly Run[] {
-    const allowed = opts.allowedWorkers(unit, workers);
-    if (allowed === "unknown") {
-        return [];
+    const allowed = opts.allowedWorkers(unit);
+    const runs = allowed?.size === 0 ? [] : placeOnAllowed(unit, workers, opts, allowed, excluded);
+    if (runs.length === 0 && allowed !== undefined) {
+        opts.requestAdvice?.(unit, workers.filter((worker) => excluded?.has(worker) !== true));
     }
+    return runs;
+}
+
+function placeOnAllowed(
+    unit: PlacementUnit,
+    workers: readonly Worker[],
+    opts: PlaceUnitOptions,
+    allowed: ReadonlySet<string> | undefined,
+    excluded: ReadonlySet<Worker> | undefined,
+): readonly Run[] {
     const number = Math.max(...unit.tasks.map(({ lastRun }) => lastRun)) + 1;
     const runs: Run[] = [];
     for (const candidates of listCandidates(unit, workers)) {
--- a/src/scheduler/createPlanner.ts
+++ b/src/scheduler/createPlanner.ts
@@ -1,4 +1,4 @@
-import type { PermitCache } from "../advice";
+import type { AdviceCandidate, PermitCache } from "../advice";
 import type { Tenure } from "../duties";
 import type { Policy } from "../policy";
 import type { StartWindow } from "../runs";
@@ -7,6 +7,7 @@
     createStartGate,
     type DurationEstimates,
     groupByPool,
+    hasFreeCapacity,
     listAdviceCandidates,
     listStragglers,
     type PlacementUnit,
@@ -84,8 +85,8 @@
         }
         opts.limits.applyPolicy(policy);
         const { capOf } = opts.limits;
-        const allowedWorkers = findAllowedWorkers;
-        const gate = createStartGate({ state, nowMs, allowedWorkers, maxStarts, capOf });
+        const placement = { allowedWorkers, requestAdvice };
+        const gate = createStartGate({ state, nowMs, ...placement, maxStarts, capOf });
         const stragglers = listStragglers({ state, policy, estimates, nowMs });
         const planned = planStarts({
             state,
@@ -93,7 +94,7 @@
             estimates,
             nowMs,
             timeOfDayMs: Date.now(),
-            allowedWorkers,
+            ...placement,
             gate,
             maxStarts: stragglers.length > 0 ? Math.max(1, maxStarts - speculativeReserve) : maxStarts,
             window: { sizeStarts: opts.window.size(), inFlightByPool: opts.window.inFlightByPool() },
@@ -114,16 +115,25 @@
         bySubmission.forEach((group, entry) => opts.startAll(entry, group));
     }
 
-    function findAllowedWorkers(
-        unit: PlacementUnit,
-        workers: readonly Worker[],
-    ): ReadonlySet<string> | "unknown" | undefined {
-        const task = unit.tasks[0];
-        if (unit.queue.advice === undefined || task === undefined) {
-            return undefined;
+    function allowedWorkers({ queue, tasks: [task] }: PlacementUnit): ReadonlySet<string> | undefined {
+        return queue.advice === undefined || task === undefined
+            ? undefined
+            : opts.permits.allowedWorkers(adviceStepName(task), (id) => state.workers.get(id)?.bornMs);
+    }
+
+    function requestAdvice(unit: PlacementUnit, workers: readonly Worker[]): void {
+        const [task] = unit.tasks;
+        if (unit.queue.advice !== undefined && task !== undefined) {
+            opts.permits.request(adviceStepName(task), unit.queue.advice, listCandidates(unit, workers));
         }
-        const candidates = listAdviceCandidates(unit, workers, steadyMs()).map(({ id }) => id);
-        return opts.permits.allowedWorkers(adviceStepName(task), candidates) ?? "unknown";
+    }
+
+    function listCandidates(unit: PlacementUnit, workers: readonly Worker[]): readonly AdviceCandidate[] {
+        return listAdviceCandidates(unit, workers, steadyMs()).map((worker) => ({
+            workerId: worker.id,
+            bornMs: worker.bornMs,
+            hasFreeCapacity: unit.tasks.slice(0, 1).some((task) => hasFreeCapacity(worker, task)),
+        }));
     }
 
     return {
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -106,7 +106,7 @@
         onFenced,
         onIncarnationEnded: handleIncarnationEnded,
         pollNow: (worker) => polling.pollNow(worker),
-        findTicket: ({ task, worker }) => permitCache.ticket(adviceStepName(task), worker.id),
+        findTicket: ({ task, worker }) => permitCache.ticket(adviceStepName(task), worker.id, worker.bornMs),
         onStartAnswered: startWindow.recordAnswer,
         onChange: () => planner.planSoon(),
     });
--- a/standins/scheduling/createFakeTaskWorkers.ts
+++ b/standins/scheduling/createFakeTaskWorkers.ts
@@ -51,6 +51,10 @@
     /** An owner was told of this end and has let it be forgotten, and the worker's lease held until then. */
     isAcked: boolean;
     ackedAtMs?: number;
+    /** Ticket that a start carried. */
+    readonly ticket?: string | undefined;
+    /** Start of the worker's life in which it happened. */
+    readonly bornMs?: number;
 }
 
 export interface FakeTaskWorker {
@@ -115,9 +119,10 @@
     function note(
         worker: State,
         kind: WorkerEvent["kind"],
-        { task, run }: { task: string; run: number; },
+        { task, run, ticket }: { task: string; run: number; ticket?: string | undefined; },
     ): WorkerEvent {
-        const event = { atMs: performance.now(), worker: worker.id, kind, task, run, isAcked: false };
+        const { id, bornMs } = worker;
+        const event = { atMs: performance.now(), worker: id, bornMs, kind, task, run, ticket, isAcked: false };
         events.push(event);
         return event;
     }
--- a/standins/scheduling/createSchedulingEntry.ts
+++ b/standins/scheduling/createSchedulingEntry.ts
@@ -92,7 +92,7 @@
                 store,
                 workerApi,
                 machines,
-                advice: { ask: (_step, workerIds) => world.advise(workerIds) },
+                advice: { ask: (step, workerIds) => world.advise(workerIds, step) },
                 decoder,
                 tenure,
                 copy: copyOf(standbyCopy.take(), tenure.token),
--- a/standins/scheduling/createSchedulingWorld.ts
+++ b/standins/scheduling/createSchedulingWorld.ts
@@ -72,7 +72,7 @@
     /** Availability zones of workers, by id; `zone-a` where none is given. */
     readonly zones: Map<string, string>;
     /** What the advice service answers; all workers are good at first. */
-    advise(workerIds: readonly string[]): Promise<AdviceResult>;
+    advise(workerIds: readonly string[], step: string): Promise<AdviceResult>;
     addEntry(name: string): SchedulingEntry;
     /** Under an id that is known already: another life of that worker. */
     addWorker(id: string, pool?: string, kind?: string): void;
--- a/standins/scheduling/index.ts
+++ b/standins/scheduling/index.ts
@@ -1,5 +1,6 @@
 /** In-memory store, workers and machines for scenarios of scheduling; all use the runtime's clock. */
 export { type CompetitionWorld, createCompetitionWorld, type PoolLoad } from "./createCompetitionWorld";
+export { createFakeAdviser, hasValidTicket } from "./createFakeAdviser";
 export { createFakeStore, type FakeStore, type StoreFault } from "./createFakeStore";
 export {
     createFakeTaskWorkers,
