fix(schedule, scheduler): submissions that no worker may run no longer keep others from starting

Cause: a pool counted as full for the rest of a round after 41 failed placements, and tasks that no worker may run counted. Long-running tasks rank first, so 45 such tasks used up every round.

Change: a failed placement stands for the tasks that need at least as much, which are left out without a search. The bound on failed placements of a round stays; beyond it the submissions that have not been tried for the longest time are tried, up to 20 more failures.

On related paths: the count of waiting tasks that quotas follow from; tasks that fit on no single worker were looked for among the 20 oldest submissions only; work that no machine of the fleet could run was demand for machines. New: `unplaceable` log lines with the unmet demand, and a counter.

--- a/bench/model/simulateFleet.ts
+++ b/bench/model/simulateFleet.ts
@@ -170,6 +170,10 @@
             comingCpuMillis: (pool) =>
                 machines.filter((machine) => machine.pool === pool && machine.joinsAtMs < Number.POSITIVE_INFINITY)
                     .length * fleet.cores * 1000,
+            hosts: machines.map(() => ({
+                labels: [],
+                capacity: { cpuMillis: fleet.cores * 1000, memoryMb: Number.POSITIVE_INFINITY, accelerators: 0 },
+            })),
         });
         const atRest = machines.filter(({ joinsAtMs }) => joinsAtMs === Number.POSITIVE_INFINITY);
         const countCpuMillis = (list: readonly ModelMachine[]) => list.length * fleet.cores * 1000;
--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -220,6 +220,17 @@
         /** Number of the task's latest run. */
         readonly lastRun: number;
     }
+    /** A step waits although no worker of its pool could run it, even an empty one. */
+    | {
+        readonly kind: "unplaceable";
+        readonly submission: string;
+        readonly step: number;
+        readonly pool: string;
+        /** The demand that no worker meets. */
+        readonly obstacle: "noHost" | "label" | "size" | "gangSize";
+        readonly workers: number;
+        readonly waitedMs: number;
+    }
     /** The advice service was asked which of some workers may run a step. */
     | {
         readonly kind: "advice";
--- a/src/metrics/createEventMetrics.ts
+++ b/src/metrics/createEventMetrics.ts
@@ -52,6 +52,11 @@
         "Runs that failed and count as attempts of their task, by whether the limit is known",
         "limit",
     );
+    const unplaceable = counter(
+        "unplaceable",
+        "Checks that found a waiting step which no worker of its pool could run, by the demand that none meets",
+        "obstacle",
+    );
     const adviceRequests = counter("advice_requests", "Requests to the advice service, by outcome", "outcome");
     const submissions = counter("submissions", "Submissions taken and ended by this owner", "change");
     const machineOrders = counter("machine_orders", "Moves and upkeeps, by outcome", "order", "outcome");
@@ -195,6 +200,9 @@
                 case "runReappeared":
                     reappeared.inc({ state: event.state });
                     return;
+                case "unplaceable":
+                    unplaceable.inc({ obstacle: event.obstacle });
+                    return;
                 case "advice":
                     adviceRequests.inc({ outcome: event.outcome });
                     return;
--- a/src/schedule/estimates.ts
+++ b/src/schedule/estimates.ts
@@ -1,4 +1,4 @@
-import { defaultTaskMs } from "../submissions";
+import { defaultTaskMs, type Step } from "../submissions";
 import type { Occurrence, Run, SubmissionEntry, Task } from "./schedulerState";
 import { isStepReady } from "./submissionEntries";
 
@@ -93,11 +93,11 @@
 }
 
 /** Processors requested by waiting tasks that are ready and have no run, in thousandths of a core. */
-export function waitingCpuMillis(entry: SubmissionEntry): number {
+export function waitingCpuMillis(entry: SubmissionEntry, isCounted: (step: Step) => boolean = () => true): number {
     let cpuMillis = 0;
     for (const occurrence of entry.occurrences) {
         occurrence.tasks.forEach((step, number) => {
-            if (isStepReady(occurrence, number)) {
+            if (step[0] !== undefined && isCounted(step[0].step) && isStepReady(occurrence, number)) {
                 const waiting = step.filter(({ phase, runs }) => phase === "waiting" && runs.length === 0).length;
                 cpuMillis += waiting * (step[0]?.step.size.cpuMillis ?? 0);
             }
--- a/src/schedule/findMaxFree.ts
+++ b/src/schedule/findMaxFree.ts
@@ -1,6 +1,5 @@
 import type { Step } from "../submissions";
 import { acceptsNewWork } from "./placeTask";
-import type { PlacementUnit } from "./rankSubmissions";
 import type { Worker } from "./schedulerState";
 
 /** Maximum free capacity of any one worker of a pool, in each dimension separately. */
@@ -28,10 +27,6 @@
     return { cpuMillis, memoryMb, accelerators };
 }
 
-export function fits({ tasks }: PlacementUnit, maxFree: MaxFree): boolean {
-    return tasks.every(({ step }) => fitsStep(step, maxFree));
-}
-
 export function fitsStep({ size, isFiller }: Step, maxFree: MaxFree): boolean {
     return (isFiller || size.cpuMillis <= maxFree.cpuMillis) && size.memoryMb <= maxFree.memoryMb
         && size.accelerators <= maxFree.accelerators;
--- a/src/schedule/index.ts
+++ b/src/schedule/index.ts
@@ -13,6 +13,7 @@
     remainingWorkCoreMs,
     waitingCpuMillis,
 } from "./estimates";
+export { findObstacle, type Host, Obstacle } from "./findObstacle";
 export { isWithinTenantLimit } from "./isWithinTenantLimit";
 export {
     acceptsNewWork,
@@ -24,9 +25,15 @@
     placeTask,
 } from "./placeTask";
 export { listStragglers, planSpeculativeRuns } from "./planSpeculativeRuns";
-export { groupByPool, listAdviceCandidates, planStarts, type StartsInFlight } from "./planStarts";
+export { groupByPool, listAdviceCandidates, type PlanOptions, planStarts, type StartsInFlight } from "./planStarts";
 export { findMaxAttempts, queueOf, type SubmissionQueue } from "./queueOf";
-export { listPlacementUnits, type PlacementUnit, type RankedEntry, rankSubmissions } from "./rankSubmissions";
+export {
+    listReadySteps,
+    type PlacementUnit,
+    type RankedEntry,
+    rankSubmissions,
+    type ReadyStep,
+} from "./rankSubmissions";
 export { addRun, moveRun, removeRun } from "./runs";
 export * from "./schedulerState";
 export {
--- a/src/schedule/planStarts.ts
+++ b/src/schedule/planStarts.ts
@@ -2,14 +2,21 @@
 import type { Step } from "../submissions";
 import { createAccountLimits } from "./createAccountLimits";
 import { createAccountShares } from "./createAccountShares";
+import { createPlacementFailures, type PlacementFailures } from "./createPlacementFailures";
 import { createStartGate, type StartGate } from "./createStartGate";
 import { divideStarts } from "./divideStarts";
 import { type DurationEstimates } from "./estimates";
-import { findMaxFree, fits, fitsStep, type MaxFree } from "./findMaxFree";
+import { findMaxFree, fitsStep, type MaxFree } from "./findMaxFree";
 import { isEligible } from "./placeTask";
 import type { PlaceUnitOptions } from "./placeUnit";
 import { queueOf } from "./queueOf";
-import { listPlacementUnits, type PlacementUnit, type RankedEntry, rankSubmissions } from "./rankSubmissions";
+import {
+    listReadySteps,
+    type PlacementUnit,
+    type RankedEntry,
+    rankSubmissions,
+    type ReadyStep,
+} from "./rankSubmissions";
 import type { Run, SchedulerState, SubmissionEntry, Worker } from "./schedulerState";
 
 export interface PlanOptions extends PlaceUnitOptions {
@@ -33,14 +40,17 @@
     readonly inFlightByPool: ReadonlyMap<string, number>;
 }
 
-/** A pool counts as full for the rest of the round after more failed placements than this. */
+/** Most failed placements of a pool in rank order in one round. Each goes over all workers of the pool. */
 const maxFailedPlacements = 40;
 
+/** Most failed placements of a pool in one round among the submissions that follow, least recently tried first. */
+const maxRotatedPlacements = 20;
+
 /** Adds runs for tasks that can start, in phase `recording`, in rank order, and returns them. */
 export function planStarts(opts: PlanOptions): readonly Run[] {
     const { state, policy, estimates, nowMs } = opts;
     const pools = new Map(
-        [...groupByPool(state)].map(([pool, workers]) => [pool, { workers, maxFree: findMaxFree(workers) }]),
+        [...groupByPool(state)].map(([pool, workers]) => [pool, createPoolOfRound(workers)]),
     );
     const gate = opts.gate ?? createConfiguredGate(opts);
     const mayRunMore = ({ submission: { tenant } }: SubmissionEntry, { size }: Step) =>
@@ -63,14 +73,17 @@
         inFlightByPool: opts.window?.inFlightByPool ?? new Map(),
         waitingByPool: countWaiting(ranked, pools, opts),
     });
-    return startRanked(ranked, quotas, {
-        opts,
-        pools,
-        failedPlacements: new Map(),
-        startedByPool: new Map(),
-        started: [],
-        gate,
-    });
+    return startRanked(ranked, quotas, { opts, pools, started: [], gate });
+}
+
+function createPoolOfRound(workers: readonly Worker[]): PoolOfRound {
+    return {
+        workers,
+        maxFree: findMaxFree(workers),
+        failures: createPlacementFailures(),
+        startedCount: 0,
+        untried: [],
+    };
 }
 
 /** Gate of a round by the limits that are configured. */
@@ -84,8 +97,6 @@
 interface Round {
     readonly opts: PlanOptions;
     readonly pools: ReadonlyMap<string, PoolOfRound>;
-    readonly failedPlacements: Map<string, number>;
-    readonly startedByPool: Map<string, number>;
     readonly started: Run[];
     readonly gate: StartGate;
 }
@@ -93,81 +104,111 @@
 interface PoolOfRound {
     readonly workers: readonly Worker[];
     readonly maxFree: MaxFree;
+    readonly failures: PlacementFailures;
+    startedCount: number;
+    /** Submissions that were not tried because too many placements before them had failed. */
+    readonly untried: RankedEntry[];
 }
 
-/** Starts tasks in rank order, first within the quotas of the pools; what some pools leave then goes to the others. */
+/**
+ * Starts tasks in rank order, first within the quotas of the pools; what some pools leave then goes to the others.
+ *
+ * Failed placements bound the duration of a round. So that work that can't be placed hides nothing that can, a pool also
+ * tries some of the submissions beyond the bound, least recently tried first.
+ */
 function startRanked(
     ranked: readonly RankedEntry[],
     quotas: ReadonlyMap<string, number> | undefined,
     round: Round,
 ): readonly Run[] {
-    const { opts: { nowMs, maxStarts }, started, startedByPool } = round;
+    const { opts: { maxStarts }, pools, started } = round;
     const hasStartsLeft = () => started.length < maxStarts;
     const hasQuotaLeft = (pool: string) =>
-        quotas === undefined ? hasStartsLeft() : (startedByPool.get(pool) ?? 0) < (quotas.get(pool) ?? 0);
-    const deferred: { readonly poolName: string; readonly listUnits: () => readonly PlacementUnit[]; }[] = [];
+        quotas === undefined
+            ? hasStartsLeft()
+            : (pools.get(pool)?.startedCount ?? 0) < (quotas.get(pool) ?? 0);
+    const deferred: RankedEntry[] = [];
+    const startWithinQuota = (each: RankedEntry, maxFailures: number) => {
+        const isAllTried = startEntry(each, () => hasQuotaLeft(each.queue.service), maxFailures, round);
+        if (!isAllTried) {
+            deferred.push(each);
+        }
+    };
     for (const each of ranked) {
-        const { service: poolName } = each.queue;
+        const pool = pools.get(each.queue.service);
         if (quotas === undefined && !hasStartsLeft()) {
             break;
         }
-        if (isExhausted(poolName, round)) {
-            continue;
-        }
-        const listUnits = () => listPlacementUnits(each, nowMs);
-        if (!hasQuotaLeft(poolName)) {
-            deferred.push({ poolName, listUnits });
-            continue;
+        if (pool !== undefined && pool.failures.count() >= maxFailedPlacements) {
+            pool.untried.push(each);
         }
-        const left = startUnits(poolName, listUnits(), hasQuotaLeft, round);
-        if (left.length > 0) {
-            deferred.push({ poolName, listUnits: () => left });
+        else {
+            startWithinQuota(each, maxFailedPlacements);
         }
     }
-    for (const { poolName, listUnits } of deferred) {
-        if (hasStartsLeft() && !isExhausted(poolName, round)) {
-            startUnits(poolName, listUnits(), hasStartsLeft, round);
+    for (const { untried, failures } of pools.values()) {
+        untried.sort((a, b) => a.entry.placementTriedAtMs - b.entry.placementTriedAtMs);
+        const maxFailures = failures.count() + maxRotatedPlacements;
+        for (const each of untried) {
+            if (failures.count() >= maxFailures || !hasStartsLeft()) {
+                break;
+            }
+            startWithinQuota(each, maxFailures);
         }
     }
+    for (const each of deferred) {
+        startEntry(each, hasStartsLeft, maxFailedPlacements + maxRotatedPlacements, round);
+    }
     return started;
 }
 
-function isExhausted(poolName: string, { pools, failedPlacements }: Round): boolean {
-    return !pools.has(poolName) || (failedPlacements.get(poolName) ?? 0) > maxFailedPlacements;
+/** Starts tasks of a submission. Returns false if some were not tried because `mayStart` was false. */
+function startEntry(each: RankedEntry, mayStart: () => boolean, maxFailures: number, round: Round): boolean {
+    const { opts: { nowMs } } = round;
+    const pool = round.pools.get(each.queue.service);
+    if (pool === undefined) {
+        return true;
+    }
+    const { failures, maxFree } = pool;
+    const isWanted = (step: Step) => fitsStep(step, maxFree) && !failures.coversStep(step);
+    each.entry.placementTriedAtMs = nowMs;
+    for (const ready of listReadySteps(each, nowMs, isWanted)) {
+        if (failures.count() >= maxFailures) {
+            return true;
+        }
+        if (!mayStart() || !startStep(ready, pool, mayStart, round)) {
+            return false;
+        }
+    }
+    return true;
 }
 
-/** Starts units of a pool in order. Returns those that were not tried because `mayStart` was false. */
-function startUnits(
-    poolName: string,
-    units: readonly PlacementUnit[],
-    mayStart: (pool: string) => boolean,
-    round: Round,
-): readonly PlacementUnit[] {
-    const { gate, failedPlacements, startedByPool, started } = round;
-    const pool = round.pools.get(poolName);
-    for (const [at, unit] of units.entries()) {
-        if (pool === undefined || isExhausted(poolName, round)) {
-            return [];
-        }
-        if (!mayStart(poolName)) {
-            return units.slice(at);
+/** Starts tasks of a step until one can't be placed. Returns false if `mayStart` was false before that. */
+function startStep(ready: ReadyStep, pool: PoolOfRound, mayStart: () => boolean, { gate, started }: Round): boolean {
+    for (const unit of ready.listUnits()) {
+        if (!mayStart()) {
+            return false;
         }
+        // The tasks that follow are of the same size and account.
         if (!gate.isAllowed(unit)) {
+            return true;
+        }
+        if (pool.failures.coversUnit(unit)) {
             continue;
         }
-        const runs = fits(unit, pool.maxFree) ? gate.place(unit, pool.workers) : [];
+        const runs = gate.place(unit, pool.workers);
         if (runs.length === 0) {
-            failedPlacements.set(poolName, (failedPlacements.get(poolName) ?? 0) + 1);
+            pool.failures.add(unit);
         }
-        startedByPool.set(poolName, (startedByPool.get(poolName) ?? 0) + runs.length);
+        pool.startedCount += runs.length;
         started.push(...runs);
     }
-    return [];
+    return true;
 }
 
 /**
- * Counts the tasks of each pool that can start. The count of a pool ends at the size of the window, or where the pool
- * would count as full, so that a long backlog is not listed in each round.
+ * Counts the tasks of each pool that can start. The count of a pool ends at the size of the window, so that a long backlog
+ * is not listed in each round.
  */
 function countWaiting(
     ranked: readonly RankedEntry[],
@@ -176,20 +217,18 @@
 ): ReadonlyMap<string, number> {
     const maxCount = window?.sizeStarts ?? maxStarts;
     const waitingByPool = new Map<string, number>();
-    const misfits = new Map<string, number>();
     for (const each of ranked) {
         const { service: poolName } = each.queue;
         const pool = pools.get(poolName);
-        const count = waitingByPool.get(poolName) ?? 0;
-        const misfitCount = misfits.get(poolName) ?? 0;
-        if (pool === undefined || count >= maxCount || misfitCount > maxFailedPlacements) {
+        let count = waitingByPool.get(poolName) ?? 0;
+        if (pool === undefined || count >= maxCount) {
             continue;
         }
-        const units = listPlacementUnits(each, nowMs);
-        const fitting = units.filter((unit) => fits(unit, pool.maxFree));
-        misfits.set(poolName, misfitCount + units.length - fitting.length);
-        if (fitting.length > 0) {
-            waitingByPool.set(poolName, fitting.reduce((sum, { tasks }) => sum + tasks.length, count));
+        for (const ready of listReadySteps(each, nowMs, (step) => fitsStep(step, pool.maxFree))) {
+            count += ready.listUnits().reduce((sum, { tasks }) => sum + tasks.length, 0);
+        }
+        if (count > 0) {
+            waitingByPool.set(poolName, count);
         }
     }
     return waitingByPool;
--- a/src/schedule/rankSubmissions.ts
+++ b/src/schedule/rankSubmissions.ts
@@ -1,4 +1,4 @@
-import type { Submission } from "../submissions";
+import type { Step, Submission } from "../submissions";
 import { hasAttemptLeft } from "./attempts";
 import { estimateRemaining, targetAgeMs } from "./estimateRemaining";
 import type { DurationEstimates } from "./estimates";
@@ -109,28 +109,34 @@
     );
 }
 
-/** Tasks of a submission that can start now: single tasks, and gangs if all of their tasks can start. */
-export function listPlacementUnits({ entry, queue }: RankedEntry, nowMs: number): readonly PlacementUnit[] {
-    const units: PlacementUnit[] = [];
+/** A step of a submission whose tasks may start as far as earlier steps are concerned. */
+export interface ReadyStep {
+    readonly step: Step;
+    /** Lists the tasks that can start now: single tasks, or the gang if all of its tasks can start. */
+    listUnits(): readonly PlacementUnit[];
+}
+
+/** Steps of a submission whose earlier steps are done and that `isWanted`, in order. */
+export function* listReadySteps(
+    { entry, queue }: RankedEntry,
+    nowMs: number,
+    isWanted: (step: Step) => boolean,
+): Generator<ReadyStep> {
     for (const occurrence of entry.occurrences) {
-        occurrence.tasks.forEach((step, number) => {
-            if (!isStepReady(occurrence, number)) {
-                return;
-            }
-            if (step[0]?.step.isGang === true) {
-                if (step.every((task) => isStartable(task, nowMs))) {
-                    units.push({ entry, queue, tasks: step });
-                }
-                return;
-            }
-            for (const task of step) {
-                if (isStartable(task, nowMs)) {
-                    units.push({ entry, queue, tasks: [task] });
-                }
+        for (const [number, tasks] of occurrence.tasks.entries()) {
+            const step = tasks[0]?.step;
+            if (step !== undefined && isWanted(step) && isStepReady(occurrence, number)) {
+                yield { step, listUnits: () => listUnits(tasks, nowMs).map((each) => ({ entry, queue, tasks: each })) };
             }
-        });
+        }
+    }
+}
+
+function listUnits(tasks: readonly Task[], nowMs: number): readonly (readonly Task[])[] {
+    if (tasks[0]?.step.isGang === true) {
+        return tasks.every((task) => isStartable(task, nowMs)) ? [tasks] : [];
     }
-    return units;
+    return tasks.filter((task) => isStartable(task, nowMs)).map((task) => [task]);
 }
 
 function isStartable(task: Task, nowMs: number): boolean {
--- a/src/schedule/schedulerState.ts
+++ b/src/schedule/schedulerState.ts
@@ -103,6 +103,8 @@
     /** The final state that has been decided; made visible once it is in the store. */
     finalState: "complete" | "failed" | "cancelled" | undefined;
     readonly seenAtMs: number;
+    /** When a planning round last tried to place its tasks, or else `seenAtMs`, on the monotonic clock. */
+    placementTriedAtMs: number;
     /** Availability zone of the worker that one of its tasks was last placed on; `undefined`: none yet. */
     zone: string | undefined;
     /** Cached estimate that the ranking uses; `undefined`: not computed yet. */
--- a/src/schedule/submissionEntries.ts
+++ b/src/schedule/submissionEntries.ts
@@ -25,6 +25,7 @@
         occurrences: [],
         finalState: undefined,
         seenAtMs: nowMs,
+        placementTriedAtMs: nowMs,
         zone: undefined,
         remainingEstimate: undefined,
     };
--- a/src/schedule/test/schedule.steps.ts
+++ b/src/schedule/test/schedule.steps.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { plainPolicy, plainStep } from "../../../standins/scheduling";
 import type { Policy } from "../../policy";
-import type { Step } from "../../submissions";
+import type { Step, Submission } from "../../submissions";
 import {
     addDueOccurrences,
     addRun,
@@ -14,6 +14,7 @@
     createWorker,
     groupByPool,
     listStragglers,
+    type PlanOptions,
     planSpeculativeRuns,
     planStarts,
     recordFailure,
@@ -28,6 +29,8 @@
     policy: Policy;
     entries: Map<string, SubmissionEntry>;
     nowMs: number;
+    /** Most failed placements of forbidden submissions in one round. */
+    maxFailures: number;
 }
 
 const timeOfDayMs = 1_000_000;
@@ -37,8 +40,20 @@
     this.policy = plainPolicy;
     this.entries = new Map();
     this.nowMs = 10_000;
+    this.maxFailures = 0;
 });
 
+/** Prefix of submissions that the policy of their queue lets no worker run. */
+const forbiddenName = "forbidden";
+
+/** Demands of a step that no worker meets, or none with free capacity. */
+const unmetDemands: Readonly<Record<string, Partial<Step>>> = {
+    "need a label that no worker has": { workerLabel: "b" },
+    "need more memory than any worker has": { size: { ...plainStep.size, memoryMb: 1_000_000 } },
+    "need a label whose only worker is full": { workerLabel: "full" },
+    "fit on no single worker as a gang": { isGang: true, size: { ...plainStep.size, cpuMillis: 3000 }, count: 50 },
+};
+
 function addWorker(world: World, cores: number): Worker {
     const id = `worker-${world.state.workers.size + 1}`;
     const worker: Worker = {
@@ -55,7 +70,13 @@
     return worker;
 }
 
-function submit(world: World, name: string, step: Partial<Step>, ageMs = 0): SubmissionEntry {
+function submit(
+    world: World,
+    name: string,
+    step: Partial<Step>,
+    ageMs = 0,
+    opts: Partial<Pick<Submission, "tenant" | "route" | "service">> = {},
+): SubmissionEntry {
     const submission = {
         id: name,
         payload: "",
@@ -65,6 +86,7 @@
         route: "stalls",
         service: "stalls",
         acceptedAtMs: timeOfDayMs - ageMs,
+        ...opts,
     };
     const entry = addSubmission(world.state, submission, 1, false, world.nowMs);
     addDueOccurrences(entry, timeOfDayMs, world.nowMs);
@@ -96,6 +118,88 @@
     },
 );
 
+Given("{int} submissions of {int} long-running tasks that {}", function(
+    this: World,
+    count: number,
+    tasks: number,
+    demand: string,
+) {
+    const { labels } = Object.assign(workerOf(this, 1), { labels: ["full"] });
+    if (unmetDemands[demand]?.workerLabel === labels[0]) {
+        const filling = submit(this, "filling", { isLongRunning: true });
+        const [task] = [...tasksOf(filling)];
+        assert.ok(task);
+        Array.from(
+            { length: 4 },
+            (_, at) => addRun(this.state, task, workerOf(this, 1), at + 1, "running", this.nowMs),
+        );
+    }
+    Array.from(
+        { length: count },
+        (_, at) => submit(this, `unmet-${at}`, { count: tasks, isLongRunning: true, ...unmetDemands[demand] }),
+    );
+});
+
+Given("{int} submissions of {int} long-running task that may run on no worker by policy", function(
+    this: World,
+    count: number,
+    tasks: number,
+) {
+    const advice = { decisionMs: 50, perWorkerMs: 5, validityMs: 3000 };
+    const [queue] = this.policy.queues;
+    assert.ok(queue);
+    this.policy = { ...this.policy, queues: [queue, { ...queue, name: "advised", pathPrefix: "/advised/", advice }] };
+    Array.from({ length: count }, (_, at) => {
+        submit(this, `${forbiddenName}-${at}`, { count: tasks, isLongRunning: true }, 0, { route: "advised" });
+    });
+});
+
+Given("the account {string} may have {int} core(s)", function(this: World, name: string, cores: number) {
+    const cap = { cpuMillis: cores * 1000, memoryMb: 0, accelerators: 0 };
+    this.policy = { ...this.policy, tenants: [...this.policy.tenants, { name, keys: [], weight: 1, cap }] };
+});
+
+Given("{int} submissions of {string} of {int} long-running tasks", function(
+    this: World,
+    count: number,
+    tenant: string,
+    tasks: number,
+) {
+    Array.from(
+        { length: count },
+        (_, at) => submit(this, `${tenant}-${at}`, { count: tasks, isLongRunning: true }, 0, { tenant }),
+    );
+});
+
+Given("each worker has had a failure", function(this: World) {
+    this.state.workers.forEach((worker) => recordFailure(worker, "failing", this.nowMs));
+});
+
+Given("a submission {string} of {int} tasks that have failed before", function(
+    this: World,
+    name: string,
+    count: number,
+) {
+    // The ranking puts it first.
+    const entry = submit(this, name, { count, estimateMs: 1 });
+    entry.maxAttempts = 3;
+    [...tasksOf(entry)].forEach((task) => task.failedRuns.add(1));
+});
+
+Given("pool {string} with {int} workers of {int} cores and a backlog of {int} tasks", function(
+    this: World,
+    pool: string,
+    workers: number,
+    cores: number,
+    tasks: number,
+) {
+    Array.from({ length: workers }, () => addWorker(this, cores).pool = pool);
+    const [queue] = this.policy.queues;
+    assert.ok(queue);
+    this.policy = { ...this.policy, queues: [queue, { ...queue, name: pool, service: pool }] };
+    submit(this, "backlog", { count: tasks, estimateMs: 1 }, 0, { route: pool, service: pool });
+});
+
 Given("{int} submissions of {int} tasks", function(this: World, count: number, tasks: number) {
     Array.from({ length: count }, (_, at) => submit(this, `many-${at}`, { count: tasks }));
 });
@@ -179,7 +283,7 @@
     assert.equal(attempts, expected);
 });
 
-function plan(world: World, allowedWorkers: () => undefined): void {
+function plan(world: World, allowedWorkers: PlanOptions["allowedWorkers"] = () => undefined, maxStarts = 200): void {
     planStarts({
         state: world.state,
         policy: world.policy,
@@ -187,12 +291,33 @@
         nowMs: world.nowMs,
         timeOfDayMs,
         allowedWorkers,
-        maxStarts: 200,
+        maxStarts,
     });
 }
 
 When("starts are planned", function(this: World) {
-    plan(this, () => undefined);
+    plan(this);
+});
+
+When("{int} starts are planned", function(this: World, maxStarts: number) {
+    plan(this, undefined, maxStarts);
+});
+
+When("starts are planned in {int} rounds", function(this: World, rounds: number) {
+    for (let round = 0; round < rounds; round++) {
+        let failures = 0;
+        this.nowMs += 10;
+        plan(this, ({ entry }) => {
+            const isForbidden = entry.submission.id.startsWith(forbiddenName);
+            failures += isForbidden ? 1 : 0;
+            return isForbidden ? new Set() : undefined;
+        });
+        this.maxFailures = Math.max(this.maxFailures, failures);
+    }
+});
+
+Then("at most {int} placements failed in a round", function(this: World, most: number) {
+    assert.ok(this.maxFailures <= most, String(this.maxFailures));
 });
 
 function speculate(
--- a/src/scheduler/createFleetController.ts
+++ b/src/scheduler/createFleetController.ts
@@ -169,6 +169,7 @@
             comingCpuMillis: view.comingCpuMillis,
             timeOfDayMs: Date.now(),
             joinMs: opts.joinMs,
+            hosts: [...view.machines.values(), ...state.workers.values()],
         });
         latestDemand = { pools: demand, idle: view.listIdle(new Set()), atMs: clocks.monotonicMs() };
         const cores = { unassignedCpuMillis: view.unassignedCpuMillis(), heldCpuMillis: view.heldCpuMillis };
--- /dev/null
+++ b/src/scheduler/createObstacleReport.ts
@@ -0,0 +1,94 @@
+import type { Clocks } from "../clock";
+import type { Reporter } from "../logging";
+import type { Policy } from "../policy";
+import {
+    findObstacle,
+    groupByPool,
+    isStepReady,
+    queueOf,
+    type SchedulerState,
+    type SubmissionEntry,
+    type Worker,
+} from "../schedule";
+
+export interface ObstacleReportOptions {
+    readonly state: SchedulerState;
+    readonly clocks: Clocks;
+    readonly report: Reporter;
+    readonly policy: () => Policy | undefined;
+}
+
+/** Logs submissions that wait for a step which no worker of their pool could run. */
+export interface ObstacleReport {
+    /** Checks some of the open submissions. Called periodically. */
+    tick(): void;
+}
+
+/** Shortest time between two checks of a submission, in milliseconds. */
+const passIntervalMs = 10_000;
+
+/** Age from which a submission is checked, in milliseconds: a machine that could run it may be on its way. */
+const minAgeMs = 3000;
+
+/** Submissions that one tick checks. */
+const submissionsPerTick = 50;
+
+export function createObstacleReport({ state, clocks, report, policy }: ObstacleReportOptions): ObstacleReport {
+    let pass = state.submissions.values();
+    let startedAtMs = Number.NEGATIVE_INFINITY;
+    let isPassOver = true;
+
+    function check(entry: SubmissionEntry, pools: ReadonlyMap<string, readonly Worker[]>, current: Policy): void {
+        const nowMs = clocks.monotonicMs();
+        const { submission, occurrences, seenAtMs, finalState } = entry;
+        if (finalState !== undefined || nowMs - seenAtMs < minAgeMs) {
+            return;
+        }
+        const { service: pool } = queueOf(current, submission);
+        const workers = (pools.get(pool) ?? []).filter(({ isRegistered }) => isRegistered);
+        for (const occurrence of occurrences) {
+            for (const [number, step] of submission.steps.entries()) {
+                const isWaiting = occurrence.tasks[number]?.some(({ phase, runs }) =>
+                    phase === "waiting" && runs.length === 0
+                ) === true;
+                const obstacle = isWaiting && isStepReady(occurrence, number) ? findObstacle(step, workers) : undefined;
+                if (obstacle !== undefined) {
+                    report({
+                        kind: "unplaceable",
+                        submission: submission.id,
+                        step: number,
+                        pool,
+                        obstacle,
+                        workers: workers.length,
+                        waitedMs: Math.round(nowMs - seenAtMs),
+                    });
+                    return;
+                }
+            }
+        }
+    }
+
+    return {
+        tick() {
+            const nowMs = clocks.monotonicMs();
+            const current = policy();
+            if (current === undefined || isPassOver && nowMs - startedAtMs < passIntervalMs) {
+                return;
+            }
+            if (isPassOver) {
+                isPassOver = false;
+                startedAtMs = nowMs;
+                pass = state.submissions.values();
+            }
+            const pools = groupByPool(state);
+            for (let count = 0; count < submissionsPerTick; count++) {
+                const next = pass.next();
+                if (next.done === true) {
+                    isPassOver = true;
+                    return;
+                }
+                check(next.value, pools, current);
+            }
+        },
+    };
+}
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -25,6 +25,7 @@
 import { createBacklogMeter } from "./createBacklogMeter";
 import { createFirstStartReport } from "./createFirstStartReport";
 import { createFleetController } from "./createFleetController";
+import { createObstacleReport } from "./createObstacleReport";
 import { createPacer } from "./createPacer";
 import { adviceStepName, createPlanner } from "./createPlanner";
 import { createRecordRemover } from "./createRecordRemover";
@@ -275,6 +276,7 @@
         }
         watchdog.tick();
         classifier.tick();
+        obstacleReport.tick();
         // A new tenure may follow an outage in which records have expired. Writes from before it may still be carried out.
         if (nowMs - startedAtMs > lateWriteMs) {
             void recordRemover.run();
@@ -282,6 +284,7 @@
         planner.planSoon();
     }
 
+    const obstacleReport = createObstacleReport({ state, clocks, report, policy: opts.policy });
     const firstStart = createFirstStartReport({ state, clocks, report, token: tenure.token });
     const loader = createStateLoader({
         store,
--- a/src/scheduler/measureDemand.ts
+++ b/src/scheduler/measureDemand.ts
@@ -5,7 +5,9 @@
     desiredCpuMillis,
     type DurationEstimates,
     estimateRemaining,
+    findObstacle,
     groupByPool,
+    type Host,
     queueOf,
     type SchedulerState,
     type SubmissionEntry,
@@ -13,7 +15,8 @@
     waitingCpuMillis,
     type Worker,
 } from "../schedule";
-import { unplaceableCpuMillis, unplaceableLongRunningCpuMillis } from "./findUnplaceable";
+import type { Step } from "../submissions";
+import { demandKeyOf, sumUnplaceableCpuMillis, unplaceableLongRunningCpuMillis } from "./findUnplaceable";
 import { measureStartable } from "./measureStartable";
 import { sumPoolUsage } from "./sumPoolUsage";
 
@@ -28,13 +31,10 @@
     readonly timeOfDayMs: number;
     /** Time from the decision to move a machine until it takes work, in milliseconds. */
     readonly joinMs: number;
+    /** All workers and machines of the fleet. What none of them could run is no demand for machines. */
+    readonly hosts: readonly Host[];
 }
 
-/**
- * Maximum number of a pool's submissions that are checked for unplaceable tasks. Each check goes over all its workers.
- */
-const maxCheckedSubmissions = 20;
-
 /**
  * Number of submissions for whose first tasks a pool with low load keeps capacity. A busy period begins with several
  * short submissions within a tenth of a second, and they are late if they wait for a machine to join.
@@ -60,7 +60,8 @@
 }
 
 /** Measures the demand and the capacity of each pool. */
-export function measureDemand(opts: DemandOptions): readonly PoolDemand[] {
+export function measureDemand(demandOptions: DemandOptions): readonly PoolDemand[] {
+    const opts = { ...demandOptions, isRunnable: createRunnableCheck(demandOptions.hosts) };
     const pools = groupByPool(opts.state);
     const open = sumOpenWork(opts);
     return [...opts.policy.pools.values()].map(({ name, isStandby }) =>
@@ -68,12 +69,27 @@
     );
 }
 
+interface MeasureOptions extends DemandOptions {
+    /** Whether some worker or machine of the fleet could run a step. */
+    readonly isRunnable: (step: Step) => boolean;
+}
+
+function createRunnableCheck(hosts: readonly Host[]): (step: Step) => boolean {
+    const known = new Map<string, boolean>();
+    return (step) => {
+        const key = demandKeyOf(step);
+        const isRunnable = known.get(key) ?? findObstacle(step, hosts) === undefined;
+        known.set(key, isRunnable);
+        return isRunnable;
+    };
+}
+
 function measurePool(
     pool: string,
     isStandby: boolean,
     workers: readonly Worker[],
     open: OpenWork,
-    opts: DemandOptions,
+    opts: MeasureOptions,
 ): PoolDemand {
     const { meter, nowMs, joinMs } = opts;
     const usage = sumPoolUsage(workers.filter(acceptsNewWork));
@@ -102,8 +118,9 @@
     // unplaceable, and a small task could wait for eleven seconds without a machine on its way.
     const isShort = usage.workers > 0
         && neededCpuMillis - availableCpuMillis >= minMissingShare * usage.largestCpuMillis;
-    const checkedSubmissions = isShort ? [] : open.waitingSubmissions.slice(0, maxCheckedSubmissions);
-    const unplaceable = checkedSubmissions.reduce((sum, entry) => sum + unplaceableCpuMillis(entry, workers, nowMs), 0);
+    const unplaceable = isShort
+        ? 0
+        : sumUnplaceableCpuMillis(open.waitingSubmissions, { workers, nowMs, isRunnable: opts.isRunnable });
     return {
         pool,
         isStandby,
@@ -138,7 +155,7 @@
     };
 }
 
-function sumOpenWork(opts: DemandOptions): ReadonlyMap<string, OpenWork> {
+function sumOpenWork(opts: MeasureOptions): ReadonlyMap<string, OpenWork> {
     const pools = new Map<string, OpenWork>();
     for (const entry of opts.state.submissions.values()) {
         if (entry.finalState === undefined) {
@@ -151,9 +168,12 @@
     return pools;
 }
 
-function addOpenWork(open: OpenWork, entry: SubmissionEntry, opts: DemandOptions): void {
+function addOpenWork(open: OpenWork, entry: SubmissionEntry, opts: MeasureOptions): void {
     const { submission } = entry;
-    const cpuMillis = waitingCpuMillis(entry);
+    if (!submission.steps.some(opts.isRunnable)) {
+        return;
+    }
+    const cpuMillis = waitingCpuMillis(entry, opts.isRunnable);
     open.waitingCpuMillis += cpuMillis;
     if (cpuMillis > 0) {
         open.waitingSubmissions.push(entry);
--- a/src/scheduler/test/demand.feature
+++ b/src/scheduler/test/demand.feature
@@ -58,3 +58,30 @@
             | change     |
             | ended runs |
             | joined     |
+
+    Scenario: work that no machine of the fleet could run is no demand
+        Guards against machines that are taken from other pools, or kept, for work that none of them can do.
+
+        Given a pool with 2 workers of 16 cores
+        When "groom" sends 9 submissions of 5 long-running tasks with label "b"
+        And each worker has 0 cores and 0 MB in use for 400 ms
+        Then the pool needs 0 cores
+        And 0 cores are unplaceable
+
+    Scenario: an unplaceable task behind many submissions that can't run
+        Guards against a pool that gets no machine for a task because only its oldest submissions are looked at.
+
+        Given a pool with 2 workers of 16 cores
+        When "groom" sends 30 submissions of 1 long-running task with label "b"
+        And "owner" sends a submission of 1 task with 2000 MB
+        And each worker has 0 cores and 63000 MB in use for 400 ms
+        Then 1 core is unplaceable
+
+    Scenario: an unplaceable task behind many placeable submissions
+        Guards against a pool that gets no machine for a task because only its oldest submissions are looked at.
+
+        Given a pool with 2 workers of 16 cores
+        When "groom" sends 25 submissions of 1 tasks of 1 core
+        And "owner" sends a submission of 1 task with 2000 MB
+        And each worker has 0 cores and 63000 MB in use for 400 ms
+        Then 1 core is unplaceable
--- a/src/scheduler/test/demand.steps.ts
+++ b/src/scheduler/test/demand.steps.ts
@@ -78,6 +78,29 @@
     addSubmissions(this, tenant, 1, { count: tasks, size: sizeOf(cores), isGang: true });
 });
 
+When("{string} sends {int} submission(s) of {int} long-running task(s) with label {string}", function(
+    this: World,
+    tenant: string,
+    count: number,
+    tasks: number,
+    workerLabel: string,
+) {
+    addSubmissions(this, tenant, count, { count: tasks, isLongRunning: true, workerLabel, size: sizeOf(1) });
+});
+
+When("{string} sends a submission of {int} task(s) with {int} MB", function(
+    this: World,
+    tenant: string,
+    tasks: number,
+    memoryMb: number,
+) {
+    addSubmissions(this, tenant, 1, { count: tasks, size: { ...sizeOf(1), memoryMb } });
+});
+
+Then("{int} core(s) is/are unplaceable", function(this: World, cores: number) {
+    assert.equal(measure(this).unplaceableCpuMillis / 1000, cores);
+});
+
 function measure({ state, policy, nowMs }: World): PoolDemand {
     const [demand] = measureDemand({
         state,
@@ -88,6 +111,7 @@
         comingCpuMillis: () => 0,
         timeOfDayMs: nowMs,
         joinMs,
+        hosts: [...state.workers.values()],
     });
     assert.ok(demand);
     return demand;
