--- a/bench/experiments.ts
+++ b/bench/experiments.ts
@@ -9,7 +9,7 @@
 import { onceExperiment } from "./once/onceExperiment";
 import { overheadExperiment } from "./overhead";
 import { overloadExperiment } from "./overload";
-import { planningExperiment } from "./planning";
+import { declaredTasksExperiment, planningExperiment } from "./planning";
 import { schedules } from "./schedules/schedules";
 import { sharesExperiment } from "./shares";
 import { soak } from "./soak/soak";
@@ -23,6 +23,7 @@
     overheadExperiment,
     decisionsExperiment,
     planningExperiment,
+    declaredTasksExperiment,
     modelExperiment,
     configuration,
     soak,
--- a/bench/model/simulateFleet.ts
+++ b/bench/model/simulateFleet.ts
@@ -10,6 +10,7 @@
     estimateRemaining,
     findTask,
     isComplete,
+    markDone,
     planStarts,
     removeRun,
     removeWorker,
@@ -123,7 +124,7 @@
         }
         estimates.recordDuration(task.entry.submission.route, task.step.estimateMs, nowMs - run.plannedAtMs);
         removeRun(state, run, nowMs);
-        task.phase = "done";
+        markDone(task);
         finish(task.entry, nowMs);
     }
 
--- a/bench/planning/createBusyBoard.ts
+++ b/bench/planning/createBusyBoard.ts
@@ -16,7 +16,7 @@
 
 /** Pools of the fleet; demand turns between them, so that most of what waits waits for one. */
 const poolCount = 5;
-const turnPool = 0;
+export const turnPool = 0;
 const turnPercent = 80;
 
 const coresPerWorker = 32;
--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -234,6 +234,7 @@
                 moveMs: settings.moveMs,
                 maxStopMs: settings.maxStopMs,
                 machineOrdersPerSecond: settings.machineOrdersPerSecond,
+                maxValueBytes: settings.maxStoreValueBytes,
             },
             policy: policyWatcher.policy,
             waves: policyWatcher.waves,
--- a/src/progress/createProgressWriter.ts
+++ b/src/progress/createProgressWriter.ts
@@ -1,7 +1,7 @@
 import { pause } from "../clock";
 import type { Tenure } from "../duties";
 import type { Reporter } from "../logging";
-import { type SubmissionEntry, tasksOf } from "../schedule";
+import { startedTasksOf, type SubmissionEntry } from "../schedule";
 import type { Commit, CommitResult, Store, StoreItem } from "../store";
 import { decodeRecord, encodeRecord, type RemainingRun, type RemainingRuns, submissionKey } from "../submissions";
 import { createCommitLimit } from "./createCommitLimit";
@@ -179,8 +179,10 @@
         for (const [entry, finalState] of finalStates) {
             const { id, route, tenant, acceptedAtMs } = entry.submission;
             if (finalState === undefined) {
+                const text = encodeProgress(entry);
+                entry.progressBytes = Buffer.byteLength(text);
                 commit.conditions.push({ key: progressKey(id), revision: entry.progressRevision });
-                commit.puts.push({ key: progressKey(id), text: encodeProgress(entry) });
+                commit.puts.push({ key: progressKey(id), text });
                 continue;
             }
             const text = encodeRecord({
@@ -266,7 +268,7 @@
  * the limit of their account.
  */
 function listRemaining(entry: SubmissionEntry): { readonly remaining?: RemainingRuns; } {
-    const runs = [...tasksOf(entry)].flatMap((task) =>
+    const runs = [...startedTasksOf(entry)].flatMap((task) =>
         task.runs.map(({ number, worker }): RemainingRun => [
             task.occurrence,
             task.stepNumber,
--- a/src/runs/applyEnd.ts
+++ b/src/runs/applyEnd.ts
@@ -3,6 +3,8 @@
     type DurationEstimates,
     failIfExhausted,
     findTask,
+    keepTask,
+    markDone,
     recordFailure,
     recordSuccess,
     removeRun,
@@ -39,6 +41,7 @@
     }
     if (end.checkpoint !== "" && task.phase === "waiting") {
         task.checkpoint = end.checkpoint;
+        keepTask(task);
     }
     switch (end.how) {
         case "done":
@@ -73,7 +76,7 @@
     // The end of one member ends its whole gang. Outside a gang, other runs of the task are no longer needed.
     const finished = task.step.isGang ? membersOf(task) : [task];
     for (const member of finished) {
-        member.phase = "done";
+        markDone(member);
         if (!member.step.isGang) {
             member.runs.forEach((other) => context.stop(other, "another run of the task is done"));
         }
@@ -87,6 +90,7 @@
     if (task.phase !== "waiting" || task.step.isLongRunning) {
         return;
     }
+    keepTask(task);
     // A gang fails as a whole: its members share one count of attempts.
     const failing = task.step.isGang ? membersOf(task) : [task];
     failing.forEach(({ failedRuns }) => failedRuns.add(number));
@@ -101,5 +105,5 @@
 }
 
 function membersOf(task: Task): readonly Task[] {
-    return task.entry.occurrences[task.occurrence]?.tasks[task.stepNumber] ?? [task];
+    return [...task.stepTasks.started.values()];
 }
--- a/src/runs/test/runControl.steps.ts
+++ b/src/runs/test/runControl.steps.ts
@@ -1,6 +1,6 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { plainSubmission } from "../../../standins/scheduling";
+import { listTasks, plainSubmission } from "../../../standins/scheduling";
 import {
     addDueOccurrences,
     addRun,
@@ -8,7 +8,6 @@
     createSchedulerState,
     createWorker,
     type Run,
-    tasksOf,
     type Worker,
 } from "../../schedule";
 import { createRunControl, type RunControl, type WorkerApi } from "../index";
@@ -52,7 +51,7 @@
     this.stoppedWorker = createWorker("worker-1", 1);
     const entry = addSubmission(state, plainSubmission("0000000000000001"), 1, false, 0);
     addDueOccurrences(entry, Date.now(), 0);
-    const [task] = tasksOf(entry);
+    const [task] = listTasks(entry);
     assert.ok(task);
     this.stoppedRun = addRun(state, task, this.stoppedWorker, 1, "running", 0);
     this.control.interrupt(this.stoppedRun, "its machine is due for maintenance");
--- a/src/runs/test/workerPolling.steps.ts
+++ b/src/runs/test/workerPolling.steps.ts
@@ -1,19 +1,22 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import type { Clock } from "../../../standins/dispatch";
-import { plainSubmission } from "../../../standins/scheduling";
+import { listTasks, plainSubmission } from "../../../standins/scheduling";
+import { pause } from "../../clock";
 import {
     addDueOccurrences,
     addRun,
     addSubmission,
+    createDurationEstimates,
     createSchedulerState,
     createWorker,
+    findTask,
+    isComplete,
     type RunPhase,
     type SchedulerState,
-    tasksOf,
     type Worker,
 } from "../../schedule";
-import { createWorkerPolling, type PollResult, type WorkerApi, type WorkerPolling } from "../index";
+import { applyEnd, createWorkerPolling, type PollResult, type WorkerApi, type WorkerPolling } from "../index";
 
 interface World {
     /** Installed by a hook for all scenarios of this folder. */
@@ -26,6 +29,8 @@
     stopped: string[];
     dropped: string[];
     task: string;
+    /** How long the store takes to record a change. */
+    saveMs: number;
 }
 
 const id = "worker-1";
@@ -61,8 +66,18 @@
         state: world.state,
         report() {},
         maxLeaseMs: 6000,
-        applyEnd: () => undefined,
-        save: () => Promise.resolve(true),
+        applyEnd: (worker, end) =>
+            applyEnd(worker, end, {
+                state: world.state,
+                estimates: createDurationEstimates(),
+                nowMs: performance.now(),
+                report() {},
+                stop() {},
+            }),
+        async save() {
+            await pause(world.saveMs);
+            return true;
+        },
         drop: ({ task }) => world.dropped.push(task.name),
         sendStops() {},
         onFenced() {},
@@ -76,6 +91,7 @@
 Given("a worker with a poll in flight", async function(this: World) {
     this.state = createSchedulerState();
     this.pollCount = 0;
+    this.saveMs = 0;
     this.stopped = [];
     this.dropped = [];
     this.polling = createTestPolling(this);
@@ -101,7 +117,7 @@
     const submission = plainSubmission("0000000000000001");
     const entry = addSubmission(world.state, submission, 1, false, 0);
     addDueOccurrences(entry, Date.now(), 0);
-    const [task] = tasksOf(entry);
+    const [task] = listTasks(entry);
     const worker = world.state.workers.get(id);
     assert.ok(task && worker);
     addRun(world.state, task, worker, 1, phase, 0);
@@ -122,6 +138,42 @@
     await this.clock.advance(50);
 });
 
+Given("the store takes {int} ms to record a change", function(this: World, ms: number) {
+    this.saveMs = ms;
+});
+
+When("a list with the end of the task arrives", async function(this: World) {
+    const ended = [{ number: 1, task: this.task, run: 1, how: "done", checkpoint: "" } as const];
+    this.answer({ kind: "listed", workerMs: listedClockMs, bornMs, running: [], ended, areEndsComplete: true });
+    await this.clock.advance(50);
+});
+
+Given("a copy of the task is started, and the task may fail once", function(this: World) {
+    const task = findTask(this.state, this.task);
+    assert.ok(task);
+    task.entry.maxAttempts = 1;
+    addRun(this.state, task, this.worker, 2, "running", 0);
+});
+
+When("a list arrives in which the first run has failed and the copy is done", async function(this: World) {
+    const ended = [
+        { number: 1, task: this.task, run: 1, how: "failed", checkpoint: "" },
+        { number: 2, task: this.task, run: 2, how: "done", checkpoint: "" },
+    ] as const;
+    this.answer({ kind: "listed", workerMs: listedClockMs, bornMs, running: [], ended, areEndsComplete: true });
+    await this.clock.advance(50);
+});
+
+Then("the submission is complete and has no failed task", function(this: World) {
+    const [entry] = this.state.submissions.values();
+    assert.ok(entry !== undefined && isComplete(entry));
+    assert.equal(entry.failedCount, 0);
+});
+
+Then(/^the end (has been|has not been) acknowledged$/, function(this: World, state: string) {
+    assert.equal(this.worker.ackedEnd, state === "has been" ? 1 : 0);
+});
+
 When(
     /^a list without runs and with (all|not all) of the ends arrives$/,
     async function(this: World, ends: string) {
--- a/src/schedule/attempts.ts
+++ b/src/schedule/attempts.ts
@@ -1,5 +1,6 @@
 import type { SubmissionEntry, Task } from "./schedulerState";
-import { tasksOf } from "./submissionEntries";
+import { markFailed } from "./stepTasks";
+import { startedTasksOf } from "./submissionEntries";
 
 /** Whether a task may be started once more; not while it has failed and its number of attempts is not known. */
 export function hasAttemptLeft({ entry, failedRuns, step }: Task): boolean {
@@ -11,14 +12,14 @@
     const { maxAttempts } = task.entry;
     const isJudged = task.phase === "waiting" && !task.step.isLongRunning && maxAttempts !== undefined;
     if (isJudged && task.failedRuns.size > 0 && task.failedRuns.size >= maxAttempts) {
-        task.phase = "failed";
+        markFailed(task);
     }
 }
 
 /** Sets the number of attempts of a submission's tasks, and judges the failures that came before it was known. */
 export function setMaxAttempts(entry: SubmissionEntry, maxAttempts: number): void {
     entry.maxAttempts = maxAttempts;
-    for (const task of tasksOf(entry)) {
+    for (const task of startedTasksOf(entry)) {
         failIfExhausted(task);
     }
 }
--- a/src/schedule/createPlacementFailures.ts
+++ b/src/schedule/createPlacementFailures.ts
@@ -63,8 +63,8 @@
     return step.isGang || step.maxPerWorker > 0 || queue.advice !== undefined;
 }
 
-/** Some workers don't take tasks that have failed before. */
-function isRetried({ tasks }: PlacementUnit): boolean {
+/** Whether a task of a unit has failed before: some workers don't take those. */
+export function isRetried({ tasks }: PlacementUnit): boolean {
     return tasks.some(({ failedRuns }) => failedRuns.size > 0);
 }
 
--- a/src/schedule/estimates.ts
+++ b/src/schedule/estimates.ts
@@ -1,5 +1,6 @@
 import { defaultTaskMs, type Step } from "../submissions";
-import type { Occurrence, Run, SubmissionEntry, Task } from "./schedulerState";
+import type { Run, SubmissionEntry, Task } from "./schedulerState";
+import { countIdle, countUnstarted, type StepTasks } from "./stepTasks";
 import { isStepReady } from "./submissionEntries";
 
 /** Estimates run durations from declared durations, corrected by the observed ratio of each queue. */
@@ -7,7 +8,7 @@
     /** Records the actual duration of a run that ended as done, in milliseconds. */
     recordDuration(queue: string, declaredMs: number, tookMs: number): void;
     /** Expected duration of one run of the task, in milliseconds. */
-    expectedDurationMs(task: Task): number;
+    expectedDurationMs(task: Pick<Task, "entry" | "step">): number;
 }
 
 /** Weight of a new sample in the moving average: about the last 20 runs count. */
@@ -35,17 +36,18 @@
     };
 }
 
-/** Remaining work of a submission, in core-milliseconds; long-running tasks don't count. */
+/** Remaining work of a submission's occurrences, in core-milliseconds; long-running tasks don't count. */
 export function remainingWorkCoreMs(entry: SubmissionEntry, estimates: DurationEstimates): number {
     let work = 0;
-    for (const { tasks } of entry.occurrences) {
-        for (const step of tasks) {
-            const first = step[0];
-            if (first === undefined || first.step.isLongRunning) {
+    for (const { steps } of entry.occurrences.values()) {
+        for (const tasks of steps) {
+            const { step, started, done } = tasks;
+            if (step.isLongRunning) {
                 continue;
             }
-            const left = step.reduce((sum, task) => task.phase === "done" ? sum : sum + 1 - doneShare(task.runs), 0);
-            work += left * estimates.expectedDurationMs(first) * first.step.size.cpuMillis / 1000;
+            let left = step.count - done.size;
+            started.forEach(({ runs }) => left -= doneShare(runs));
+            work += left * estimates.expectedDurationMs(tasks) * step.size.cpuMillis / 1000;
         }
     }
     return work;
@@ -53,13 +55,16 @@
 
 /** Shortest time in which a submission can still end, in milliseconds: the remaining length of its critical path. */
 export function remainingCriticalPathMs(entry: SubmissionEntry, estimates: DurationEstimates): number {
-    return Math.max(0, ...entry.occurrences.map((occurrence) => criticalPathMs(occurrence, estimates, remainingShare)));
+    let longestMs = 0;
+    for (const { steps } of entry.occurrences.values()) {
+        longestMs = Math.max(longestMs, criticalPathMs(entry, estimates, (number) => remainingShare(steps[number])));
+    }
+    return longestMs;
 }
 
-/** Length of a submission's critical path over all steps, done or not, in milliseconds; the same in each occurrence. */
-export function fullCriticalPathMs({ occurrences }: SubmissionEntry, estimates: DurationEstimates): number {
-    const [first] = occurrences;
-    return first === undefined ? 0 : criticalPathMs(first, estimates, () => 1);
+/** Length of the critical path of a submission's occurrences over all steps, done or not, in milliseconds. */
+export function fullCriticalPathMs(entry: SubmissionEntry, estimates: DurationEstimates): number {
+    return entry.addedOccurrences === 0 ? 0 : criticalPathMs(entry, estimates, () => 1);
 }
 
 /**
@@ -68,23 +73,29 @@
  * @param shareOf the share of a step's duration that counts, 0 to 1
  */
 function criticalPathMs(
-    { tasks }: Occurrence,
+    entry: SubmissionEntry,
     estimates: DurationEstimates,
-    shareOf: (step: readonly Task[]) => number,
+    shareOf: (stepNumber: number) => number,
 ): number {
     const endsMs: number[] = [];
-    for (const step of tasks) {
-        const first = step[0];
-        const startMs = Math.max(0, ...(first?.step.after ?? []).map((earlier) => endsMs[earlier] ?? 0));
-        endsMs.push(startMs + (first === undefined ? 0 : shareOf(step) * estimates.expectedDurationMs(first)));
+    for (const [number, step] of entry.submission.steps.entries()) {
+        const startMs = Math.max(0, ...step.after.map((earlier) => endsMs[earlier] ?? 0));
+        endsMs.push(startMs + shareOf(number) * estimates.expectedDurationMs({ entry, step }));
     }
     return Math.max(0, ...endsMs);
 }
 
 /** Share of a step's duration that remains, 0 to 1. */
-function remainingShare(step: readonly Task[]): number {
-    const open = step.filter(({ phase }) => phase !== "done");
-    return Math.max(0, ...open.map(({ runs }) => 1 - doneShare(runs)));
+function remainingShare(tasks: StepTasks | undefined): number {
+    if (tasks === undefined) {
+        return 0;
+    }
+    if (countUnstarted(tasks) > 0) {
+        return 1;
+    }
+    let most = 0;
+    tasks.started.forEach(({ runs }) => most = Math.max(most, 1 - doneShare(runs)));
+    return most;
 }
 
 /** Completed share of a task, 0 to 1: that of its most advanced run. */
@@ -95,13 +106,12 @@
 /** Processors requested by waiting tasks that are ready and have no run, in thousandths of a core. */
 export function waitingCpuMillis(entry: SubmissionEntry, isCounted: (step: Step) => boolean = () => true): number {
     let cpuMillis = 0;
-    for (const occurrence of entry.occurrences) {
-        occurrence.tasks.forEach((step, number) => {
-            if (step[0] !== undefined && isCounted(step[0].step) && isStepReady(occurrence, number)) {
-                const waiting = step.filter(({ phase, runs }) => phase === "waiting" && runs.length === 0).length;
-                cpuMillis += waiting * (step[0]?.step.size.cpuMillis ?? 0);
+    for (const occurrence of entry.occurrences.values()) {
+        for (const tasks of occurrence.steps) {
+            if (isCounted(tasks.step) && isStepReady(occurrence, tasks)) {
+                cpuMillis += countIdle(tasks) * tasks.step.size.cpuMillis;
             }
-        });
+        }
     }
     return cpuMillis;
 }
--- a/src/schedule/findObstacle.ts
+++ b/src/schedule/findObstacle.ts
@@ -27,7 +27,7 @@
     if (labelled.length === 0) {
         return Obstacle.label;
     }
-    const counts = labelled.map(({ capacity }) => countFitting(capacity, step));
+    const counts = labelled.map(({ capacity }) => countPlaces(capacity, step));
     const sum = counts.reduce((total, count) => total + count, 0);
     if (sum === 0) {
         return Obstacle.size;
@@ -35,8 +35,8 @@
     return step.isGang && sum < step.count ? Obstacle.gangSize : undefined;
 }
 
-/** Number of tasks of a step that fit on an empty host. */
-function countFitting(capacity: Resources, { size, isFiller, maxPerWorker }: Step): number {
+/** Number of tasks of a step that fit into a capacity on one host. */
+export function countPlaces(capacity: Resources, { size, isFiller, maxPerWorker }: Step): number {
     return Math.min(
         isFiller ? Number.POSITIVE_INFINITY : divide(capacity.cpuMillis, size.cpuMillis),
         divide(capacity.memoryMb, size.memoryMb),
@@ -46,5 +46,5 @@
 }
 
 function divide(capacity: number, size: number): number {
-    return size > 0 ? Math.floor(capacity / size) : Number.POSITIVE_INFINITY;
+    return size > 0 ? Math.max(0, Math.floor(capacity / size)) : Number.POSITIVE_INFINITY;
 }
--- a/src/schedule/index.ts
+++ b/src/schedule/index.ts
@@ -2,6 +2,7 @@
 export { failIfExhausted, hasAttemptLeft, setMaxAttempts } from "./attempts";
 export { type AccountLimits, createAccountLimits } from "./createAccountLimits";
 export { createAccountShares } from "./createAccountShares";
+export { createIndexRanges, type IndexRange, type IndexRanges } from "./createIndexRanges";
 export { createStartGate, type StartGate } from "./createStartGate";
 export { createWorker } from "./createWorker";
 export { desiredCpuMillis } from "./desiredCpuMillis";
@@ -27,15 +28,22 @@
 export { listStragglers, planSpeculativeRuns } from "./planSpeculativeRuns";
 export { groupByPool, listAdviceCandidates, type PlanOptions, planStarts, type StartsInFlight } from "./planStarts";
 export { findMaxAttempts, queueOf, type SubmissionQueue } from "./queueOf";
-export {
-    listReadySteps,
-    type PlacementUnit,
-    type RankedEntry,
-    rankSubmissions,
-    type ReadyStep,
-} from "./rankSubmissions";
+export { type PlacementUnit, type RankedEntry, rankSubmissions } from "./rankSubmissions";
 export { addRun, moveRun, removeRun } from "./runs";
 export * from "./schedulerState";
+export {
+    countIdle,
+    countUnstarted,
+    findIdle,
+    isStepDone,
+    keepTask,
+    markDone,
+    markFailed,
+    restoreDone,
+    type StepTasks,
+    taskAt,
+    taskName,
+} from "./stepTasks";
 export {
     addDueOccurrences,
     addOccurrence,
@@ -45,8 +53,7 @@
     isComplete,
     isStepReady,
     occurrenceCount,
-    taskName,
-    tasksOf,
+    startedTasksOf,
 } from "./submissionEntries";
 export { isSuspect, quarantine, recordFailure, recordSuccess } from "./workerHealth";
 export {
--- a/src/schedule/placeUnit.ts
+++ b/src/schedule/placeUnit.ts
@@ -2,6 +2,7 @@
 import type { PlacementUnit } from "./rankSubmissions";
 import { addRun, removeRun } from "./runs";
 import type { Run, SchedulerState, Worker } from "./schedulerState";
+import { releaseTask } from "./stepTasks";
 
 export interface PlaceUnitOptions {
     readonly state: SchedulerState;
@@ -38,7 +39,7 @@
     allowed: ReadonlySet<string> | undefined,
     excluded: ReadonlySet<Worker> | undefined,
 ): readonly Run[] {
-    const number = Math.max(...unit.tasks.map(({ lastRun }) => lastRun)) + 1;
+    const number = unit.tasks.reduce((most, { lastRun }) => Math.max(most, lastRun), 0) + 1;
     const runs: Run[] = [];
     for (const candidates of listCandidates(unit, workers)) {
         for (const task of unit.tasks) {
@@ -83,5 +84,6 @@
         removeRun(state, run, run.plannedAtMs);
         run.task.waitingSinceMs = waitingSinceMs;
         run.task.lastRun = Math.min(lastRun, run.number - 1);
+        releaseTask(run.task);
     }
 }
--- a/src/schedule/planSpeculativeRuns.ts
+++ b/src/schedule/planSpeculativeRuns.ts
@@ -4,7 +4,7 @@
 import type { DurationEstimates } from "./estimates";
 import { queueOf } from "./queueOf";
 import type { Run, SchedulerState, SubmissionEntry, Task, Worker } from "./schedulerState";
-import { tasksOf } from "./submissionEntries";
+import { startedTasksOf } from "./submissionEntries";
 
 export interface StragglerOptions {
     readonly state: SchedulerState;
@@ -46,7 +46,7 @@
         if (entry.finalState !== undefined || !hasSpeculativeStep(entry.submission.steps)) {
             continue;
         }
-        const tasks = [...tasksOf(entry)].filter((task) => isStraggling(task, opts));
+        const tasks = [...startedTasksOf(entry)].filter((task) => isStraggling(task, opts));
         if (tasks.length > 0) {
             straggling.push({ entry, tasks });
         }
--- a/src/schedule/planStarts.ts
+++ b/src/schedule/planStarts.ts
@@ -1,23 +1,28 @@
 import type { Policy } from "../policy";
+import type { Resources } from "../resources";
 import type { Step } from "../submissions";
 import { createAccountLimits } from "./createAccountLimits";
 import { createAccountShares } from "./createAccountShares";
-import { createPlacementFailures, type PlacementFailures } from "./createPlacementFailures";
+import { createPlacementFailures, isRetried, type PlacementFailures } from "./createPlacementFailures";
 import { createStartGate, type StartGate } from "./createStartGate";
 import { divideStarts } from "./divideStarts";
 import { type DurationEstimates } from "./estimates";
 import { findMaxFree, fitsStep, type MaxFree } from "./findMaxFree";
+import { countPlaces } from "./findObstacle";
 import { isEligible } from "./placeTask";
 import type { PlaceUnitOptions } from "./placeUnit";
 import { queueOf } from "./queueOf";
 import {
+    countStartable,
     listReadySteps,
+    listUnits,
     type PlacementUnit,
     type RankedEntry,
     rankSubmissions,
     type ReadyStep,
 } from "./rankSubmissions";
 import type { Run, SchedulerState, SubmissionEntry, Worker } from "./schedulerState";
+import { taskAt } from "./stepTasks";
 
 export interface PlanOptions extends PlaceUnitOptions {
     readonly policy: Policy;
@@ -30,6 +35,8 @@
     readonly maxStarts: number;
     /** Starts in flight, of which `maxStarts` is the free part; `undefined`: none are in flight. */
     readonly window?: StartsInFlight;
+    /** Longest value that the store takes, in bytes; `undefined`: progress is not recorded. */
+    readonly maxValueBytes?: number;
     /** Gate of the planning round; `undefined`: starts are all that is planned in it. */
     readonly gate?: StartGate;
 }
@@ -46,6 +53,12 @@
 /** Most failed placements of a pool in one round among the submissions that follow, least recently tried first. */
 const maxRotatedPlacements = 20;
 
+/** Length of a started task in its submission's progress record, in bytes, with a checkpoint of usual length. */
+const progressRowBytes = 120;
+
+/** Share of the longest value that a progress record may reach by further starts; what runs makes it longer. */
+const maxProgressShare = 0.75;
+
 /** Adds runs for tasks that can start, in phase `recording`, in rank order, and returns them. */
 export function planStarts(opts: PlanOptions): readonly Run[] {
     const { state, policy, estimates, nowMs } = opts;
@@ -172,7 +185,7 @@
     const { failures, maxFree } = pool;
     const isWanted = (step: Step) => fitsStep(step, maxFree) && !failures.coversStep(step);
     each.entry.placementTriedAtMs = nowMs;
-    for (const ready of listReadySteps(each, nowMs, isWanted)) {
+    for (const ready of listReadySteps(each, isWanted)) {
         if (failures.count() >= maxFailures) {
             return true;
         }
@@ -183,29 +196,73 @@
     return true;
 }
 
-/** Starts tasks of a step until one can't be placed. Returns false if `mayStart` was false before that. */
-function startStep(ready: ReadyStep, pool: PoolOfRound, mayStart: () => boolean, { gate, started }: Round): boolean {
-    for (const unit of ready.listUnits()) {
+/** Starts tasks of a step until none can be placed. Returns false if `mayStart` was false before that. */
+function startStep(
+    ready: ReadyStep,
+    pool: PoolOfRound,
+    mayStart: () => boolean,
+    round: Round,
+): boolean {
+    const { gate, started, opts: { nowMs, maxValueBytes = Number.POSITIVE_INFINITY } } = round;
+    if (!hasRoomForGang(ready, pool, round)) {
+        return true;
+    }
+    for (const unit of listUnits(ready, nowMs)) {
         if (!mayStart()) {
             return false;
         }
         // The tasks that follow are of the same size and account.
-        if (!gate.isAllowed(unit)) {
+        if (!gate.isAllowed(unit) || !fitsProgressRecord(unit, maxValueBytes)) {
             return true;
         }
-        if (pool.failures.coversUnit(unit)) {
+        const runs = pool.failures.coversUnit(unit) ? undefined : gate.place(unit, pool.workers);
+        if (runs === undefined || runs.length === 0) {
+            if (runs !== undefined) {
+                pool.failures.add(unit);
+            }
+            if (!isRetried(unit)) {
+                return true;
+            }
             continue;
         }
-        const runs = gate.place(unit, pool.workers);
-        if (runs.length === 0) {
-            pool.failures.add(unit);
-        }
         pool.startedCount += runs.length;
         started.push(...runs);
     }
     return true;
 }
 
+/** Whether all tasks of a gang fit on the workers of its pool now. The tasks of one that doesn't are not listed. */
+function hasRoomForGang({ entry, tasks }: ReadyStep, { workers }: PoolOfRound, { gate, opts }: Round): boolean {
+    const { step } = tasks;
+    if (!step.isGang) {
+        return true;
+    }
+    if (!gate.isWithinLimit(entry.submission.tenant, step.size, step.count)) {
+        return false;
+    }
+    const first = taskAt(tasks, 0);
+    let places = 0;
+    for (const worker of workers) {
+        const isUsable = places < step.count && isEligible(worker, first, { workers, nowMs: opts.nowMs });
+        places += isUsable ? countPlaces(freeCapacityOf(worker), step) : 0;
+    }
+    return places >= step.count;
+}
+
+function freeCapacityOf({ capacity, used }: Worker): Resources {
+    return {
+        cpuMillis: capacity.cpuMillis - used.cpuMillis,
+        memoryMb: capacity.memoryMb - used.memoryMb,
+        accelerators: capacity.accelerators - used.accelerators,
+    };
+}
+
+/** Whether the progress record of a submission stays short enough with tasks that it doesn't hold yet. */
+function fitsProgressRecord({ entry, tasks }: PlacementUnit, maxValueBytes: number): boolean {
+    return tasks[0]?.lastRun !== 0
+        || entry.progressBytes + tasks.length * progressRowBytes <= maxValueBytes * maxProgressShare;
+}
+
 /**
  * Counts the tasks of each pool that can start. The count of a pool ends at the size of the window, so that a long backlog
  * is not listed in each round.
@@ -224,8 +281,8 @@
         if (pool === undefined || count >= maxCount) {
             continue;
         }
-        for (const ready of listReadySteps(each, nowMs, (step) => fitsStep(step, pool.maxFree))) {
-            count += ready.listUnits().reduce((sum, { tasks }) => sum + tasks.length, 0);
+        for (const ready of listReadySteps(each, (step) => fitsStep(step, pool.maxFree))) {
+            count += countStartable(ready, nowMs);
         }
         if (count > 0) {
             waitingByPool.set(poolName, count);
--- a/src/schedule/rankSubmissions.ts
+++ b/src/schedule/rankSubmissions.ts
@@ -4,6 +4,7 @@
 import type { DurationEstimates } from "./estimates";
 import type { SubmissionQueue } from "./queueOf";
 import type { SubmissionEntry, Task } from "./schedulerState";
+import { countIdle, countUnstarted, findIdle, listUnstarted, type StepTasks, taskAt } from "./stepTasks";
 import { isStepReady } from "./submissionEntries";
 
 /** Tasks that are placed all together or not at all. */
@@ -102,41 +103,65 @@
 }
 
 function hasStartable({ occurrences }: SubmissionEntry, nowMs: number): boolean {
-    return occurrences.some((occurrence) =>
-        occurrence.tasks.some((step, number) =>
-            step.some((task) => isStartable(task, nowMs)) && isStepReady(occurrence, number)
-        )
-    );
+    for (const occurrence of occurrences.values()) {
+        for (const tasks of occurrence.steps) {
+            const isAnyStartable = countUnstarted(tasks) > 0
+                || findIdle(tasks, (task) => isStartable(task, nowMs)) !== undefined;
+            if (isAnyStartable && isStepReady(occurrence, tasks)) {
+                return true;
+            }
+        }
+    }
+    return false;
 }
 
 /** A step of a submission whose tasks may start as far as earlier steps are concerned. */
 export interface ReadyStep {
-    readonly step: Step;
-    /** Lists the tasks that can start now: single tasks, or the gang if all of its tasks can start. */
-    listUnits(): readonly PlacementUnit[];
+    readonly entry: SubmissionEntry;
+    readonly queue: SubmissionQueue;
+    readonly tasks: StepTasks;
 }
 
 /** Steps of a submission whose earlier steps are done and that `isWanted`, in order. */
 export function* listReadySteps(
     { entry, queue }: RankedEntry,
-    nowMs: number,
     isWanted: (step: Step) => boolean,
 ): Generator<ReadyStep> {
-    for (const occurrence of entry.occurrences) {
-        for (const [number, tasks] of occurrence.tasks.entries()) {
-            const step = tasks[0]?.step;
-            if (step !== undefined && isWanted(step) && isStepReady(occurrence, number)) {
-                yield { step, listUnits: () => listUnits(tasks, nowMs).map((each) => ({ entry, queue, tasks: each })) };
+    for (const occurrence of entry.occurrences.values()) {
+        for (const tasks of occurrence.steps) {
+            if (isWanted(tasks.step) && isStepReady(occurrence, tasks)) {
+                yield { entry, queue, tasks };
             }
         }
     }
 }
 
-function listUnits(tasks: readonly Task[], nowMs: number): readonly (readonly Task[])[] {
-    if (tasks[0]?.step.isGang === true) {
-        return tasks.every((task) => isStartable(task, nowMs)) ? [tasks] : [];
+/** Number of tasks of a step that can start now; of a gang all or none. */
+export function countStartable({ tasks }: ReadyStep, nowMs: number): number {
+    const count = countIdle(tasks, (task) => isStartable(task, nowMs));
+    return tasks.step.isGang && count < tasks.step.count ? 0 : count;
+}
+
+/**
+ * Lists the tasks of a step that can start now: single tasks, or the gang if all of its tasks can start. Tasks that have been
+ * started before come first. Each unit may be placed before the next is asked for.
+ */
+export function* listUnits({ entry, queue, tasks }: ReadyStep, nowMs: number): Generator<PlacementUnit> {
+    const { step, started } = tasks;
+    if (step.isGang) {
+        if (countIdle(tasks, (task) => isStartable(task, nowMs)) === step.count) {
+            yield { entry, queue, tasks: Array.from({ length: step.count }, (_, index) => taskAt(tasks, index)) };
+        }
+        return;
+    }
+    for (const task of started.values()) {
+        if (isStartable(task, nowMs)) {
+            yield { entry, queue, tasks: [task] };
+        }
+    }
+    for (const task of listUnstarted(tasks)) {
+        yield { entry, queue, tasks: [task] };
     }
-    return tasks.filter((task) => isStartable(task, nowMs)).map((task) => [task]);
 }
 
 function isStartable(task: Task, nowMs: number): boolean {
--- a/src/schedule/runs.ts
+++ b/src/schedule/runs.ts
@@ -1,4 +1,5 @@
 import type { Run, RunPhase, SchedulerState, Task, Worker } from "./schedulerState";
+import { keepTask, releaseTask } from "./stepTasks";
 
 /** Adds a run to the scheduler state and reserves its capacity. */
 export function addRun(
@@ -27,6 +28,7 @@
         isInterruption: false,
     };
     task.runs.push(run);
+    keepTask(task);
     task.lastRun = Math.max(task.lastRun, number);
     worker.runs.add(run);
     task.entry.zone = worker.zone || task.entry.zone;
@@ -44,6 +46,7 @@
     task.waitingSinceMs = nowMs;
     run.worker.idleSinceMs = nowMs;
     updateUsage(state, run, -1);
+    releaseTask(task);
 }
 
 /** Moves a run to a later incarnation of its worker. A stop request has to be sent again, to that incarnation. */
--- a/src/schedule/schedulerState.ts
+++ b/src/schedule/schedulerState.ts
@@ -1,5 +1,7 @@
 import type { Resources } from "../resources";
 import type { Step, Submission } from "../submissions";
+import type { IndexRanges } from "./createIndexRanges";
+import type { StepTasks } from "./stepTasks";
 
 /**
  * State of one run.
@@ -56,8 +58,10 @@
     readonly occurrence: number;
     readonly stepNumber: number;
     readonly step: Step;
+    /** All tasks of the step in this occurrence. */
+    readonly stepTasks: StepTasks;
     readonly index: number;
-    phase: TaskPhase;
+    readonly phase: TaskPhase;
     /** Highest run number used so far; 0: none. */
     lastRun: number;
     /** Numbers of the failed runs; the size of the set is the number of attempts used. */
@@ -80,8 +84,8 @@
 /** One execution of all steps of a submission. */
 export interface Occurrence {
     readonly number: number;
-    /** Tasks by step number, then by index. */
-    readonly tasks: readonly (readonly Task[])[];
+    /** Tasks by step number. */
+    readonly steps: readonly StepTasks[];
     /** Earliest start, in milliseconds since 1970; 0: at once. */
     readonly dueAtMs: number;
 }
@@ -99,7 +103,16 @@
     /** Its account was beyond its rate. Set once, when the submission is classified. */
     isExcess: boolean;
     hasStarted: boolean;
-    readonly occurrences: Occurrence[];
+    /** Occurrences that have been added and have tasks that are not done, by number. */
+    readonly occurrences: Map<number, Occurrence>;
+    /** Numbers of the occurrences whose tasks are all done. */
+    readonly doneOccurrences: IndexRanges;
+    /** Number of occurrences that have been added. */
+    addedOccurrences: number;
+    /** Length of the progress record when it was last encoded, in bytes; 0: there is none. */
+    progressBytes: number;
+    /** Number of tasks that have failed for good. */
+    failedCount: number;
     /** The final state that has been decided; made visible once it is in the store. */
     finalState: "complete" | "failed" | "cancelled" | undefined;
     readonly seenAtMs: number;
--- a/src/schedule/submissionEntries.ts
+++ b/src/schedule/submissionEntries.ts
@@ -1,10 +1,7 @@
 import type { Submission } from "../submissions";
+import { createIndexRanges } from "./createIndexRanges";
 import type { Occurrence, SchedulerState, SubmissionEntry, Task } from "./schedulerState";
-
-/** Name that identifies a task on workers: submission id, occurrence, step number and index. */
-export function taskName(id: string, occurrence: number, step: number, index: number): string {
-    return `${id}.${occurrence}.${step}.${index}`;
-}
+import { countUnstarted, createStepTasks, isStepDone, type StepTasks, taskAt } from "./stepTasks";
 
 /** Adds a submission from the store to the scheduler state. */
 export function addSubmission(
@@ -22,7 +19,11 @@
         maxAttempts: submission.terms?.maxAttempts,
         isExcess: false,
         hasStarted: false,
-        occurrences: [],
+        occurrences: new Map(),
+        doneOccurrences: createIndexRanges(),
+        addedOccurrences: 0,
+        progressBytes: 0,
+        failedCount: 0,
         finalState: undefined,
         seenAtMs: nowMs,
         placementTriedAtMs: nowMs,
@@ -43,76 +44,88 @@
     return schedule.repeats > 0 ? schedule.startAtMs + occurrence * schedule.intervalMs : 0;
 }
 
-/** Creates the next occurrence with its tasks. */
-export function addOccurrence(entry: SubmissionEntry, nowMs: number): Occurrence {
-    const { submission, occurrences } = entry;
-    const number = occurrences.length;
-    const tasks = submission.steps.map((step, stepNumber) =>
-        Array.from({ length: step.count }, (_, index): Task => ({
-            name: taskName(submission.id, number, stepNumber, index),
-            entry,
-            occurrence: number,
-            stepNumber,
-            step,
-            index,
-            phase: "waiting",
-            lastRun: 0,
-            failedRuns: new Set(),
-            droppedRuns: new Set(),
-            checkpoint: "",
-            runs: [],
-            notBeforeMs: 0,
-            failedWorkerIds: new Set(),
-            waitingSinceMs: nowMs,
-        }))
-    );
-    const occurrence = { number, tasks, dueAtMs: dueAtMs(submission, number) };
-    occurrences.push(occurrence);
+/**
+ * Most occurrences of a submission that wait for the first start of a task of theirs. Occurrences that are due beyond them
+ * are added as these are started.
+ */
+const maxUnstartedOccurrences = 200;
+
+/** Most occurrences of a submission that are open at the same time. */
+const maxOpenOccurrences = 2000;
+
+/** Adds an occurrence, the next one unless a number is given. */
+export function addOccurrence(entry: SubmissionEntry, nowMs: number, number = entry.addedOccurrences): Occurrence {
+    const { submission } = entry;
+    entry.addedOccurrences = Math.max(entry.addedOccurrences, number + 1);
+    const steps = submission.steps.map((step, stepNumber) => createStepTasks(entry, number, stepNumber, step, nowMs));
+    const occurrence = { number, steps, dueAtMs: dueAtMs(submission, number) };
+    entry.occurrences.set(number, occurrence);
     return occurrence;
 }
 
-/** Creates every occurrence that is due. */
+/** Adds the occurrences that are due, as far as the bounds on open ones allow. */
 export function addDueOccurrences(entry: SubmissionEntry, timeOfDayMs: number, nowMs: number): void {
     const { submission, occurrences } = entry;
-    while (
-        occurrences.length < occurrenceCount(submission)
-        && dueAtMs(submission, occurrences.length) <= timeOfDayMs
-    ) {
+    const isNextDue = () =>
+        entry.finalState === undefined && entry.addedOccurrences < occurrenceCount(submission)
+        && dueAtMs(submission, entry.addedOccurrences) <= timeOfDayMs;
+    if (!isNextDue()) {
+        return;
+    }
+    let unstarted = [...occurrences.values()].filter(hasUnstartedFirstStep).length;
+    while (isNextDue() && unstarted < maxUnstartedOccurrences && occurrences.size < maxOpenOccurrences) {
         addOccurrence(entry, nowMs);
+        unstarted++;
     }
 }
 
+/** Whether tasks of a step that waits for no other have not been started. Later steps don't delay other occurrences. */
+function hasUnstartedFirstStep({ steps }: Occurrence): boolean {
+    return steps.some((tasks) => tasks.step.after.length === 0 && countUnstarted(tasks) > 0);
+}
+
 /** Finds a task by its name; `undefined`: there is no such task. */
 export function findTask(state: SchedulerState, name: string): Task | undefined {
     const [id = "", occurrence, step, index] = name.split(".");
-    const tasks = state.submissions.get(id)?.occurrences[Number(occurrence)]?.tasks;
-    return tasks?.[Number(step)]?.[Number(index)];
+    const entry = state.submissions.get(id);
+    const tasks = entry === undefined ? undefined : findStepTasks(entry, Number(occurrence), Number(step));
+    return tasks !== undefined && isIndexOf(tasks, Number(index)) ? taskAt(tasks, Number(index)) : undefined;
 }
 
-/** Tasks of all occurrences that have been created. */
-export function* tasksOf(entry: SubmissionEntry): Generator<Task> {
-    for (const { tasks } of entry.occurrences) {
-        for (const step of tasks) {
-            yield* step;
+function findStepTasks(entry: SubmissionEntry, occurrence: number, stepNumber: number): StepTasks | undefined {
+    const step = entry.submission.steps[stepNumber];
+    if (step === undefined || !entry.doneOccurrences.has(occurrence)) {
+        return entry.occurrences.get(occurrence)?.steps[stepNumber];
+    }
+    const tasks = createStepTasks(entry, occurrence, stepNumber, step, entry.seenAtMs);
+    tasks.done.addRange([0, step.count]);
+    return tasks;
+}
+
+function isIndexOf({ step }: StepTasks, index: number): boolean {
+    return Number.isInteger(index) && index >= 0 && index < step.count;
+}
+
+/** Tasks that have been started and are not done, and those that are done while runs of theirs are being stopped. */
+export function* startedTasksOf(entry: SubmissionEntry): Generator<Task> {
+    for (const { steps } of entry.occurrences.values()) {
+        for (const { started, ending } of steps) {
+            yield* started.values();
+            yield* ending.values();
         }
     }
 }
 
 /** Whether all tasks of the steps that a step depends on are done. */
-export function isStepReady({ tasks }: Occurrence, stepNumber: number): boolean {
-    const after = tasks[stepNumber]?.[0]?.step.after ?? [];
-    return after.every((earlier) => tasks[earlier]?.every(({ phase }) => phase === "done") ?? true);
+export function isStepReady({ steps }: Occurrence, { step }: StepTasks): boolean {
+    return step.after.every((number) => {
+        const earlier = steps[number];
+        return earlier === undefined || isStepDone(earlier);
+    });
 }
 
-/** Whether all occurrences have been created and all their tasks are done. */
+/** Whether all occurrences have been added and all their tasks are done. */
 export function isComplete(entry: SubmissionEntry): boolean {
-    if (entry.occurrences.length < occurrenceCount(entry.submission)) {
-        return false;
-    }
-    for (const task of tasksOf(entry)) {
-        if (task.phase !== "done") {
-            return false;
-        }
-    }
-    return true;
+    return entry.addedOccurrences >= occurrenceCount(entry.submission)
+        && [...entry.occurrences.values()].every(({ steps }) => steps.every(isStepDone));
 }
--- a/src/schedule/test/excess.steps.ts
+++ b/src/schedule/test/excess.steps.ts
@@ -1,7 +1,7 @@
 import { Before, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { createRandom, type Random } from "../../../standins/random";
-import { plainPolicy, plainRoute, plainStep } from "../../../standins/scheduling";
+import { listTasks, plainPolicy, plainRoute, plainStep } from "../../../standins/scheduling";
 import type { Policy } from "../../policy";
 import type { Step } from "../../submissions";
 import { divideStarts } from "../divideStarts";
@@ -28,7 +28,6 @@
     type StartsInFlight,
     type SubmissionEntry,
     targetAgeMs,
-    tasksOf,
 } from "../index";
 
 interface World {
@@ -101,7 +100,7 @@
 
 function countStarted(world: World, isCounted: (entry: SubmissionEntry) => boolean): number {
     return [...world.state.submissions.values()].filter(isCounted).reduce(
-        (sum, entry) => sum + [...tasksOf(entry)].filter(({ runs }) => runs.length > 0).length,
+        (sum, entry) => sum + listTasks(entry).filter(({ runs }) => runs.length > 0).length,
         0,
     );
 }
@@ -295,7 +294,7 @@
     const failures = new Map<string, number>();
     for (const entry of rankAsBefore(world)) {
         const { service } = entry.submission;
-        for (const task of tasksOf(entry)) {
+        for (const task of listTasks(entry)) {
             const workers = groupByPool(world.state).get(service) ?? [];
             if (workers.length === 0 || (failures.get(service) ?? 0) > 40) {
                 break;
--- a/src/schedule/test/schedule.steps.ts
+++ b/src/schedule/test/schedule.steps.ts
@@ -1,6 +1,6 @@
 import { Before, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { plainPolicy, plainStep } from "../../../standins/scheduling";
+import { listTasks, plainPolicy, plainStep } from "../../../standins/scheduling";
 import type { Policy } from "../../policy";
 import type { Step, Submission } from "../../submissions";
 import {
@@ -13,6 +13,7 @@
     createStartGate,
     createWorker,
     groupByPool,
+    keepTask,
     listStragglers,
     type PlanOptions,
     planSpeculativeRuns,
@@ -20,17 +21,19 @@
     recordFailure,
     type SchedulerState,
     type SubmissionEntry,
-    tasksOf,
     type Worker,
 } from "../index";
 
-interface World {
+export interface World {
     state: SchedulerState;
     policy: Policy;
     entries: Map<string, SubmissionEntry>;
     nowMs: number;
     /** Most failed placements of forbidden submissions in one round. */
     maxFailures: number;
+    /** Longest value that the store takes. */
+    maxValueBytes: number;
+    longestRoundMs: number;
 }
 
 const timeOfDayMs = 1_000_000;
@@ -41,6 +44,8 @@
     this.entries = new Map();
     this.nowMs = 10_000;
     this.maxFailures = 0;
+    this.maxValueBytes = Number.POSITIVE_INFINITY;
+    this.longestRoundMs = 0;
 });
 
 /** Prefix of submissions that the policy of their queue lets no worker run. */
@@ -127,7 +132,7 @@
     const { labels } = Object.assign(workerOf(this, 1), { labels: ["full"] });
     if (unmetDemands[demand]?.workerLabel === labels[0]) {
         const filling = submit(this, "filling", { isLongRunning: true });
-        const [task] = [...tasksOf(filling)];
+        const [task] = listTasks(filling);
         assert.ok(task);
         Array.from(
             { length: 4 },
@@ -183,7 +188,10 @@
     // The ranking puts it first.
     const entry = submit(this, name, { count, estimateMs: 1 });
     entry.maxAttempts = 3;
-    [...tasksOf(entry)].forEach((task) => task.failedRuns.add(1));
+    listTasks(entry).forEach((task) => {
+        task.failedRuns.add(1);
+        keepTask(task);
+    });
 });
 
 Given("pool {string} with {int} workers of {int} cores and a backlog of {int} tasks", function(
@@ -206,7 +214,7 @@
 
 Then("tasks of all have started", function(this: World) {
     for (const entry of this.entries.values()) {
-        assert.ok([...tasksOf(entry)].every(({ runs }) => runs.length === 1));
+        assert.ok(listTasks(entry).every(({ runs }) => runs.length === 1));
     }
 });
 
@@ -258,7 +266,7 @@
 
 Given("worker {int} runs a long-running task", function(this: World, number: number) {
     const entry = submit(this, "lasting", { isLongRunning: true });
-    const [task] = [...tasksOf(entry)];
+    const [task] = listTasks(entry);
     assert.ok(task);
     addRun(this.state, task, workerOf(this, number), 1, "running", this.nowMs);
 });
@@ -284,6 +292,7 @@
 });
 
 function plan(world: World, allowedWorkers: PlanOptions["allowedWorkers"] = () => undefined, maxStarts = 200): void {
+    const startedAtMs = performance.now();
     planStarts({
         state: world.state,
         policy: world.policy,
@@ -292,7 +301,9 @@
         timeOfDayMs,
         allowedWorkers,
         maxStarts,
+        maxValueBytes: world.maxValueBytes,
     });
+    world.longestRoundMs = Math.max(world.longestRoundMs, performance.now() - startedAtMs);
 }
 
 When("starts are planned", function(this: World) {
@@ -377,7 +388,7 @@
 Then("tasks of {string} have started: {int}", function(this: World, name: string, count: number) {
     const entry = this.entries.get(name);
     assert.ok(entry);
-    assert.equal([...tasksOf(entry)].reduce((sum, { runs }) => sum + runs.length, 0), count);
+    assert.equal(listTasks(entry).reduce((sum, { runs }) => sum + runs.length, 0), count);
 });
 
 Then("worker {int} is empty", function(this: World, number: number) {
--- a/src/schedule/test/workerIncarnations.steps.ts
+++ b/src/schedule/test/workerIncarnations.steps.ts
@@ -1,6 +1,6 @@
 import { Before, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { plainStep, plainSubmission } from "../../../standins/scheduling";
+import { listTasks, plainStep, plainSubmission } from "../../../standins/scheduling";
 import {
     addDueOccurrences,
     addRun,
@@ -11,7 +11,6 @@
     type Run,
     type RunPhase,
     type SchedulerState,
-    tasksOf,
     type Worker,
 } from "../index";
 
@@ -52,7 +51,7 @@
     const submission = plainSubmission("0000000000000001");
     const entry = addSubmission(this.state, submission, 1, false, nowMs);
     addDueOccurrences(entry, nowMs, nowMs);
-    const [task] = tasksOf(entry);
+    const [task] = listTasks(entry);
     const worker = this.state.workers.get(id);
     assert.ok(task && worker);
     this.run = addRun(this.state, task, worker, 1, phase, nowMs);
--- a/src/scheduler/chooseEvictions.ts
+++ b/src/scheduler/chooseEvictions.ts
@@ -41,14 +41,15 @@
 }
 
 function isWithinMaxUnavailable({ task }: Run, chosen: readonly Run[], { maxStopMs }: EvictionOptions): boolean {
-    const { step, entry, occurrence, stepNumber } = task;
+    const { step, stepTasks } = task;
     if (step.maxUnavailable === 0) {
         return true;
     }
-    const siblings = entry.occurrences[occurrence]?.tasks[stepNumber] ?? [];
-    const unavailable =
-        siblings.filter((other) => other !== task && !isAvailable(other.runs, chosen, maxStopMs)).length;
-    return unavailable < step.maxUnavailable;
+    const available = [...stepTasks.started.values()].filter((other) =>
+        other !== task && isAvailable(other.runs, chosen, maxStopMs)
+    );
+    const unavailableCount = step.count - 1 - available.length;
+    return unavailableCount < step.maxUnavailable;
 }
 
 function isAvailable(runs: readonly Run[], chosen: readonly Run[], maxStopMs: number): boolean {
--- a/src/scheduler/createFirstStartReport.ts
+++ b/src/scheduler/createFirstStartReport.ts
@@ -1,6 +1,6 @@
 import type { Clocks } from "../clock";
 import type { Reporter } from "../logging";
-import { type SchedulerState, tasksOf } from "../schedule";
+import { countIdle, type SchedulerState } from "../schedule";
 
 export interface FirstStartReportOptions {
     readonly state: SchedulerState;
@@ -27,7 +27,7 @@
         recordLoaded() {
             const hasWaitingTask = [...state.submissions.values()].filter((entry) =>
                 entry.finalState === undefined
-                && [...tasksOf(entry)].some(({ phase, runs }) => phase === "waiting" && runs.length === 0)
+                && [...entry.occurrences.values()].some(({ steps }) => steps.some((tasks) => countIdle(tasks) > 0))
             );
             waitingSubmissions = hasWaitingTask.length;
         },
--- a/src/scheduler/createObstacleReport.ts
+++ b/src/scheduler/createObstacleReport.ts
@@ -2,6 +2,7 @@
 import type { Reporter } from "../logging";
 import type { Policy } from "../policy";
 import {
+    countIdle,
     findObstacle,
     groupByPool,
     isStepReady,
@@ -46,17 +47,15 @@
         }
         const { service: pool } = queueOf(current, submission);
         const workers = (pools.get(pool) ?? []).filter(({ isRegistered }) => isRegistered);
-        for (const occurrence of occurrences) {
-            for (const [number, step] of submission.steps.entries()) {
-                const isWaiting = occurrence.tasks[number]?.some(({ phase, runs }) =>
-                    phase === "waiting" && runs.length === 0
-                ) === true;
-                const obstacle = isWaiting && isStepReady(occurrence, number) ? findObstacle(step, workers) : undefined;
+        for (const occurrence of occurrences.values()) {
+            for (const tasks of occurrence.steps) {
+                const isWaiting = countIdle(tasks) > 0 && isStepReady(occurrence, tasks);
+                const obstacle = isWaiting ? findObstacle(tasks.step, workers) : undefined;
                 if (obstacle !== undefined) {
                     report({
                         kind: "unplaceable",
                         submission: submission.id,
-                        step: number,
+                        step: tasks.stepNumber,
                         pool,
                         obstacle,
                         workers: workers.length,
--- a/src/scheduler/createPlanner.ts
+++ b/src/scheduler/createPlanner.ts
@@ -29,6 +29,8 @@
     readonly limits: AccountLimits;
     readonly permits: PermitCache;
     readonly window: StartWindow;
+    /** Longest value that the store takes, in bytes. */
+    readonly maxValueBytes: number;
     /** Records new runs of a submission and sends their start requests. */
     startAll(entry: SubmissionEntry, runs: readonly Run[]): void;
 }
@@ -96,6 +98,7 @@
             timeOfDayMs: Date.now(),
             ...placement,
             gate,
+            maxValueBytes: opts.maxValueBytes,
             maxStarts: stragglers.length > 0 ? Math.max(1, maxStarts - speculativeReserve) : maxStarts,
             window: { sizeStarts: opts.window.size(), inFlightByPool: opts.window.inFlightByPool() },
         });
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -193,6 +193,7 @@
         limits,
         permits: permitCache,
         window: startWindow,
+        maxValueBytes: opts.bounds.maxValueBytes,
         startAll: (entry, group) => void startAll(entry, group),
     });
     const pacer = createPacer({ api: opts.workerApi, tenure, clocks });
--- a/src/scheduler/createStateLoader.ts
+++ b/src/scheduler/createStateLoader.ts
@@ -1,7 +1,7 @@
 import { type Clocks, pause } from "../clock";
 import type { Tenure } from "../duties";
 import type { Reporter } from "../logging";
-import { decodeProgress, progressPrefix } from "../progress";
+import { decodeProgress, noProgress, progressPrefix } from "../progress";
 import { catchUp, createPrefixWatcher, type PrefixSnapshot, type Store, type StoreItem } from "../store";
 import { submissionPrefix } from "../submissions";
 import type { StateCopy } from "./createStandbyCopy";
@@ -123,7 +123,7 @@
                 opts.restoreProgress(
                     new Map(items.map(({ key, text, revision }) => [
                         key,
-                        { tasks: decodeProgress(text) ?? [], revision },
+                        { progress: decodeProgress(text) ?? noProgress, revision, bytes: Buffer.byteLength(text) },
                     ])),
                 );
                 return !isStopped;
--- a/src/scheduler/createSubmissionTracker.ts
+++ b/src/scheduler/createSubmissionTracker.ts
@@ -1,7 +1,7 @@
 import type { Reporter } from "../logging";
 import type { DemandMeter } from "../machines";
 import type { Policy } from "../policy";
-import { progressKey, type TaskProgress } from "../progress";
+import { progressKey, type SubmissionProgress } from "../progress";
 import {
     type AccountLimits,
     addDueOccurrences,
@@ -13,8 +13,8 @@
     type Run,
     type SchedulerState,
     setMaxAttempts,
+    startedTasksOf,
     type SubmissionEntry,
-    tasksOf,
     type Worker,
 } from "../schedule";
 import type { StoreItem } from "../store";
@@ -52,8 +52,10 @@
 
 /** Progress of a submission as recorded by earlier leaders, and the revision of that record. */
 export interface StoredProgress {
-    readonly tasks: readonly TaskProgress[];
+    readonly progress: SubmissionProgress;
     readonly revision: number;
+    /** Length of the record, in bytes. */
+    readonly bytes: number;
 }
 
 /** End of a submission; `state` is `undefined` if it was cancelled before it was stored. */
@@ -143,7 +145,8 @@
         const stored = storedProgress.get(progressKey(id));
         if (stored !== undefined) {
             entry.progressRevision = stored.revision;
-            restoreProgress(schedulerState, entry, stored.tasks, opts.findWorker, nowMs);
+            entry.progressBytes = stored.bytes;
+            restoreProgress(schedulerState, entry, stored.progress, opts.findWorker, nowMs);
         }
         addDueOccurrences(entry, Date.now(), nowMs);
         findAttempts(entry);
@@ -177,7 +180,7 @@
     }
 
     function stopRuns(entry: SubmissionEntry, finalState: FinalState): void {
-        for (const { runs } of tasksOf(entry)) {
+        for (const { runs } of [...startedTasksOf(entry)]) {
             [...runs].forEach((run) => opts.stop(run, `its submission is ${finalState}`));
         }
     }
@@ -212,11 +215,10 @@
         if (entry.finalState !== undefined) {
             return;
         }
-        const tasks = [...tasksOf(entry)];
         if (entry.isCancelled) {
             entry.finalState = "cancelled";
         }
-        else if (tasks.some(({ phase }) => phase === "failed")) {
+        else if (entry.failedCount > 0) {
             entry.finalState = "failed";
         }
         else if (isComplete(entry)) {
@@ -232,7 +234,7 @@
     function forgetIfOver(entry: SubmissionEntry): void {
         // Runs that are still being stopped are found through their submission.
         const isFinal = finalStates.has(entry.submission.id) && entry.finalState !== undefined;
-        if (isFinal && [...tasksOf(entry)].every((task) => task.runs.length === 0)) {
+        if (isFinal && !hasRuns(entry)) {
             schedulerState.submissions.delete(entry.submission.id);
         }
     }
@@ -281,6 +283,15 @@
     };
 }
 
+function hasRuns(entry: SubmissionEntry): boolean {
+    for (const { runs } of startedTasksOf(entry)) {
+        if (runs.length > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /** Whether a time of day is less than this long ago or, by another entry's clock, ahead. */
 function isWithin(timeOfDayMs: number, spanMs: number): boolean {
     return Math.abs(Date.now() - timeOfDayMs) < spanMs;
--- a/src/scheduler/findUnplaceable.ts
+++ b/src/scheduler/findUnplaceable.ts
@@ -1,4 +1,4 @@
-import { isStepReady, placeTask, type SubmissionEntry, type Task, type Worker } from "../schedule";
+import { countIdle, findIdle, isStepReady, placeTask, type SubmissionEntry, type Task, type Worker } from "../schedule";
 import type { Step } from "../submissions";
 
 /** Minimum wait before a task is checked for a place, in milliseconds. Most tasks are placed within one or two rounds. */
@@ -48,22 +48,23 @@
 ): ReadonlyMap<string, WaitingDemand> {
     const demands = new Map<string, WaitingDemand>();
     for (const entry of entries) {
-        for (const occurrence of entry.occurrences) {
-            occurrence.tasks.forEach((step, number) => {
-                const waiting = step.filter((task) =>
-                    task.phase === "waiting" && task.runs.length === 0 && nowMs - task.waitingSinceMs > minWaitMs
-                );
-                const [task] = waiting;
-                if (task === undefined || !isRunnable(task.step) || !isStepReady(occurrence, number)) {
-                    return;
+        for (const occurrence of entry.occurrences.values()) {
+            for (const tasks of occurrence.steps) {
+                const { step, stepNumber } = tasks;
+                const isLongWaiting = ({ waitingSinceMs }: Task) => nowMs - waitingSinceMs > minWaitMs;
+                const task = isRunnable(step) && isStepReady(occurrence, tasks)
+                    ? findIdle(tasks, isLongWaiting)
+                    : undefined;
+                if (task === undefined) {
+                    continue;
                 }
                 // How many tasks of a step a worker may still take depends on those that it runs.
-                const own = task.step.maxPerWorker > 0 ? `${entry.submission.id} ${occurrence.number} ${number}` : "";
-                const key = `${demandKeyOf(task.step)} ${own}`;
+                const own = step.maxPerWorker > 0 ? `${entry.submission.id} ${occurrence.number} ${stepNumber}` : "";
+                const key = `${demandKeyOf(step)} ${own}`;
                 const demand = demands.get(key) ?? { task, cpuMillis: 0 };
-                demand.cpuMillis += waiting.length * task.step.size.cpuMillis;
+                demand.cpuMillis += countIdle(tasks, isLongWaiting) * step.size.cpuMillis;
                 demands.set(key, demand);
-            });
+            }
         }
     }
     return demands;
--- a/src/scheduler/index.ts
+++ b/src/scheduler/index.ts
@@ -6,5 +6,6 @@
 export { createStandbyCopy, type StandbyCopy, type StateCopy } from "./createStandbyCopy";
 export { type BacklogOptions, measureBacklog } from "./measureBacklog";
 export { measureDemand } from "./measureDemand";
+export { restoreProgress } from "./restoreProgress";
 export type { Scheduler, SchedulerBounds } from "./scheduler";
 export type { WorkerDecoder, WorkerRegistration } from "./workerRegistration";
--- a/src/scheduler/measureStartable.ts
+++ b/src/scheduler/measureStartable.ts
@@ -1,4 +1,4 @@
-import { isEligible, isStepReady, type SubmissionEntry, type Task, type Worker } from "../schedule";
+import { findIdle, isEligible, isStepReady, type SubmissionEntry, type Task, type Worker } from "../schedule";
 
 /** Waiting submissions of which one task each is checked, evenly spread over all of them. Each check goes over all workers. */
 const checkedSubmissions = 5;
@@ -37,9 +37,9 @@
 }
 
 function findWaitingTask(entry: SubmissionEntry, nowMs: number): Task | undefined {
-    for (const occurrence of entry.occurrences) {
-        for (const [number, step] of occurrence.tasks.entries()) {
-            const task = isStepReady(occurrence, number) ? step.find((each) => isDue(each, nowMs)) : undefined;
+    for (const occurrence of entry.occurrences.values()) {
+        for (const tasks of occurrence.steps) {
+            const task = isStepReady(occurrence, tasks) ? findIdle(tasks, (each) => isDue(each, nowMs)) : undefined;
             if (task !== undefined) {
                 return task;
             }
@@ -49,8 +49,7 @@
 }
 
 function isDue(task: Task, nowMs: number): boolean {
-    return task.phase === "waiting" && task.runs.length === 0 && !task.step.isFiller && task.notBeforeMs <= nowMs
-        && nowMs - task.waitingSinceMs > minWaitMs;
+    return !task.step.isFiller && task.notBeforeMs <= nowMs && nowMs - task.waitingSinceMs > minWaitMs;
 }
 
 function sumStartable(task: Task, workers: readonly Worker[], nowMs: number): number {
--- a/src/scheduler/restoreRemaining.ts
+++ b/src/scheduler/restoreRemaining.ts
@@ -4,6 +4,7 @@
     addSubmission,
     type SchedulerState,
     type SubmissionEntry,
+    taskAt,
     type Worker,
 } from "../schedule";
 import type { RemainingRuns } from "../submissions";
@@ -25,12 +26,10 @@
     entry.finalState = finalState;
     entry.hasStarted = true;
     for (const [occurrence, step, index, number, workerId, bornMs] of runs) {
-        while (entry.occurrences.length <= occurrence) {
-            addOccurrence(entry, nowMs);
-        }
-        const task = entry.occurrences[occurrence]?.tasks[step]?.[index];
-        if (task !== undefined) {
-            addRun(state, task, findWorker(workerId, bornMs), number, "unconfirmed", nowMs);
+        const { steps } = entry.occurrences.get(occurrence) ?? addOccurrence(entry, nowMs, occurrence);
+        const tasks = steps[step];
+        if (tasks !== undefined) {
+            addRun(state, taskAt(tasks, index), findWorker(workerId, bornMs), number, "unconfirmed", nowMs);
         }
     }
     return entry;
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -28,6 +28,8 @@
     readonly machineOrdersPerSecond: number;
     /** Longest time that a worker takes to stop a task, in milliseconds. */
     readonly maxStopMs: number;
+    /** Longest value that the store takes, in bytes. */
+    readonly maxValueBytes: number;
 }
 
 export interface SchedulerOptions {
--- a/src/scheduler/test/backlog.steps.ts
+++ b/src/scheduler/test/backlog.steps.ts
@@ -1,6 +1,6 @@
 import { Before, Given, Then } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { plainPolicy, plainSubmission } from "../../../standins/scheduling";
+import { listTasks, plainPolicy, plainSubmission } from "../../../standins/scheduling";
 import { excessWaitMs, type PoolBacklog } from "../../admission";
 import type { IdleMachine, PoolDemand } from "../../machines";
 import type { Policy } from "../../policy";
@@ -15,7 +15,6 @@
     type DurationEstimates,
     type SchedulerState,
     type SubmissionEntry,
-    tasksOf,
     type Worker,
 } from "../../schedule";
 import { measureBacklog } from "../index";
@@ -78,7 +77,7 @@
 
 function fill(world: World, worker: Worker, cores: number): void {
     // Submissions that run now and have nearly ended: their remaining work doesn't count.
-    for (const task of tasksOf(add(world, `run-${worker.id}`, cores, "other", 1))) {
+    for (const task of listTasks(add(world, `run-${worker.id}`, cores, "other", 1))) {
         addRun(world.backlogState, task, worker, 1, "running", nowMs).percent = 100;
     }
 }
--- a/standins/scheduling/createCompetitionWorld.ts
+++ b/standins/scheduling/createCompetitionWorld.ts
@@ -9,6 +9,7 @@
     createWorker,
     estimateRemaining,
     isComplete,
+    markDone,
     planStarts,
     removeRun,
     type Run,
@@ -197,7 +198,7 @@
             if (atMs <= Date.now()) {
                 const { task } = run;
                 endRun(run);
-                task.phase = "done";
+                markDone(task);
                 if (isComplete(task.entry)) {
                     const { submission } = task.entry;
                     durations.get(submission.service)?.push({
--- a/standins/scheduling/createSchedulingEntry.ts
+++ b/standins/scheduling/createSchedulingEntry.ts
@@ -35,6 +35,9 @@
 /** How long a machine is down for a move or an upkeep, in milliseconds. */
 export const restartMs = 1500;
 
+/** Longest value that the store takes, in bytes. */
+export const maxValueBytes = 1024 * 1024;
+
 /** Store keys under which workers register. */
 export const workerPrefix = "workers/";
 
@@ -107,6 +110,7 @@
                     moveMs: restartMs,
                     maxStopMs: 900,
                     machineOrdersPerSecond: 64,
+                    maxValueBytes,
                 },
                 policy: () => world.isPolicyKnown ? world.policy : undefined,
                 waves: () => world.waves,
--- a/standins/scheduling/createSchedulingWorld.ts
+++ b/standins/scheduling/createSchedulingWorld.ts
@@ -4,7 +4,7 @@
 import { type Policy, termsOf, type Wave } from "../../src/policy";
 import type { WorkerApi } from "../../src/runs";
 import type { StateCopy, WorkerRegistration } from "../../src/scheduler";
-import { encodeRecord, type Step, submissionKey } from "../../src/submissions";
+import { encodeRecord, type Schedule, type Step, submissionKey } from "../../src/submissions";
 import { createFakeNetwork, type FakeNetwork } from "../fakes";
 import { createFakeStore, type FakeStore } from "./createFakeStore";
 import { createFakeTaskWorkers, type FakeTaskWorkers } from "./createFakeTaskWorkers";
@@ -81,7 +81,12 @@
     submit(
         id: string,
         steps: readonly Partial<Step>[],
-        options?: { readonly route?: string; readonly tenant?: string; readonly hasTerms?: boolean; },
+        options?: {
+            readonly route?: string;
+            readonly tenant?: string;
+            readonly hasTerms?: boolean;
+            readonly schedule?: Schedule;
+        },
     ): void;
     cancel(id: string): void;
     owner(): SchedulingEntry | undefined;
@@ -257,12 +262,19 @@
             written.set(id, key);
             store.put(key, text);
         },
-        submit(id, steps, { route = "stalls", tenant = "giza", hasTerms = true } = {}) {
+        submit(id, steps, { route = "stalls", tenant = "giza", hasTerms = true, schedule } = {}) {
             const queue = world.policy.queues.find(({ name }) => name === route);
             const account = world.policy.tenants.find(({ name }) => name === tenant);
             const terms = hasTerms && queue !== undefined ? { terms: termsOf(queue) } : {};
             const cap = hasTerms && account !== undefined ? { accountCap: account.cap } : {};
-            const submission = { ...plainSubmission(id, steps), tenant, route, ...terms, ...cap };
+            const submission = {
+                ...plainSubmission(id, steps),
+                tenant,
+                route,
+                ...terms,
+                ...cap,
+                ...schedule === undefined ? {} : { schedule },
+            };
             store.put(submissionKey(id), encodeRecord({ kind: "open", submission, isCancelled: false }));
         },
         cancel(id) {
--- a/standins/scheduling/index.ts
+++ b/standins/scheduling/index.ts
@@ -14,4 +14,5 @@
 export { createSchedulingWorld, type SchedulingWorld, type SchedulingWorldOptions } from "./createSchedulingWorld";
 export type { MachineOrderFault } from "./delayOrder";
 export { countOrderedAway, findDoubleRun } from "./judgeEvents";
+export { listTasks } from "./listTasks";
 export { plainPolicy, plainRoute, plainStep, plainSubmission } from "./plainPolicy";
--- a/test/scheduling/world.ts
+++ b/test/scheduling/world.ts
@@ -11,6 +11,8 @@
     slow?: string;
     /** Revision of the record that marks the submission as cancelled. */
     cancelledRevision?: number | undefined;
+    /** When a submission was cancelled, on the monotonic clock. */
+    cancelledAtMs?: number;
 }
 
 /** Stand-ins move on each few milliseconds. */
