--- a/src/schedule/createIndexRanges.ts
+++ b/src/schedule/createIndexRanges.ts
@@ -14,68 +14,70 @@
     list(): readonly IndexRange[];
 }
 
-export function createIndexRanges(initial: readonly IndexRange[] = []): IndexRanges {
-    const ranges: [first: number, end: number][] = [];
-    let size = 0;
+export function createIndexRanges(): IndexRanges {
+    return new RangeSet();
+}
 
-    /** Position of the first range that ends at or after an index. */
-    function findPosition(index: number): number {
-        let [low, high] = [0, ranges.length];
-        while (low < high) {
-            const middle = (low + high) >> 1;
-            if ((ranges[middle]?.[1] ?? 0) < index) {
-                low = middle + 1;
-            }
-            else {
-                high = middle;
-            }
-        }
-        return low;
+/** A class, as there is one for each step of each open occurrence: its methods are not objects of each instance. */
+class RangeSet implements IndexRanges {
+    size = 0;
+    private readonly ranges: (readonly [first: number, end: number])[] = [];
+
+    has(index: number): boolean {
+        return this.findRange(index) !== undefined;
     }
 
-    function findRange(index: number): IndexRange | undefined {
-        const position = findPosition(index + 1);
-        const range = ranges[position];
-        return range !== undefined && range[0] <= index && index < range[1] ? range : undefined;
+    add(index: number): boolean {
+        if (this.has(index)) {
+            return false;
+        }
+        this.addRange([index, index + 1]);
+        return true;
     }
 
-    function addRange([first, end]: IndexRange): void {
+    addRange([first, end]: IndexRange): void {
         if (first >= end) {
             return;
         }
         // Ranges that overlap the new one or are next to it become one.
-        const position = findPosition(first);
+        const position = this.findPosition(first);
         let [mergedFirst, mergedEnd] = [first, end];
         let count = 0;
-        for (let at = position; at < ranges.length; at++) {
-            const range = ranges[at];
-            if (range === undefined || range[0] > mergedEnd) {
-                break;
-            }
+        for (let range = this.ranges[position]; range !== undefined && range[0] <= mergedEnd;) {
             mergedFirst = Math.min(mergedFirst, range[0]);
             mergedEnd = Math.max(mergedEnd, range[1]);
-            size -= range[1] - range[0];
-            count++;
+            this.size -= range[1] - range[0];
+            range = this.ranges[position + ++count];
         }
-        ranges.splice(position, count, [mergedFirst, mergedEnd]);
-        size += mergedEnd - mergedFirst;
+        this.ranges.splice(position, count, [mergedFirst, mergedEnd]);
+        this.size += mergedEnd - mergedFirst;
+    }
+
+    nextMissing(index: number): number {
+        return this.findRange(index)?.[1] ?? index;
+    }
+
+    list(): readonly IndexRange[] {
+        return this.ranges;
     }
 
-    initial.forEach(addRange);
-    return {
-        get size() {
-            return size;
-        },
-        has: (index) => findRange(index) !== undefined,
-        add(index) {
-            if (findRange(index) !== undefined) {
-                return false;
+    /** Position of the first range that ends at or after an index. */
+    private findPosition(index: number): number {
+        let [low, high] = [0, this.ranges.length];
+        while (low < high) {
+            const middle = (low + high) >> 1;
+            if ((this.ranges[middle]?.[1] ?? 0) < index) {
+                low = middle + 1;
+            }
+            else {
+                high = middle;
             }
-            addRange([index, index + 1]);
-            return true;
-        },
-        addRange,
-        nextMissing: (index) => findRange(index)?.[1] ?? index,
-        list: () => ranges,
-    };
+        }
+        return low;
+    }
+
+    private findRange(index: number): IndexRange | undefined {
+        const range = this.ranges[this.findPosition(index + 1)];
+        return range !== undefined && range[0] <= index && index < range[1] ? range : undefined;
+    }
 }
--- a/src/schedule/schedulerState.ts
+++ b/src/schedule/schedulerState.ts
@@ -118,6 +118,8 @@
     readonly seenAtMs: number;
     /** When a planning round last tried to place its tasks, or else `seenAtMs`, on the monotonic clock. */
     placementTriedAtMs: number;
+    /** Position of the ready step with which the next planning round begins; 0: the first. */
+    nextPlacedStep: number;
     /** Availability zone of the worker that one of its tasks was last placed on; `undefined`: none yet. */
     zone: string | undefined;
     /** Cached estimate that the ranking uses; `undefined`: not computed yet. */
--- a/src/schedule/submissionEntries.ts
+++ b/src/schedule/submissionEntries.ts
@@ -27,6 +27,7 @@
         finalState: undefined,
         seenAtMs: nowMs,
         placementTriedAtMs: nowMs,
+        nextPlacedStep: 0,
         zone: undefined,
         remainingEstimate: undefined,
     };
@@ -45,13 +46,13 @@
 }
 
 /**
- * Most occurrences of a submission that wait for the first start of a task of theirs. Occurrences that are due beyond them
- * are added as these are started.
+ * Most steps of a submission's occurrences that wait for the first start of a task. Occurrences that are due beyond them are
+ * added as these are started.
  */
-const maxUnstartedOccurrences = 200;
+const maxUnstartedSteps = 200;
 
-/** Most occurrences of a submission that are open at the same time. */
-const maxOpenOccurrences = 2000;
+/** Most steps of a submission's open occurrences. */
+const maxOpenSteps = 4000;
 
 /** Adds an occurrence, the next one unless a number is given. */
 export function addOccurrence(entry: SubmissionEntry, nowMs: number, number = entry.addedOccurrences): Occurrence {
@@ -73,7 +74,9 @@
         return;
     }
     let unstarted = [...occurrences.values()].filter(hasUnstartedFirstStep).length;
-    while (isNextDue() && unstarted < maxUnstartedOccurrences && occurrences.size < maxOpenOccurrences) {
+    const maxUnstarted = Math.max(1, maxUnstartedSteps / submission.steps.length);
+    const maxOpen = Math.max(1, maxOpenSteps / submission.steps.length);
+    while (isNextDue() && unstarted < maxUnstarted && occurrences.size < maxOpen) {
         addOccurrence(entry, nowMs);
         unstarted++;
     }
--- a/src/schedule/test/hiddenWork.feature
+++ b/src/schedule/test/hiddenWork.feature
@@ -61,3 +61,11 @@
         And a submission "usual" of 2 tasks that came just now
         When 10 starts are planned
         Then tasks of "usual" have started: 2
+
+    Scenario: the first occurrences of a submission may run on no worker
+        Guards against occurrences that are never tried because those before them use up the bound of each planning round.
+
+        Given 6 workers with 4 cores
+        And a submission "repeated" that is due 100 times, each with 1 tasks
+        When starts are planned in 3 rounds, with no worker allowed for the first 70 occurrences
+        Then tasks of "repeated" have started: 24
--- a/src/schedule/test/indexRanges.steps.ts
+++ b/src/schedule/test/indexRanges.steps.ts
@@ -17,7 +17,7 @@
             Array.from({ length }, (_, at) => expected.add(first + at));
         }
         const all = Array.from({ length: end + 6 }, (_, at) => at);
-        assert.deepEqual(all.filter(ranges.has), all.filter((each) => expected.has(each)));
+        assert.deepEqual(all.filter((each) => ranges.has(each)), all.filter((each) => expected.has(each)));
         assert.equal(ranges.size, expected.size);
         const listed = ranges.list().flatMap(([first, last]) => all.slice(first, last));
         assert.deepEqual(listed, all.filter((each) => expected.has(each)));
--- a/src/schedule/test/schedule.steps.ts
+++ b/src/schedule/test/schedule.steps.ts
@@ -48,6 +48,8 @@
     this.longestRoundMs = 0;
 });
 
+const advice = { decisionMs: 50, perWorkerMs: 5, validityMs: 3000 };
+
 /** Prefix of submissions that the policy of their queue lets no worker run. */
 const forbiddenName = "forbidden";
 
@@ -150,7 +152,6 @@
     count: number,
     tasks: number,
 ) {
-    const advice = { decisionMs: 50, perWorkerMs: 5, validityMs: 3000 };
     const [queue] = this.policy.queues;
     assert.ok(queue);
     this.policy = { ...this.policy, queues: [queue, { ...queue, name: "advised", pathPrefix: "/advised/", advice }] };
@@ -327,6 +328,18 @@
     }
 });
 
+When("starts are planned in {int} rounds, with no worker allowed for the first {int} occurrences", function(
+    this: World,
+    rounds: number,
+    occurrences: number,
+) {
+    this.policy = { ...this.policy, queues: this.policy.queues.map((queue) => ({ ...queue, advice })) };
+    for (let round = 0; round < rounds; round++) {
+        this.nowMs += 10;
+        plan(this, ({ tasks: [task] }) => (task?.occurrence ?? 0) < occurrences ? new Set() : undefined);
+    }
+});
+
 Then("at most {int} placements failed in a round", function(this: World, most: number) {
     assert.ok(this.maxFailures <= most, String(this.maxFailures));
 });
--- a/src/scheduler/restoreProgress.ts
+++ b/src/scheduler/restoreProgress.ts
@@ -23,7 +23,7 @@
     findWorker: (id: string, bornMs: number) => Worker,
     nowMs: number,
 ): void {
-    progress.doneOccurrences.forEach(entry.doneOccurrences.addRange);
+    progress.doneOccurrences.forEach((range) => entry.doneOccurrences.addRange(range));
     addRecordedOccurrences(entry, progress, nowMs);
     for (const row of progress.tasks) {
         const tasks = findTasks(entry, row);
