--- a/test/scheduling/large-submissions.feature
+++ b/test/scheduling/large-submissions.feature
@@ -66,3 +66,14 @@
         And 4000 ms pass
         Then the large submission is "failed"
         And its task 7 was started 3 times
+
+    Scenario: long-running tasks that end at once take all starts
+        Guards against a submission that never starts beside free workers because another one's tasks are restarted without a
+        pause, and rank first.
+
+        Given 1 entry and 3 workers
+        When a long-running submission of 2000 tasks comes whose runs end after 50 ms
+        And 500 ms pass
+        And 1 submission of 4 tasks of 300 ms comes
+        And 6000 ms pass
+        Then the small submission is complete
--- a/test/scheduling/largeSubmissions.steps.ts
+++ b/test/scheduling/largeSubmissions.steps.ts
@@ -31,6 +31,15 @@
     },
 );
 
+When("a long-running submission of {int} tasks comes whose runs end after {int} ms", function(
+    this: World,
+    count: number,
+    workMs: number,
+) {
+    this.workMs.set(largeId, workMs);
+    this.world.submit(largeId, [{ count, size: { ...size, cpuMillis: 1 }, isLongRunning: true }]);
+});
+
 When("its task {int} always fails", function(this: World, index: number) {
     this.world.workers.setFailing((task) => task === `${largeId}.0.0.${index}`);
 });
