--- a/src/advice/createStepPermits.ts
+++ b/src/advice/createStepPermits.ts
@@ -96,8 +96,8 @@
                 candidate,
                 worker: find(candidate.workerId, candidate.bornMs),
             }));
-            const isPermitted = withState.filter(({ worker }) => worker?.isPermitted === true);
-            const expired = isPermitted.filter(({ worker }) => !hasValidTicket(worker, nowMs));
+            const permitted = withState.filter(({ worker }) => worker?.isPermitted === true);
+            const expired = permitted.filter(({ worker }) => !hasValidTicket(worker, nowMs));
             const unknown = withState.filter(({ worker }) => worker?.isPermitted === undefined)
                 .sort((a, b) => (a.worker?.unansweredRequests ?? 0) - (b.worker?.unansweredRequests ?? 0));
             const [freeExpired, fullExpired] = splitByCapacity(expired);
@@ -110,7 +110,7 @@
                 ...freeUnknown,
                 ...fullExpired,
                 // A worker without free capacity helps later only, and not where another permitted one is known.
-                ...isPermitted.length === 0 ? fullUnknown : [],
+                ...permitted.length === 0 ? fullUnknown : [],
             ].slice(0, size).map(({ candidate }) => candidate);
         },
         applyPermits(batch, { permits, validityMs, requestedAtMs, receivedAtMs }) {
--- a/src/scheduler/createPlanner.ts
+++ b/src/scheduler/createPlanner.ts
@@ -132,10 +132,11 @@
     }
 
     function listCandidates(unit: PlacementUnit, workers: readonly Worker[]): readonly AdviceCandidate[] {
+        const [task] = unit.tasks;
         return listAdviceCandidates(unit, workers, steadyMs()).map((worker) => ({
             workerId: worker.id,
             bornMs: worker.bornMs,
-            hasFreeCapacity: unit.tasks.slice(0, 1).some((task) => hasFreeCapacity(worker, task)),
+            hasFreeCapacity: task !== undefined && hasFreeCapacity(worker, task),
         }));
     }
 
