fix(schedule, progress, scheduler): a progress record keeps room for checkpoints, and the log tells when its bound holds tasks back

A gang too large for a record waited without a sign.

Cause: the bound on further starts went by the length of the record at that moment.

Change: each task that is not done counts with 120 bytes. `unplaceable obstacle=progressRecord` and its counter tell of tasks that wait for it. Progress read from the store is dropped once it is restored. Two scenarios on large submissions check the memory that their names speak of.

--- a/bench/planning/declaredTasksExperiment.ts
+++ b/bench/planning/declaredTasksExperiment.ts
@@ -1,5 +1,3 @@
-import { setFlagsFromString } from "node:v8";
-import { runInNewContext } from "node:vm";
 import {
     addDueOccurrences,
     addSubmission,
@@ -8,6 +6,7 @@
     removeRun,
     type SchedulerState,
 } from "../../src/schedule";
+import { measureHeapBytes } from "../../standins/measureHeapBytes";
 import { plainSubmission } from "../../standins/scheduling";
 import type { Experiment, ExperimentRow } from "../experiment";
 import { createBusyBoard, turnPool } from "./createBusyBoard";
@@ -95,12 +94,6 @@
     addDueOccurrences(addSubmission(board, submission, 1, false, 0), timeOfDayMs, 0);
 }
 
-function measureHeapBytes(): number {
-    setFlagsFromString("--expose-gc");
-    (runInNewContext("gc") as () => void)();
-    return process.memoryUsage().heapUsed;
-}
-
 function toThousandths(value: number): number {
     return Math.round(value * 1000) / 1000;
 }
--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -220,14 +220,14 @@
         /** Number of the task's latest run. */
         readonly lastRun: number;
     }
-    /** A step waits although no worker of its pool could run it, even an empty one. */
+    /** Tasks of a step wait for something other than free capacity. */
     | {
         readonly kind: "unplaceable";
         readonly submission: string;
         readonly step: number;
         readonly pool: string;
-        /** The demand that no worker meets. */
-        readonly obstacle: "noHost" | "label" | "size" | "gangSize";
+        /** The demand that no worker of the pool meets, or `progressRecord`: the submission's record is full. */
+        readonly obstacle: "noHost" | "label" | "size" | "gangSize" | "progressRecord";
         readonly workers: number;
         readonly waitedMs: number;
     }
--- a/src/metrics/createEventMetrics.ts
+++ b/src/metrics/createEventMetrics.ts
@@ -54,7 +54,7 @@
     );
     const unplaceable = counter(
         "unplaceable",
-        "Checks that found a waiting step which no worker of its pool could run, by the demand that none meets",
+        "Checks that found tasks which wait for something other than free capacity, by obstacle",
         "obstacle",
     );
     const adviceRequests = counter("advice_requests", "Requests to the advice service, by outcome", "outcome");
--- a/src/progress/createProgressWriter.ts
+++ b/src/progress/createProgressWriter.ts
@@ -1,7 +1,7 @@
 import { pause } from "../clock";
 import type { Tenure } from "../duties";
 import type { Reporter } from "../logging";
-import { startedTasksOf, type SubmissionEntry } from "../schedule";
+import { recordProgressBytes, startedTasksOf, type SubmissionEntry } from "../schedule";
 import type { Commit, CommitResult, Store, StoreItem } from "../store";
 import { decodeRecord, encodeRecord, type RemainingRun, type RemainingRuns, submissionKey } from "../submissions";
 import { createCommitLimit } from "./createCommitLimit";
@@ -180,7 +180,7 @@
             const { id, route, tenant, acceptedAtMs } = entry.submission;
             if (finalState === undefined) {
                 const text = encodeProgress(entry);
-                entry.progressBytes = Buffer.byteLength(text);
+                recordProgressBytes(entry, Buffer.byteLength(text));
                 commit.conditions.push({ key: progressKey(id), revision: entry.progressRevision });
                 commit.puts.push({ key: progressKey(id), text });
                 continue;
--- a/src/progress/progressRecord.ts
+++ b/src/progress/progressRecord.ts
@@ -88,7 +88,7 @@
     );
 }
 
-/** One row for each task that is done. */
+/** One row for each task that is done. Done tasks are not started again, so their run numbers are not kept. */
 function listDoneRows(entry: SubmissionEntry): readonly TaskRow[] {
     const whole = entry.doneOccurrences.list().flatMap((range) =>
         listIndexes(range).flatMap((occurrence) =>
--- a/src/schedule/index.ts
+++ b/src/schedule/index.ts
@@ -27,6 +27,7 @@
 } from "./placeTask";
 export { listStragglers, planSpeculativeRuns } from "./planSpeculativeRuns";
 export { groupByPool, listAdviceCandidates, type PlanOptions, planStarts, type StartsInFlight } from "./planStarts";
+export { hasProgressRoom, recordProgressBytes } from "./progressBounds";
 export { findMaxAttempts, queueOf, type SubmissionQueue } from "./queueOf";
 export { type PlacementUnit, type RankedEntry, rankSubmissions } from "./rankSubmissions";
 export { addRun, moveRun, removeRun } from "./runs";
--- a/src/schedule/schedulerState.ts
+++ b/src/schedule/schedulerState.ts
@@ -109,7 +109,7 @@
     readonly doneOccurrences: IndexRanges;
     /** Number of occurrences that have been added. */
     addedOccurrences: number;
-    /** Length of the progress record when it was last encoded, in bytes; 0: there is none. */
+    /** Length of the progress record, in bytes, with room for the checkpoints of its tasks; 0: there is none. */
     progressBytes: number;
     /** Number of tasks that have failed for good. */
     failedCount: number;
--- a/src/schedule/startRanked.ts
+++ b/src/schedule/startRanked.ts
@@ -5,6 +5,7 @@
 import { findMaxFree, fitsStep, type MaxFree } from "./findMaxFree";
 import { countPlaces } from "./findObstacle";
 import { isEligible } from "./placeTask";
+import { hasProgressRoom } from "./progressBounds";
 import {
     countStartable,
     listReadySteps,
@@ -22,12 +23,6 @@
 /** Most failed placements of a pool in one round among the submissions that follow, least recently tried first. */
 const maxRotatedPlacements = 20;
 
-/** Length of a started task in its submission's progress record, in bytes, with a checkpoint of usual length. */
-const progressRowBytes = 120;
-
-/** Share of the longest value that a progress record may reach by further starts; what runs makes it longer. */
-const maxProgressShare = 0.75;
-
 /** State of one planning round. */
 export interface Round {
     readonly nowMs: number;
@@ -174,7 +169,7 @@
             return false;
         }
         // The tasks that follow are of the same size and account.
-        if (!gate.isAllowed(unit) || !fitsProgressRecord(unit, maxValueBytes)) {
+        if (!gate.isAllowed(unit) || !hasRecordRoom(unit, maxValueBytes)) {
             return true;
         }
         const runs = pool.failures.coversUnit(unit) ? undefined : gate.place(unit, pool.workers);
@@ -224,8 +219,7 @@
     };
 }
 
-/** Whether the progress record of a submission stays short enough with tasks that it doesn't hold yet. */
-function fitsProgressRecord({ entry, tasks }: PlacementUnit, maxValueBytes: number): boolean {
-    return tasks[0]?.lastRun !== 0
-        || entry.progressBytes + tasks.length * progressRowBytes <= maxValueBytes * maxProgressShare;
+/** Whether the progress record of the submission holds the unit's tasks or has room for them. */
+function hasRecordRoom({ entry, tasks }: PlacementUnit, maxValueBytes: number): boolean {
+    return tasks[0]?.lastRun !== 0 || hasProgressRoom(entry, tasks.length, maxValueBytes);
 }
--- a/src/schedule/test/declaredWork.feature
+++ b/src/schedule/test/declaredWork.feature
@@ -70,3 +70,14 @@
         When starts are planned
         Then tasks of "large" have started: 0
         And tasks of "usual" have started: 2
+
+    Scenario: checkpoints come after the starts
+        Guards against a progress record that outgrows the store's longest value once its running tasks have checkpoints.
+
+        Given 6 workers with 64 cores
+        And the memory in use is measured
+        And a submission "large" of 100000 tasks that came just now
+        And the longest value of the store has 20 kB
+        When starts are planned and recorded until none is added
+        And each running task of "large" has a checkpoint of 64 characters
+        Then the progress record of "large" has at most 20 kB
--- a/src/schedule/test/declaredWork.steps.ts
+++ b/src/schedule/test/declaredWork.steps.ts
@@ -1,8 +1,8 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { setFlagsFromString } from "node:v8";
-import { runInNewContext } from "node:vm";
+import { measureHeapBytes } from "../../../standins/measureHeapBytes";
 import { plainSubmission } from "../../../standins/scheduling";
+import { encodeProgress } from "../../progress";
 import type { Step } from "../../submissions";
 import {
     addDueOccurrences,
@@ -11,7 +11,9 @@
     isComplete,
     markDone,
     planStarts,
+    recordProgressBytes,
     removeRun,
+    type Run,
     startedTasksOf,
     type SubmissionEntry,
 } from "../index";
@@ -21,23 +23,19 @@
     heapBytes: number;
 }
 
-setFlagsFromString("--expose-gc");
-const collectGarbage = runInNewContext("gc") as () => void;
-
 const timeOfDayMs = 1_000_000_000;
 const bytesPerMb = 1_000_000;
 
-function measureHeapBytes(): number {
-    collectGarbage();
-    return process.memoryUsage().heapUsed;
-}
-
 function findEntry(world: World, name: string): SubmissionEntry {
     const entry = world.entries.get(name);
     assert.ok(entry);
     return entry;
 }
 
+function recordProgress(entry: SubmissionEntry): void {
+    recordProgressBytes(entry, Buffer.byteLength(encodeProgress(entry)));
+}
+
 function submitRepeated(world: World, name: string, repeats: number, steps: readonly Partial<Step>[]): void {
     const submission = {
         ...plainSubmission(name, steps),
@@ -76,7 +74,11 @@
     this.maxValueBytes = most * 1000;
 });
 
-When("all tasks of {string} are done as they start", function(this: World, name: string) {
+When(/^all tasks of "(.+)" are done as they start(|, after a dropped run each)$/, function(
+    this: World,
+    name: string,
+    dropped: string,
+) {
     const entry = findEntry(this, name);
     for (let isWorking = true; isWorking;) {
         this.nowMs += 10;
@@ -92,6 +94,9 @@
         });
         const started = [...startedTasksOf(entry)].flatMap((task) => task.runs);
         started.forEach((run) => {
+            if (dropped !== "") {
+                run.task.droppedRuns.add(run.number - 1);
+            }
             removeRun(this.state, run, this.nowMs);
             markDone(run.task);
         });
@@ -99,6 +104,44 @@
     }
 });
 
+Given("the longest value of the store has {int} kB", function(this: World, length: number) {
+    this.maxValueBytes = length * 1000;
+});
+
+When("starts are planned and recorded until none is added", function(this: World) {
+    let runs: readonly Run[];
+    do {
+        this.nowMs += 10;
+        runs = planStarts({
+            state: this.state,
+            policy: this.policy,
+            estimates: createDurationEstimates(),
+            nowMs: this.nowMs,
+            timeOfDayMs,
+            allowedWorkers: () => undefined,
+            maxStarts: 20,
+            maxValueBytes: this.maxValueBytes,
+        });
+        this.entries.forEach(recordProgress);
+    }
+    while (runs.length > 0);
+});
+
+When("each running task of {string} has a checkpoint of {int} characters", function(
+    this: World,
+    name: string,
+    length: number,
+) {
+    for (const task of startedTasksOf(findEntry(this, name))) {
+        task.checkpoint = "0".repeat(length);
+    }
+});
+
+Then("the progress record of {string} has at most {int} kB", function(this: World, name: string, most: number) {
+    const length = Buffer.byteLength(encodeProgress(findEntry(this, name)));
+    assert.ok(length <= most * 1000, String(length));
+});
+
 Then("tasks of {string} have objects: {int}", function(this: World, name: string, count: number) {
     assert.equal([...startedTasksOf(findEntry(this, name))].length, count);
 });
--- a/src/schedule/test/hiddenWork.feature
+++ b/src/schedule/test/hiddenWork.feature
@@ -52,7 +52,7 @@
         Then tasks of "retried" have started: 0
         And tasks of "usual" have started: 8
 
-    Scenario: hopeless submissions of one pool beside a backlog of another
+    Scenario: unplaceable submissions of one pool beside a backlog of another
         Guards against a pool without a share of the starts of a round because its first submissions can't be placed.
 
         Given 6 workers with 4 cores
--- a/src/scheduler/createObstacleReport.ts
+++ b/src/scheduler/createObstacleReport.ts
@@ -3,11 +3,14 @@
 import type { Policy } from "../policy";
 import {
     countIdle,
+    countUnstarted,
     findObstacle,
     groupByPool,
+    hasProgressRoom,
     isStepReady,
     queueOf,
     type SchedulerState,
+    type StepTasks,
     type SubmissionEntry,
     type Worker,
 } from "../schedule";
@@ -17,9 +20,11 @@
     readonly clocks: Clocks;
     readonly report: Reporter;
     readonly policy: () => Policy | undefined;
+    /** Longest value that the store takes, in bytes. */
+    readonly maxValueBytes: number;
 }
 
-/** Logs submissions that wait for a step which no worker of their pool could run. */
+/** Logs submissions with tasks that wait for something other than free capacity. */
 export interface ObstacleReport {
     /** Checks some of the open submissions. Called periodically. */
     tick(): void;
@@ -34,7 +39,8 @@
 /** Submissions that one tick checks. */
 const submissionsPerTick = 50;
 
-export function createObstacleReport({ state, clocks, report, policy }: ObstacleReportOptions): ObstacleReport {
+export function createObstacleReport(opts: ObstacleReportOptions): ObstacleReport {
+    const { state, clocks, report, policy, maxValueBytes } = opts;
     let pass = state.submissions.values();
     let startedAtMs = Number.NEGATIVE_INFINITY;
     let isPassOver = true;
@@ -50,7 +56,7 @@
         for (const occurrence of occurrences.values()) {
             for (const tasks of occurrence.steps) {
                 const isWaiting = countIdle(tasks) > 0 && isStepReady(occurrence, tasks);
-                const obstacle = isWaiting ? findObstacle(tasks.step, workers) : undefined;
+                const obstacle = isWaiting ? findObstacle(tasks.step, workers) ?? findRecordBound(tasks) : undefined;
                 if (obstacle !== undefined) {
                     report({
                         kind: "unplaceable",
@@ -67,6 +73,11 @@
         }
     }
 
+    function findRecordBound(tasks: StepTasks): "progressRecord" | undefined {
+        const newTasks = tasks.step.isGang ? countUnstarted(tasks) : Math.min(1, countUnstarted(tasks));
+        return hasProgressRoom(tasks.entry, newTasks, maxValueBytes) ? undefined : "progressRecord";
+    }
+
     return {
         tick() {
             const nowMs = clocks.monotonicMs();
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -285,7 +285,13 @@
         planner.planSoon();
     }
 
-    const obstacleReport = createObstacleReport({ state, clocks, report, policy: opts.policy });
+    const obstacleReport = createObstacleReport({
+        state,
+        clocks,
+        report,
+        policy: opts.policy,
+        maxValueBytes: opts.bounds.maxValueBytes,
+    });
     const firstStart = createFirstStartReport({ state, clocks, report, token: tenure.token });
     const loader = createStateLoader({
         store,
--- a/src/scheduler/createSubmissionTracker.ts
+++ b/src/scheduler/createSubmissionTracker.ts
@@ -10,6 +10,7 @@
     estimateRemaining,
     findMaxAttempts,
     isComplete,
+    recordProgressBytes,
     type Run,
     type SchedulerState,
     setMaxAttempts,
@@ -103,7 +104,7 @@
 export function createSubmissionTracker(opts: SubmissionTrackerOptions): SubmissionTracker {
     const { state: schedulerState, report, steadyMs } = opts;
     const finalStates = new Map<string, EndedState>();
-    let storedProgress: ReadonlyMap<string, StoredProgress> = new Map();
+    let storedProgress = new Map<string, StoredProgress>();
 
     function applyRecord(key: string, item: StoreItem | undefined): void {
         const id = submissionIdOf(key);
@@ -145,8 +146,9 @@
         const stored = storedProgress.get(progressKey(id));
         if (stored !== undefined) {
             entry.progressRevision = stored.revision;
-            entry.progressBytes = stored.bytes;
             restoreProgress(schedulerState, entry, stored.progress, opts.findWorker, nowMs);
+            recordProgressBytes(entry, stored.bytes);
+            storedProgress.delete(progressKey(id));
         }
         addDueOccurrences(entry, Date.now(), nowMs);
         findAttempts(entry);
@@ -240,7 +242,7 @@
     }
 
     return {
-        restoreFrom: (next) => void (storedProgress = next),
+        restoreFrom: (next) => void (storedProgress = new Map(next)),
         handleRecord: applyRecord,
         applyPolicy,
         cancel,
--- a/test/scheduling/advice.steps.ts
+++ b/test/scheduling/advice.steps.ts
@@ -6,7 +6,7 @@
 const advice = { decisionMs: 50, perWorkerMs: 5, validityMs: 3000 };
 
 /** First digit of the ids of submissions whose steps no worker may run. */
-const hopelessDigit = "b";
+const forbiddenDigit = "b";
 
 Given(/^the queue's policy allows only workers? (\d+)(?: and (\d+))?$/, function(
     this: World,
@@ -18,13 +18,13 @@
     this.world.advise = createFakeAdviser({
         advice,
         workers: this.world.workers,
-        isPermitted: (step, id) => !step.startsWith(hopelessDigit) && allowed.has(id),
+        isPermitted: (step, id) => !step.startsWith(forbiddenDigit) && allowed.has(id),
     }).advise;
 });
 
 Given("{int} submissions come whose steps no worker may run", async function(this: World, count: number) {
     for (let at = 0; at < count; at++) {
-        this.world.submit(at.toString(16).padStart(16, hopelessDigit), [{ count: 2 }]);
+        this.world.submit(at.toString(16).padStart(16, forbiddenDigit), [{ count: 2 }]);
     }
     await pass(this, 100);
 });
--- a/test/scheduling/large-submissions.feature
+++ b/test/scheduling/large-submissions.feature
@@ -4,21 +4,25 @@
         Guards against a leader that ends, or plans for seconds, because of the number of tasks that a client declares.
 
         Given 1 entry and 3 workers
+        And the memory in use is measured
         When a submission of 1000000 tasks of 100 ms comes that take a hundredth of a core each
         And 1 submission of 4 tasks of 300 ms comes
         And 3000 ms pass
         Then the small submission is complete
         And no task ran twice
+        And less than 40 MB more memory is in use
 
     Scenario: a submission is due 100000 times at once
         Guards against a leader that ends because a submission's first occurrence was due long ago.
 
         Given 1 entry and 3 workers
+        And the memory in use is measured
         When a submission comes that has been due 100000 times since yesterday
         And 1 submission of 4 tasks of 300 ms comes
         And 3000 ms pass
         Then the small submission is complete
         And no task ran twice
+        And less than 40 MB more memory is in use
 
     Scenario: the leader is killed while a large submission runs
         Guards against tasks that run again after a change of leaders because their end is recorded as part of a range.
@@ -67,6 +71,16 @@
         Then the large submission is "failed"
         And its task 7 was started 3 times
 
+    Scenario: a gang is too large for a progress record
+        Guards against a record that the store refuses, and a submission that waits without a sign of the reason.
+
+        Given 1 entry and 3 workers
+        When a gang of 8000 tasks comes that take a thousandth of a core each
+        And 1 submission of 4 tasks of 300 ms comes
+        And 14000 ms pass
+        Then the small submission is complete
+        And the log names 1 submission as unplaceable because of "progressRecord"
+
     Scenario: long-running tasks that end at once take all starts
         Guards against a submission that never starts beside free workers because another one's tasks are restarted without a
         pause, and rank first.
--- a/test/scheduling/largeSubmissions.steps.ts
+++ b/test/scheduling/largeSubmissions.steps.ts
@@ -1,6 +1,7 @@
-import { Then, When } from "@cucumber/cucumber";
+import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { decodeRecord, submissionKey } from "../../src/submissions";
+import { measureHeapBytes } from "../../standins/measureHeapBytes";
 import { plainStep } from "../../standins/scheduling";
 import type { World } from "./world";
 
@@ -40,6 +41,19 @@
     this.world.submit(largeId, [{ count, size: { ...size, cpuMillis: 1 }, isLongRunning: true }]);
 });
 
+When("a gang of {int} tasks comes that take a thousandth of a core each", function(this: World, count: number) {
+    this.world.submit(largeId, [{ count, isGang: true, size: { ...size, cpuMillis: 1 } }]);
+});
+
+Given("the memory in use is measured", function(this: World) {
+    this.heapBytes = measureHeapBytes();
+});
+
+Then("less than {int} MB more memory is in use", function(this: World, most: number) {
+    const takenMb = (measureHeapBytes() - (this.heapBytes ?? 0)) / 1_000_000;
+    assert.ok(takenMb < most, `${takenMb.toFixed(1)} MB`);
+});
+
 When("its task {int} always fails", function(this: World, index: number) {
     this.world.workers.setFailing((task) => task === `${largeId}.0.0.${index}`);
 });
--- a/test/scheduling/unplaceable.feature
+++ b/test/scheduling/unplaceable.feature
@@ -12,4 +12,4 @@
         And 4000 ms pass
         Then 1 submission is complete
         And idle machines have been parked
-        And the log names 9 submissions as unplaceable for want of a "label"
+        And the log names 9 submissions as unplaceable because of "label"
--- a/test/scheduling/unplaceable.steps.ts
+++ b/test/scheduling/unplaceable.steps.ts
@@ -13,7 +13,7 @@
     }
 });
 
-Then("the log names {int} submissions as unplaceable for want of a {string}", function(
+Then("the log names {int} submission(s) as unplaceable because of {string}", function(
     this: World,
     count: number,
     obstacle: string,
--- a/test/scheduling/world.ts
+++ b/test/scheduling/world.ts
@@ -13,6 +13,7 @@
     cancelledRevision?: number | undefined;
     /** When a submission was cancelled, on the monotonic clock. */
     cancelledAtMs?: number;
+    heapBytes?: number;
 }
 
 /** Stand-ins move on each few milliseconds. */
