fix(schedule): occurrences that are done don't count as open because a run of theirs was dropped

Cause: the object of a done task with a dropped run is kept, since the run may reappear, and with it its occurrence; the bound on open occurrences counted it for the rest of the tenure.

Change: the bound counts occurrences with tasks that are not done.

Measured: `runs of many occurrences have been dropped once` failed before and passes now.

--- a/src/schedule/submissionEntries.ts
+++ b/src/schedule/submissionEntries.ts
@@ -73,12 +73,16 @@
     if (!isNextDue()) {
         return;
     }
-    let unstarted = [...occurrences.values()].filter(hasUnstartedFirstStep).length;
+    // The others are kept only because dropped runs of theirs may reappear.
+    const open = [...occurrences.values()].filter(({ steps }) => !steps.every(isStepDone));
+    let openCount = open.length;
+    let unstartedCount = open.filter(hasUnstartedFirstStep).length;
     const maxUnstarted = Math.max(1, maxUnstartedSteps / submission.steps.length);
     const maxOpen = Math.max(1, maxOpenSteps / submission.steps.length);
-    while (isNextDue() && unstarted < maxUnstarted && occurrences.size < maxOpen) {
+    while (isNextDue() && unstartedCount < maxUnstarted && openCount < maxOpen) {
         addOccurrence(entry, nowMs);
-        unstarted++;
+        openCount++;
+        unstartedCount++;
     }
 }
 
--- a/src/schedule/test/declaredWork.feature
+++ b/src/schedule/test/declaredWork.feature
@@ -71,6 +71,16 @@
         Then tasks of "large" have started: 0
         And tasks of "usual" have started: 2
 
+    Scenario: runs of many occurrences have been dropped once
+        Guards against a submission that stops because occurrences that are done count as open: the object of a task with a
+        dropped run is kept, as the run may reappear.
+
+        Given 6 workers with 64 cores
+        And the memory in use is measured
+        And a submission "repeated" that is due 6000 times, each with 1 tasks
+        When all tasks of "repeated" are done as they start, after a dropped run each
+        Then "repeated" is complete
+
     Scenario: checkpoints come after the starts
         Guards against a progress record that outgrows the store's longest value once its running tasks have checkpoints.
 
