fix(listeners, platform): connections are read on only when answers have left

Callers saw an entry end while other clients sent requests ahead and left the answers unread: at the client API without a host field or at paths without a route, at the readiness probe and at the metrics. Requests of clients that had already gone kept the entry busy.

Cause: the parser is given what the kernel delivers, up to 64 KiB, and creates objects for every request in it, up to 3,600 a piece. It stops reading only after that piece, and only once answers that were written wait to be sent; a request whose answer isn't written yet holds nothing back.

A connection is divided into requests before the parser sees it, the parser is given one at a time, and no further one while 8 requests of the connection are open or 16 KiB of answers are unsent. The rest stays in the kernel. All connections together begin at most 64 requests in one turn of the event loop.

--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -32,6 +32,7 @@
     createPresence,
     type Tenure,
 } from "../duties";
+import { createIntake, defaultIntakeLimits } from "../listeners";
 import type { Reporter } from "../logging";
 import { createHedgedMachineApi } from "../machines";
 import { createEventMetrics } from "../metrics";
@@ -114,6 +115,7 @@
         log(event);
     };
     const clocks = createClocks();
+    const intake = createIntake(defaultIntakeLimits);
     const boot = randomUUID();
     const self: Peer = {
         boot,
@@ -336,6 +338,7 @@
         broker.createService(createHttpService({
             name: "clients",
             listen: settings.clientAddress,
+            intake,
             maxBodyBytes,
             handle: createClientApiHandler(submissionApi),
             isClosing: () => isStopping,
@@ -345,12 +348,14 @@
         broker.createService(createHttpService({
             name: "readiness",
             listen: settings.readinessAddress,
+            intake,
             maxBodyBytes,
             handle: () => isReady() ? { status: 200, text: "ready\n" } : { status: 503, text: "not ready\n" },
         }));
         broker.createService(createHttpService({
             name: "metrics",
             listen: settings.metricsAddress,
+            intake,
             maxBodyBytes,
             handle: async () => ({ status: 200, text: await metrics.text() }),
         }));
