fix(http, listeners): the gateway is one of the paced listeners, which share their time limits

Callers saw an entry with its own interface end while other clients sent requests to the gateway ahead and left the answers unread.

The gateway had a server of its own, with a guard on its bodies that no other listener had.

Change: all listeners of a process are created by createListeners, which gives them one account of their connections (createIntake) and one check of the time that a head, a body and the pause between requests may take. The limit on slow bodies, which only the gateway had, holds at every listener; a stall of the process counts at most two ticks against a client. A body above the limit is refused with its head. After a refusal the listener reads on and drops what comes, until the client ends the connection or its time is over: closing a connection with unread bytes can destroy the response.

The test of the stalled entry held the event loop in a handler that ran after the gateway's; requests that are refused now never reach a handler, so that it holds the loop where the runtime begins each request, before the refusal.

The client that never reads let the event loop go between its writes and ends its watch when a step fails: where the kernel took all writes at once, the test ran out of memory itself.

--- a/src/callers/test/callers.steps.ts
+++ b/src/callers/test/callers.steps.ts
@@ -2,7 +2,7 @@
 import * as fc from "fast-check";
 import { ServiceBroker } from "moleculer";
 import assert from "node:assert/strict";
-import type { Server } from "node:http";
+import { subscribe, unsubscribe } from "node:diagnostics_channel";
 import { connect } from "node:net";
 import { request } from "undici";
 import { createFakeNetwork } from "../../../standins/fakes";
@@ -10,6 +10,7 @@
 import type { Configuration } from "../../configuration";
 import { createGateway } from "../../http";
 import { createSecret } from "../../keys";
+import { createListeners, defaultIntakeLimits, type Listeners } from "../../listeners";
 import type { Members } from "../../members";
 import { createMetrics } from "../../metrics";
 import type { IdempotencyGuard } from "../../once";
@@ -27,6 +28,8 @@
 
 interface World {
     broker: ServiceBroker;
+    listeners: Listeners;
+    standStill: (() => void) | undefined;
     url: string;
     port: number;
     key: string;
@@ -37,6 +40,9 @@
 
 setDefaultTimeout(30_000);
 
+/** Channel of the runtime on which it tells of each request that its HTTP servers have begun to handle. */
+const requestStart = "http.server.request.start";
+
 const seed = 11;
 const maxBodyMs = 300;
 const maxBodyBytes = 512 * 1024;
@@ -44,6 +50,10 @@
 
 After(async function(this: Partial<World>) {
     await this.broker?.stop();
+    this.listeners?.stop();
+    if (this.standStill !== undefined) {
+        unsubscribe(requestStart, this.standStill);
+    }
 });
 
 async function startEntry(world: World, end: () => Promise<TaskEnd>): Promise<void> {
@@ -59,6 +69,7 @@
     world.port = await findFreePort();
     world.url = `http://127.0.0.1:${world.port}`;
     world.broker = new ServiceBroker({ logger: false });
+    world.listeners = createListeners({ ...defaultIntakeLimits, maxBodyMs }, () => {});
     world.broker.createService(createCallers({
         boot: "boot-0",
         configuration: { state: () => state } as unknown as Configuration,
@@ -80,7 +91,7 @@
         host: "127.0.0.1",
         port: world.port,
         maxBodyBytes,
-        maxBodyMs,
+        listeners: world.listeners,
         metricsText: () => Promise.resolve(""),
         isReady: () => true,
         aliases: {
@@ -101,13 +112,13 @@
 });
 
 Given("it stands still for {int} ms when a request comes", function(this: World, ms: number) {
-    const { server } = this.broker.getLocalService("gateway") as unknown as { server: Server; };
-    server.on("request", () => {
+    this.standStill = () => {
         const endsAtMs = performance.now() + ms;
         while (performance.now() < endsAtMs) {
             // Holds the event loop, as a machine does that gives the process no time.
         }
-    });
+    };
+    subscribe(requestStart, this.standStill);
 });
 
 async function exchange(world: World, method: "GET" | "POST" | "DELETE", path: string, sent?: unknown): Promise<void> {
--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -32,7 +32,7 @@
     createPresence,
     type Tenure,
 } from "../duties";
-import { createIntake, defaultIntakeLimits } from "../listeners";
+import { createListeners } from "../listeners";
 import type { Reporter } from "../logging";
 import { createHedgedMachineApi } from "../machines";
 import { createEventMetrics } from "../metrics";
@@ -106,6 +106,8 @@
         dutyToken: () => leaderElection.tenure()?.token,
         droppedLines,
         openRequests: () => openRequests,
+        heldBytes: () => listeners.heldBytes(),
+        connections: () => listeners.connections(),
         startsInFlight: () => scheduler?.startsInFlight() ?? new Map(),
         loadSummaryAgeMs: () => admission.summaryAgeMs(clocks.monotonicMs()),
         longestLeaderSilenceMs: () => failover.longestSilenceMs(),
@@ -115,7 +117,7 @@
         log(event);
     };
     const clocks = createClocks();
-    const intake = createIntake(defaultIntakeLimits);
+    const listeners = createListeners(settings.intakeLimits, report);
     const boot = randomUUID();
     const self: Peer = {
         boot,
@@ -338,7 +340,7 @@
         broker.createService(createHttpService({
             name: "clients",
             listen: settings.clientAddress,
-            intake,
+            listeners,
             maxBodyBytes,
             handle: createClientApiHandler(submissionApi),
             isClosing: () => isStopping,
@@ -348,14 +350,14 @@
         broker.createService(createHttpService({
             name: "readiness",
             listen: settings.readinessAddress,
-            intake,
+            listeners,
             maxBodyBytes,
             handle: () => isReady() ? { status: 200, text: "ready\n" } : { status: 503, text: "not ready\n" },
         }));
         broker.createService(createHttpService({
             name: "metrics",
             listen: settings.metricsAddress,
-            intake,
+            listeners,
             maxBodyBytes,
             handle: async () => ({ status: 200, text: await metrics.text() }),
         }));
--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -5,7 +5,8 @@
 import { createCallers } from "../callers";
 import { createClocks } from "../clock";
 import { createGateway } from "../http";
-import { createReporter } from "../logging";
+import { createListeners } from "../listeners";
+import { createReporter, type Reporter } from "../logging";
 import { createMetrics } from "../metrics";
 import { createOperators, operatorAliases } from "../operators";
 import { createPeers, type PeerCertificates } from "../peers";
@@ -34,8 +35,15 @@
 export function createEntry(settings: Settings): Entry {
     const boot = randomUUID();
     const { instance, region, zone, host, operatorHash } = settings;
-    const report = createReporter({ level: settings.logLevel, fields: { instance, boot, region, zone } });
+    const log = createReporter({ level: settings.logLevel, fields: { instance, boot, region, zone } });
     const metrics = createMetrics();
+    const report: Reporter = (event) => {
+        if (event.kind === "clientLimit") {
+            metrics.clientLimits.inc({ listener: event.listener, limit: event.limit }, event.count);
+        }
+        log(event);
+    };
+    const listeners = createListeners(settings, report);
     const callStore = createJsonCaller(storeConnections, { renewsAfterTimeout: true });
     const store = createStore(callStore, new URL(settings.platformUrl).host, settings.platformTimeoutMs);
     const platform = countCalls(
@@ -87,6 +95,7 @@
     broker.createService(createGateway({
         host,
         port: settings.port,
+        listeners,
         maxBodyBytes: settings.maxBodyBytes,
         ...settings.httpCertFile === undefined || settings.httpKeyFile === undefined
             ? {}
@@ -101,9 +110,10 @@
             metrics.waitingTasks.set(waiting);
             metrics.lingeringTasks.set(lingering);
             metrics.runningTasks.set(tasks.runningCount());
+            metrics.heldBytes.set(listeners.heldBytes());
+            listeners.connections().forEach((count, listener) => metrics.connections.set({ listener }, count));
             return metrics.registry.metrics();
         },
-        maxBodyMs: settings.maxBodyMs,
         isReady: () => !isStopping && configuration.state() !== undefined,
         aliases: {
             "POST /v1/tasks": "callers.submit",
@@ -128,6 +138,7 @@
             await core.stop();
             await broker.stop();
             await workers.close();
+            listeners.stop();
             await registration.stop();
             await platform.close();
             report({ kind: "stopped" });
--- a/src/http/createGateway.ts
+++ b/src/http/createGateway.ts
@@ -1,17 +1,17 @@
 import type { Context, ServiceSchema } from "moleculer";
 import ApiGateway from "moleculer-web";
-import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
 import { createProblem, type Problem } from "../errors";
+import type { Listener, Listeners, RequestRefusal } from "../listeners";
 import type { HttpMeta } from "./httpMeta";
 
 export interface GatewayOptions {
     readonly host: string;
     readonly port: number;
+    readonly listeners: Listeners;
     readonly maxBodyBytes: number;
     /** Certificate and key in PEM format; if present, the gateway serves HTTPS. */
     readonly certificates?: { readonly cert: string; readonly key: string; };
-    /** Time limit for receiving a whole request, in milliseconds. */
-    readonly maxBodyMs: number;
     /** Action by "METHOD /path", in the notation of moleculer-web. */
     readonly aliases: Readonly<Record<string, string>>;
     readonly metricsText: () => Promise<string>;
@@ -27,7 +27,6 @@
         settings: {
             ip: opts.host,
             port: opts.port,
-            ...opts.certificates === undefined ? {} : { https: opts.certificates },
             routes: [
                 {
                     path: "/",
@@ -47,56 +46,37 @@
             ],
             onError: writeError,
         },
-        created() {
-            // Runs before the gateway's own listener, whose middlewares run only after the body has been read.
-            (this as unknown as GatewayService).server.prependListener("request", limitBody(opts));
+        methods: {
+            createServer(this: GatewayService) {
+                this.server = opts.listeners.create({
+                    name: "gateway",
+                    maxBodyBytes: opts.maxBodyBytes,
+                    ...opts.certificates === undefined ? {} : { tls: opts.certificates },
+                    onRequest: (request, response) => void this.httpHandler(request, response),
+                    writeRefusal,
+                });
+            },
         },
     };
 }
 
 interface GatewayService {
-    readonly server: Server;
-}
-
-/**
- * Limits the time and the size of a request body.
- *
- * A client that sends its body byte by byte holds a connection and its buffers for minutes, and many such clients use
- * up all connections. When the time limit has passed, the gateway responds with an error and closes the connection.
- *
- * A body with a `content-length` above the limit is refused at once. On a busy machine, the time limit could otherwise
- * pass before the body is read, and the client would keep retrying because its body was reported as too slow.
- */
-function limitBody({ maxBodyMs, maxBodyBytes }: GatewayOptions) {
-    return (req: IncomingMessage, res: ServerResponse): void => {
-        const closeIfIncomplete = (): void => {
-            if (req.complete) {
-                return;
-            }
-            if (res.headersSent) {
-                req.socket.destroy();
-                return;
-            }
-            const problem = createProblem("BODY_TOO_SLOW", `the body took longer than ${maxBodyMs} ms`);
-            writeProblem(res, problem, () => req.socket.destroy());
-        };
-        // After a stall of this process, timers fire before received bytes are read; a body that has arrived counts.
-        const timer = setTimeout(() => setImmediate(closeIfIncomplete), maxBodyMs);
-        req.once("end", () => clearTimeout(timer));
-        req.once("close", () => clearTimeout(timer));
-        if (Number(req.headers["content-length"]) > maxBodyBytes) {
-            writeProblem(res, createProblem("BODY_TOO_LARGE", bodyTooLargeDetail));
-            req.resume();
-        }
-    };
+    server: Listener;
+    httpHandler(request: IncomingMessage, response: ServerResponse): Promise<void>;
 }
 
 const bodyTooLargeDetail = "the body is above the limit of this entry";
 
-/** Responds before the body has been read, and closes the connection afterwards. */
-function writeProblem(res: ServerResponse, problem: Problem, onSent?: () => void): void {
-    res.writeHead(problem.status, { "content-type": "application/problem+json", connection: "close" });
-    res.end(JSON.stringify(problem), onSent);
+/** Responds to a request that the listener refuses, and closes its connection. */
+function writeRefusal(res: ServerResponse, { status, code, detail, retryAfterMs }: RequestRefusal): void {
+    const retryAfterSeconds = retryAfterMs === undefined ? undefined : Math.ceil(retryAfterMs / 1000);
+    const problem = createProblem(code, detail, retryAfterSeconds === undefined ? {} : { retryAfterSeconds });
+    res.writeHead(status, {
+        "content-type": "application/problem+json",
+        connection: "close",
+        ...retryAfterSeconds === undefined ? {} : { "retry-after": String(retryAfterSeconds) },
+    });
+    res.end(JSON.stringify(problem));
 }
 
 function prepareCall(
--- a/src/listeners/PacedSocket.ts
+++ b/src/listeners/PacedSocket.ts
@@ -1,15 +1,27 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { Duplex } from "node:stream";
+import { type ConnectionLoad, type ConnectionPhase, estimateRequestBytes, IntakeLimit } from "./connectionLoad";
+import type { Intake, IntakeConnection } from "./createIntake";
 import { type BodyFraming, createRequestSlicer, type RequestSlicer, type SlicerGate } from "./createRequestSlicer";
 import type { Turns } from "./createTurns";
+import { type RequestRefusal, RequestRefusals } from "./requestRefusals";
 
 export interface PacedSocketOptions {
     readonly socket: Socket;
+    readonly intake: Intake;
     readonly turns: Turns;
-    readonly maxHeadBytes: number;
-    /** Requests of this connection that may be open at once. */
-    readonly maxPipelinedRequests: number;
+    /** Writes the response to a request that is refused, and ends it. */
+    writeRefusal(response: ServerResponse, refusal: RequestRefusal): void;
+}
+
+/** A request whose response has not left. */
+interface OpenRequest {
+    readonly request: IncomingMessage;
+    readonly response: ServerResponse;
+    receivedBytes: number;
+    /** Whether it is refused; none of its further bytes are passed on, so that it is not carried out. */
+    isRefused: boolean;
 }
 
 /** While more bytes than this wait to be sent, no further request or frame is read. */
@@ -18,33 +30,52 @@
 /** Larger writes are divided, so that a client that reads slowly can be told from one that doesn't read, in bytes. */
 const maxWriteBytes = 16 * 1024;
 
+/** Memory that frames wait in until they are sent, for each of their bytes: most frames are shorter than their objects. */
+const bytesPerFrameByte = 8;
+
+/** Response to a head that is not complete in time; no request exists yet that could be answered. */
+const headTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
 /**
  * A connection that is read on only when answers have left: the parser is given one request at a time, and no further one
  * while the number of open requests or the unsent bytes are at their limit. What the client has sent ahead stays in the
  * buffers of the kernel, except for one received piece of up to 64 KiB.
  */
-export class PacedSocket extends Duplex {
+export class PacedSocket extends Duplex implements IntakeConnection {
     private readonly opts: PacedSocketOptions;
     private readonly slicer: RequestSlicer;
-    private readonly openResponses = new Set<ServerResponse>();
-    private latestRequest: IncomingMessage | undefined;
+    private readonly openRequests = new Map<ServerResponse, OpenRequest>();
+    private latest: OpenRequest | undefined;
+    /** Bytes passed on that belong to a request that has not begun. */
+    private headBytes = 0;
+    private requestCount = 0;
+    private writtenBytes = 0;
     private isUpgraded = false;
     private isPumping = false;
     private isDeferred = false;
     private hasEnded = false;
+    /** After a refusal, what arrives is dropped: closing a connection with unread bytes could destroy the response. */
+    private isDiscarding = false;
 
     constructor(opts: PacedSocketOptions) {
         super({ allowHalfOpen: true });
         this.opts = opts;
-        this.slicer = createRequestSlicer(opts.maxHeadBytes);
+        this.slicer = createRequestSlicer(opts.intake.limits.maxHeadBytes);
         const { socket } = opts;
         socket.on("data", (bytes) => {
-            this.slicer.append(bytes);
-            this.pump();
+            if (!this.isDiscarding) {
+                this.slicer.append(bytes);
+                this.pump();
+            }
         });
         socket.on("end", () => {
             this.hasEnded = true;
-            this.pump();
+            if (this.isDiscarding) {
+                this.destroySoon();
+            }
+            else {
+                this.pump();
+            }
         });
         socket.on("error", (error) => this.destroy(error));
         socket.on("close", () => this.destroy());
@@ -64,18 +95,28 @@
 
     /** Counts a request as open until its response has left or the connection has closed. */
     beginRequest(request: IncomingMessage, response: ServerResponse): void {
-        this.latestRequest = request;
+        const open: OpenRequest = { request, response, receivedBytes: this.headBytes, isRefused: false };
+        this.latest = open;
+        this.headBytes = 0;
+        this.requestCount++;
         this.slicer.beginBody(framingOf(request));
-        this.openResponses.add(response);
+        this.openRequests.set(response, open);
         response.once("close", () => {
-            this.openResponses.delete(response);
+            this.openRequests.delete(response);
             this.pump();
         });
     }
 
-    /** Whether the connection has no open request, and no part of one has been received. */
-    isIdle(): boolean {
-        return !this.isUpgraded && this.openResponses.size === 0 && this.slicer.waitingBytes() === 0;
+    /** Responds to a request that is not carried out. The response closes the connection. */
+    refuse(response: ServerResponse, refusal: RequestRefusal): void {
+        const open = this.openRequests.get(response);
+        if (open !== undefined) {
+            open.isRefused = true;
+        }
+        this.isDiscarding = true;
+        this.slicer.clear();
+        this.opts.socket.resume();
+        this.opts.writeRefusal(response, refusal);
     }
 
     /** The connection carries frames from now on; requests on it are no longer counted here. */
@@ -84,9 +125,56 @@
         this.slicer.beginFrames();
     }
 
-    /** Closes the connection once all has been sent. */
+    /** Whether the connection has no open request, and no part of one has been received. */
+    isIdle(): boolean {
+        return this.phase() === "idle";
+    }
+
+    load(): ConnectionLoad {
+        let droppableBytes = this.slicer.waitingBytes() + this.headBytes
+            + this.writableLength * (this.isUpgraded ? bytesPerFrameByte : 1);
+        let requestBytes = 0;
+        for (const { request, receivedBytes, isRefused } of this.openRequests.values()) {
+            if (request.complete && !isRefused) {
+                requestBytes += estimateRequestBytes(receivedBytes);
+            }
+            else {
+                droppableBytes += receivedBytes;
+            }
+        }
+        const phase = this.phase();
+        const progress = phase === "unread" ? this.writtenBytes : this.requestCount;
+        return { droppableBytes, requestBytes, phase, progress };
+    }
+
+    closeFor(limit: IntakeLimit): void {
+        switch (limit) {
+            case IntakeLimit.HeadTime:
+                this.opts.socket.end(headTimeoutResponse);
+                this.destroy();
+                return;
+            case IntakeLimit.BodyTime:
+                if (this.latest === undefined || this.latest.response.headersSent) {
+                    this.destroy();
+                    return;
+                }
+                this.refuse(this.latest.response, RequestRefusals.bodyTooSlow);
+                return;
+            default:
+                this.destroy();
+        }
+    }
+
+    proceed(): void {
+        this.pump();
+    }
+
+    /** Closes the connection once all has been sent; after a refusal, once the client has ended it or its time is over. */
     destroySoon(): void {
         this.end();
+        if (this.isDiscarding && !this.hasEnded) {
+            return;
+        }
         if (this.writableFinished) {
             this.destroy();
         }
@@ -98,19 +186,16 @@
     /** Bytes are pushed when they may be parsed, not when the parser asks for more. */
     override _read(): void {}
 
-    override _write(bytes: Buffer, _encoding: BufferEncoding, onWritten: (error?: Error | null) => void): void {
-        const { socket } = this.opts;
-        if (bytes.length <= maxWriteBytes) {
-            socket.write(bytes, onWritten);
-            return;
-        }
-        socket.write(bytes.subarray(0, maxWriteBytes), (error) => {
-            if (error) {
+    override _write(bytes: Buffer, encoding: BufferEncoding, onWritten: (error?: Error | null) => void): void {
+        this.opts.socket.write(bytes.subarray(0, maxWriteBytes), (error) => {
+            this.writtenBytes += Math.min(bytes.length, maxWriteBytes);
+            if (error || bytes.length <= maxWriteBytes) {
                 onWritten(error);
                 return;
             }
-            this._write(bytes.subarray(maxWriteBytes), _encoding, onWritten);
+            this._write(bytes.subarray(maxWriteBytes), encoding, onWritten);
         });
+        this.opts.intake.update(this);
     }
 
     override _final(onEnded: (error?: Error | null) => void): void {
@@ -118,30 +203,55 @@
     }
 
     override _destroy(error: Error | null, onDestroyed: (error: Error | null) => void): void {
+        this.opts.intake.disconnect(this);
         this.opts.socket.destroy();
         onDestroyed(error);
     }
 
+    private phase(): ConnectionPhase {
+        if (this.isIncomplete() || this.isDiscarding) {
+            return "body";
+        }
+        if (this.writableLength > 0) {
+            return "unread";
+        }
+        if (this.isUpgraded) {
+            return "upgraded";
+        }
+        if (this.openRequests.size > 0) {
+            return "busy";
+        }
+        return this.slicer.waitingBytes() + this.headBytes > 0 ? "head" : "idle";
+    }
+
+    private isIncomplete(): boolean {
+        return this.latest?.request.complete === false;
+    }
+
     private gate(): SlicerGate {
         const limit = this.isUpgraded ? maxUnsentBytes.frames : maxUnsentBytes.requests;
+        const isOpenForMore = this.openRequests.size < this.opts.intake.limits.maxPipelinedRequests;
         return {
-            mayBegin: this.openResponses.size < this.opts.maxPipelinedRequests && this.writableLength < limit,
-            isIncomplete: this.latestRequest?.complete === false,
+            mayBegin: isOpenForMore && this.writableLength < limit,
+            isIncomplete: this.isIncomplete(),
         };
     }
 
     /** Passes on what may be parsed now, and reads on once all of it has been passed on. */
     private pump(): void {
-        if (this.isPumping || this.destroyed) {
+        if (this.isPumping || this.isDiscarding || this.destroyed) {
             return;
         }
         this.isPumping = true;
         let hasPushed = true;
         while (hasPushed && this.canPush()) {
-            hasPushed = this.pushNext();
+            hasPushed = this.pushNext() && !this.isDiscarding;
         }
         this.isPumping = false;
-        this.readOn();
+        if (!this.isDiscarding) {
+            this.readOn();
+        }
+        this.opts.intake.update(this);
     }
 
     /** The parser takes what is pushed at once, unless it has paused or is not attached yet. */
@@ -151,19 +261,36 @@
 
     /** Returns false if nothing may be passed on now. */
     private pushNext(): boolean {
+        const { turns } = this.opts;
         const gate = this.gate();
         const next = this.slicer.next(gate);
-        if (next === "none") {
-            return false;
-        }
-        if (next === "begin" && !this.opts.turns.tryTake()) {
-            this.defer();
-            return false;
+        switch (next) {
+            case "none":
+                return false;
+            case "begin":
+                if (!turns.tryTake()) {
+                    this.defer();
+                    return false;
+                }
+                break;
+            case "rest":
+            case "last":
+                break;
         }
-        this.push(this.slicer.take(gate));
+        this.pass(this.slicer.take());
         return true;
     }
 
+    private pass(slice: Buffer): void {
+        if (this.latest !== undefined && this.isIncomplete()) {
+            this.latest.receivedBytes += slice.length;
+        }
+        else if (!this.isUpgraded) {
+            this.headBytes += slice.length;
+        }
+        this.push(slice);
+    }
+
     private defer(): void {
         if (!this.isDeferred) {
             this.isDeferred = true;
@@ -195,7 +322,7 @@
     /** Whether received bytes wait for something other than further bytes. */
     private isBlocked(): boolean {
         return this.slicer.waitingBytes() > 0
-            && (this.isDeferred || !this.canPush() || this.slicer.next({ ...this.gate(), mayBegin: true }) !== "none");
+            && (!this.canPush() || this.slicer.next({ ...this.gate(), mayBegin: true }) !== "none");
     }
 }
 
--- a/src/listeners/createListener.ts
+++ b/src/listeners/createListener.ts
@@ -2,13 +2,17 @@
 import { type AddressInfo, createServer as createTcpServer, type Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { createServer as createTlsServer, type TlsOptions } from "node:tls";
+import { IntakeLimit } from "./connectionLoad";
 import type { Intake } from "./createIntake";
+import type { Turns } from "./createTurns";
 import { PacedSocket } from "./PacedSocket";
 import { type RequestRefusal, RequestRefusals } from "./requestRefusals";
 
 export interface ListenerOptions {
-    /** Shared by all listeners of the process. */
-    readonly intake: Intake;
+    /** Name in log lines and metrics. */
+    readonly name: string;
+    /** Larger bodies are refused, in bytes. */
+    readonly maxBodyBytes: number;
     /** Certificates and their options; if present, the listener takes TLS connections only. */
     readonly tls?: TlsOptions;
     /** Called for every request that is not refused here. */
@@ -19,7 +23,13 @@
     writeRefusal(response: ServerResponse, refusal: RequestRefusal): void;
 }
 
-/** An HTTP server of this process. Its members are those of the runtime's servers that moleculer-web and ws use. */
+/** What a listener shares with the others of its process. */
+interface SharedOptions {
+    readonly intake: Intake;
+    readonly turns: Turns;
+}
+
+/** An HTTP server of this process. Its members are those of the runtime's servers that moleculer-web uses. */
 export interface Listener {
     readonly listening: boolean;
     listen(port: number, host: string, onListening: () => void): void;
@@ -31,38 +41,47 @@
 }
 
 /** Creates an HTTP server whose connections are paced; every listener of a process is created here. */
-export function createListener(opts: ListenerOptions): Listener {
-    const { limits, turns } = opts.intake;
+export function createListener(opts: ListenerOptions & SharedOptions): Listener {
+    const { intake, turns, name, writeRefusal } = opts;
+    const { maxHeadBytes, maxHeadMs, maxIdleMs } = intake.limits;
     const sockets = new Set<PacedSocket>();
     let isClosing = false;
     // Requests without a host are refused here, so that they count like all others.
-    const http = createHttpServer({ maxHeaderSize: limits.maxHeadBytes, requireHostHeader: false });
-    http.keepAliveTimeout = limits.maxIdleMs;
-    http.on("request", serve);
+    const http = createHttpServer({ maxHeaderSize: maxHeadBytes, requireHostHeader: false });
+    http.keepAliveTimeout = maxIdleMs;
+    http.on("request", (request, response) => {
+        begin(request, response);
+        const refusal = findRefusal(request);
+        if (refusal !== undefined) {
+            socketOf(request).refuse(response, refusal);
+            return;
+        }
+        opts.onRequest(request, response);
+    });
     http.on("checkExpectation", (request, response) => {
         begin(request, response);
-        opts.writeRefusal(response, RequestRefusals.unknownExpectation);
+        socketOf(request).refuse(response, RequestRefusals.unknownExpectation);
     });
     if (opts.onUpgrade !== undefined) {
         http.on("upgrade", (request, socket, head) => {
-            (socket as PacedSocket).beginFrames();
+            socketOf(request).beginFrames();
             opts.onUpgrade?.(request, socket, head);
         });
     }
     const server = opts.tls === undefined
         ? createTcpServer({ noDelay: true, allowHalfOpen: true }, accept)
-        : createTlsServer({ ...opts.tls, noDelay: true, allowHalfOpen: true }, accept);
+        : createTlsServer({ ...opts.tls, handshakeTimeout: maxHeadMs, noDelay: true }, accept);
 
     function accept(socket: Socket): void {
-        const { maxHeadBytes, maxPipelinedRequests } = limits;
-        const paced = new PacedSocket({ socket, turns, maxHeadBytes, maxPipelinedRequests });
+        const paced = new PacedSocket({ socket, intake, turns, writeRefusal });
+        intake.connect(name, paced);
         sockets.add(paced);
         paced.once("close", () => sockets.delete(paced));
         http.emit("connection", paced);
     }
 
     function begin(request: IncomingMessage, response: ServerResponse): void {
-        const socket = request.socket as Duplex as PacedSocket;
+        const socket = socketOf(request);
         socket.beginRequest(request, response);
         response.once("close", () => {
             if (isClosing) {
@@ -71,19 +90,16 @@
         });
     }
 
-    function serve(request: IncomingMessage, response: ServerResponse): void {
-        begin(request, response);
-        if (request.httpVersion === "1.1" && request.headers.host === undefined) {
-            opts.writeRefusal(response, RequestRefusals.noHost);
-            return;
+    function findRefusal(request: IncomingMessage): RequestRefusal | undefined {
+        const { httpVersion, headers } = request;
+        if (httpVersion === "1.1" && headers.host === undefined) {
+            return RequestRefusals.noHost;
         }
-        opts.onRequest(request, response);
-    }
-
-    function closeIfIdle(socket: PacedSocket): void {
-        if (socket.isIdle()) {
-            socket.destroySoon();
+        if (Number(headers["content-length"] ?? 0) > opts.maxBodyBytes) {
+            intake.countLimit(name, IntakeLimit.BodyBytes);
+            return RequestRefusals.bodyTooLarge;
         }
+        return undefined;
     }
 
     return {
@@ -101,3 +117,14 @@
         },
     };
 }
+
+/** All connections of a listener's HTTP server are paced. */
+function socketOf(request: IncomingMessage): PacedSocket {
+    return request.socket as Duplex as PacedSocket;
+}
+
+function closeIfIdle(socket: PacedSocket): void {
+    if (socket.isIdle()) {
+        socket.destroySoon();
+    }
+}
--- a/src/listeners/createRequestSlicer.ts
+++ b/src/listeners/createRequestSlicer.ts
@@ -4,7 +4,7 @@
     /** The end is only known once the body has been parsed. */
     | { readonly kind: "chunked"; };
 
-/** Whether further requests may begin on a connection, and whether the one that began last is still incomplete. */
+/** Whether further requests may begin on a connection, and whether the latest one is still incomplete. */
 export interface SlicerGate {
     readonly mayBegin: boolean;
     readonly isIncomplete: boolean;
@@ -14,10 +14,11 @@
  * What can be taken next.
  *
  * - `none`: more bytes have to arrive, or no further request may begin.
- * - `rest`: bytes of the request that began last.
+ * - `rest`: bytes of the body of the latest request.
+ * - `last`: bytes of that body up to its end.
  * - `begin`: bytes with which a request or frames may begin.
  */
-export type NextSlice = "none" | "rest" | "begin";
+export type NextSlice = "none" | "rest" | "last" | "begin";
 
 /**
  * Divides the bytes of a connection so that a parser is given at most one request at a time. A parser creates objects for
@@ -29,9 +30,15 @@
     waitingBytes(): number;
     next(gate: SlicerGate): NextSlice;
     /** Takes the slice that `next` has announced. */
-    take(gate: SlicerGate): Buffer;
+    take(): Buffer;
+    /** Whether bytes of the latest request's body are still to be taken. */
+    isInBody(): boolean;
+    /** Whether slices may end anywhere, because the ends of bodies are only known to the parser. */
+    isWindowed(): boolean;
     /** Tells how the body of the request ends whose head was taken last. */
     beginBody(framing: BodyFraming): void;
+    /** Drops the bytes that have not been taken. */
+    clear(): void;
     /** From now on, the bytes are frames of an upgraded connection. */
     beginFrames(): void;
 }
@@ -90,7 +97,7 @@
                 case "head":
                     return mayBegin && (findHead() !== undefined || waiting.length > maxHeadBytes) ? "begin" : "none";
                 case "body":
-                    return "rest";
+                    return waiting.length < mode.remainingBytes ? "rest" : "last";
                 case "windows":
                     return mayBegin || isIncomplete ? "begin" : "none";
                 case "frames":
@@ -133,6 +140,11 @@
                     return;
             }
         },
+        isInBody: () => mode.kind === "body" || mode.kind === "windows",
+        isWindowed: () => mode.kind === "windows",
+        clear() {
+            takeBytes(waiting.length);
+        },
         beginFrames() {
             mode = { kind: "frames" };
         },
--- a/src/listeners/index.ts
+++ b/src/listeners/index.ts
@@ -1,5 +1,6 @@
 /** HTTP servers whose connections are limited in what they can make the process hold. */
-export { createIntake, type Intake } from "./createIntake";
-export { createListener, type Listener, type ListenerOptions } from "./createListener";
+export type { IntakeLimit } from "./connectionLoad";
+export type { Listener, ListenerOptions } from "./createListener";
+export { createListeners, type Listeners } from "./createListeners";
 export { defaultIntakeLimits, type IntakeLimits } from "./intakeLimits";
-export { type RequestRefusal, RequestRefusals } from "./requestRefusals";
+export type { RequestRefusal } from "./requestRefusals";
--- a/src/listeners/intakeLimits.ts
+++ b/src/listeners/intakeLimits.ts
@@ -1,9 +1,13 @@
-/** Limits on what clients can make the process hold. */
+/** Limits on what clients can make the process hold; all listeners of the process share them. */
 export interface IntakeLimits {
     /** Longest request line and header fields, in bytes. */
     readonly maxHeadBytes: number;
     /** Requests of one connection that may be open at once; further ones are not read. */
     readonly maxPipelinedRequests: number;
+    /** Time in which the head of a request must arrive completely, in milliseconds. */
+    readonly maxHeadMs: number;
+    /** Time in which the body of a request must arrive completely, in milliseconds. */
+    readonly maxBodyMs: number;
     /** How long a connection without a request is kept, in milliseconds. */
     readonly maxIdleMs: number;
 }
@@ -11,5 +15,7 @@
 export const defaultIntakeLimits: IntakeLimits = {
     maxHeadBytes: 16 * 1024,
     maxPipelinedRequests: 8,
+    maxHeadMs: 10_000,
+    maxBodyMs: 10_000,
     maxIdleMs: 15_000,
 };
--- /dev/null
+++ b/src/listeners/test/intake.steps.ts
@@ -0,0 +1,72 @@
+import { Before, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import type { ConnectionLoad, ConnectionPhase } from "../connectionLoad";
+import { createIntake, type Intake, type IntakeConnection } from "../createIntake";
+import { defaultIntakeLimits, type IntakeLimits } from "../intakeLimits";
+
+interface World {
+    intake: Intake;
+    loads: Map<string, ConnectionLoad>;
+    connections: Map<string, IntakeConnection>;
+    closed: string[];
+}
+
+const listener = "clients";
+const idle: ConnectionLoad = { droppableBytes: 0, requestBytes: 0, phase: "idle", progress: 0 };
+
+Before(function(this: World) {
+    this.loads = new Map();
+    this.connections = new Map();
+    this.closed = [];
+    startIntake(this, {});
+});
+
+function startIntake(world: World, limits: Partial<IntakeLimits>): void {
+    world.intake = createIntake({ limits: { ...defaultIntakeLimits, ...limits }, onLimit: () => {} });
+}
+
+/** Sets the load of a connection, which is opened if need be. */
+function setLoad(world: World, name: string, load: Partial<ConnectionLoad>): void {
+    world.loads.set(name, { ...idle, ...world.loads.get(name), ...load });
+    world.intake.update(open(world, name));
+}
+
+function open(world: World, name: string): IntakeConnection {
+    const known = world.connections.get(name);
+    if (known !== undefined) {
+        return known;
+    }
+    const connection: IntakeConnection = {
+        load: () => world.loads.get(name) ?? idle,
+        closeFor(limit) {
+            world.closed.push(`${name} ${limit}`);
+            world.intake.disconnect(connection);
+        },
+        proceed: () => {},
+    };
+    world.connections.set(name, connection);
+    world.intake.connect(listener, connection);
+    return connection;
+}
+
+Given("limits of {int} ms for each phase", function(this: World, ms: number) {
+    startIntake(this, { maxIdleMs: ms, maxHeadMs: ms, maxBodyMs: ms });
+});
+
+Given("connection {string} is in phase {string}", function(this: World, name: string, phase: ConnectionPhase) {
+    setLoad(this, name, { phase });
+});
+
+When("{int} ticks of {int} ms pass", function(this: World, ticks: number, ms: number) {
+    for (let tick = 0; tick < ticks; tick++) {
+        this.intake.tick(ms);
+    }
+});
+
+When("connection {string} makes progress", function(this: World, name: string) {
+    setLoad(this, name, { progress: 1 });
+});
+
+Then("the closed connections are {string}", function(this: World, closed: string) {
+    assert.equal(this.closed.join(", "), closed);
+});
--- a/src/listeners/test/slicer.steps.ts
+++ b/src/listeners/test/slicer.steps.ts
@@ -16,7 +16,7 @@
 function takeAll(slicer: RequestSlicer, gate: SlicerGate = open): string[] {
     const slices: string[] = [];
     for (let next = slicer.next(gate); next !== "none"; next = slicer.next(gate)) {
-        const slice = slicer.take(gate).toString("latin1");
+        const slice = slicer.take().toString("latin1");
         slices.push(slice);
         const length = next === "begin" ? /^PUT (\d+)/.exec(slice)?.[1] : undefined;
         if (length !== undefined) {
@@ -47,7 +47,7 @@
     this.slicer = createRequestSlicer(maxHeadBytes);
     this.slicer.append(Buffer.from("POST /a\r\n\r\n" + "x".repeat(count)));
     assert.equal(this.slicer.next(open), "begin");
-    this.slicer.take(open);
+    this.slicer.take();
     this.slicer.beginBody({ kind: "chunked" });
     this.slices = takeAll(this.slicer);
     assert.equal(this.slices.join("").length, count);
@@ -69,7 +69,7 @@
 
 Then("it is passed on to be refused", function(this: World) {
     assert.equal(this.slicer.next(open), "begin");
-    this.slicer.take(open);
+    this.slicer.take();
     assert.equal(this.slicer.waitingBytes(), 0);
 });
 
@@ -78,7 +78,7 @@
     function(this: World) {
         this.slicer = createRequestSlicer(maxHeadBytes);
         this.slicer.append(Buffer.from("PUT 3\r\n\r\nabcGET /b\r\n\r\n"));
-        this.slicer.take(open);
+        this.slicer.take();
         this.slicer.beginBody({ kind: "length", bytes: 3 });
     },
 );
--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -392,4 +392,6 @@
         readonly silentZones: number;
         readonly decision: "lost" | "heard" | "tooFew";
     }
+    /** A listener has closed connections or refused requests because of a limit on clients; one line a second for each limit. */
+    | { readonly kind: "clientLimit"; readonly listener: string; readonly limit: string; readonly count: number; }
     | { readonly kind: "note"; readonly slice: string; readonly message: string; readonly detail?: string; };
--- a/src/metrics/createEventMetrics.ts
+++ b/src/metrics/createEventMetrics.ts
@@ -13,6 +13,10 @@
     dutyToken(): number | undefined;
     droppedLines(): number;
     openRequests(): number;
+    /** Estimated memory that is held for clients, in bytes. */
+    heldBytes(): number;
+    /** Open connections by listener. */
+    connections(): ReadonlyMap<string, number>;
     /** Starts in flight by pool; empty while this entry isn't the leader. */
     startsInFlight(): ReadonlyMap<string, number>;
     /** Age of the leader's latest load summary, in milliseconds; `undefined` before the first. */
@@ -137,6 +141,26 @@
     );
     gauge("log_lines_dropped", "Log lines left out since the start", readings.droppedLines);
     gauge("open_requests", "Clients' requests under way", readings.openRequests);
+    gauge(
+        "held_bytes",
+        "Estimated memory held for clients and peers",
+        readings.heldBytes,
+    );
+    new Gauge({
+        name: "samphirepin_connections",
+        help: "Open connections, by listener",
+        labelNames: ["listener"],
+        registers,
+        collect() {
+            readings.connections().forEach((count, listener) => this.set({ listener }, count));
+        },
+    });
+    const clientLimits = counter(
+        "client_limits",
+        "Connections closed and requests refused by a limit on clients, by listener",
+        "listener",
+        "limit",
+    );
     const submissionClasses = counter(
         "submission_classes",
         "Submissions taken by this leader, within and beyond the rate of their client account",
@@ -258,6 +282,9 @@
                 case "refusalSkipped":
                     skippedRefusals.inc({ reason: event.reason });
                     return;
+                case "clientLimit":
+                    clientLimits.inc({ listener: event.listener, limit: event.limit }, event.count);
+                    return;
                 case "firstStart":
                     // Without a backlog, the time depends on the next submission.
                     if (event.waitingSubmissions > 0) {
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -90,6 +90,23 @@
             labelNames: ["result"] as const,
             registers,
         }),
+        clientLimits: new Counter({
+            name: "samphirepin_client_limits_total",
+            help: "Connections closed and requests refused by a limit on clients, by listener",
+            labelNames: ["listener", "limit"] as const,
+            registers,
+        }),
+        connections: new Gauge({
+            name: "samphirepin_connections",
+            help: "Open connections, by listener",
+            labelNames: ["listener"] as const,
+            registers,
+        }),
+        heldBytes: new Gauge({
+            name: "samphirepin_held_bytes",
+            help: "Estimated memory held for clients and peers",
+            registers,
+        }),
         platformCalls: new Counter({
             name: "samphirepin_platform_calls_total",
             help: "Calls to the platform's service, by kind and result",
--- a/src/settings/settingSpecs.ts
+++ b/src/settings/settingSpecs.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { defaultIntakeLimits } from "../listeners";
 
 /** A setting. Its flag is its name in kebab case, its environment variable SAMPHIREPIN_ and its name in capitals. */
 export interface SettingSpec<T = unknown> {
@@ -9,6 +10,7 @@
 
 const port = z.coerce.number().int().min(0).max(65535);
 const durationMs = z.coerce.number().int().positive().max(24 * 3600 * 1000);
+const limit = z.coerce.number().int().positive();
 const file = z.string().min(1).optional();
 const httpUrl = z.url({ protocol: /^https?$/ });
 const name = z.string().regex(/^[\w.-]{1,128}$/, "letters, digits, dots, dashes and underscores only");
@@ -105,10 +107,30 @@
         "524288",
     ),
     maxBodyMs: setting(
-        durationMs.default(10_000),
-        "time in which a request must arrive completely, in milliseconds",
+        durationMs.default(defaultIntakeLimits.maxBodyMs),
+        "time in which the body of a request must arrive completely, in milliseconds",
         "10000",
     ),
+    maxHeadBytes: setting(
+        limit.default(defaultIntakeLimits.maxHeadBytes),
+        "maximum size of the request line and the header fields, in bytes",
+        "16384",
+    ),
+    maxHeadMs: setting(
+        durationMs.default(defaultIntakeLimits.maxHeadMs),
+        "time in which the head of a request must arrive completely, in milliseconds",
+        "10000",
+    ),
+    maxPipelinedRequests: setting(
+        limit.default(defaultIntakeLimits.maxPipelinedRequests),
+        "requests of one connection that may be open at once; further ones are not read",
+        "8",
+    ),
+    maxIdleMs: setting(
+        durationMs.default(defaultIntakeLimits.maxIdleMs),
+        "time after which a connection without a request is closed, in milliseconds",
+        "15000",
+    ),
     logLevel: setting(
         z.enum(["error", "warn", "info", "debug"]).default("info"),
         "lowest level that is logged",
--- a/test/crowds/crowds.steps.ts
+++ b/test/crowds/crowds.steps.ts
@@ -155,10 +155,14 @@
 /** Runs `play` and records the greatest memory and number of descriptors of the entry meanwhile. */
 async function watch(world: World, play: () => Promise<void>): Promise<void> {
     const watched = watchProcess(world.pid);
-    await play();
-    await pause(settleMs);
-    watched.stop();
-    world.peak = watched.peak;
+    try {
+        await play();
+        await pause(settleMs);
+    }
+    finally {
+        watched.stop();
+        world.peak = watched.peak;
+    }
 }
 
 function sendTo(world: World, address: string, crowd: Omit<Crowd, "host" | "port">): Promise<void> {
@@ -302,9 +306,15 @@
         const bytes = Buffer.from(unknownRequest.repeat(blockRequests));
         return watch(this, async () => {
             const socket = openSilentSocket(host, Number(port));
-            const send = () => void (socket.destroyed || socket.write(bytes, send));
+            // A turn of the event loop between writes, as the kernel may take all of them at once.
+            const send = () => void (socket.destroyed || socket.write(bytes, () => setImmediate(send)));
             send();
-            await waitUntil(() => Promise.resolve(socket.destroyed), "the connection is not ended");
+            try {
+                await waitUntil(() => Promise.resolve(socket.destroyed), "the connection is not ended");
+            }
+            finally {
+                socket.destroy();
+            }
         });
     },
 );
