fix(listeners): connections are closed whose clients read nothing of an answer

Callers saw fewer free connections and less memory as long as a client kept a connection without reading: it was never closed.

Cause: time limits held for requests, not for answers. Once the buffers of the kernel are full, a written answer waits for its client without a limit.

Change: a connection with unsent bytes is closed when nothing of them has left for maxUnreadMs, 10 s by default.

--- a/src/listeners/connectionLoad.ts
+++ b/src/listeners/connectionLoad.ts
@@ -26,6 +26,7 @@
 export const IntakeLimit = {
     HeadTime: "headTime",
     BodyTime: "bodyTime",
+    UnreadTime: "unreadTime",
     IdleTime: "idleTime",
     BodyBytes: "bodyBytes",
 } as const;
@@ -55,6 +56,7 @@
         case "body":
             return { maxMs: limits.maxBodyMs, limit: IntakeLimit.BodyTime };
         case "unread":
+            return { maxMs: limits.maxUnreadMs, limit: IntakeLimit.UnreadTime };
         case "busy":
         case "upgraded":
             return undefined;
--- a/src/listeners/createListeners.ts
+++ b/src/listeners/createListeners.ts
@@ -31,8 +31,8 @@
     const met = new Map<string, { readonly listener: string; readonly limit: IntakeLimit; count: number; }>();
     const intake = createIntake({ limits, onLimit: countLimit });
     const turns = createTurns(maxRequestsPerTurn);
-    const { maxHeadMs, maxBodyMs, maxIdleMs } = limits;
-    const tickMs = Math.min(maxTickMs, Math.min(maxHeadMs, maxBodyMs, maxIdleMs) / ticksPerLimit);
+    const { maxHeadMs, maxBodyMs, maxUnreadMs, maxIdleMs } = limits;
+    const tickMs = Math.min(maxTickMs, Math.min(maxHeadMs, maxBodyMs, maxUnreadMs, maxIdleMs) / ticksPerLimit);
     let tickedAtMs = performance.now();
     let reportedAtMs = tickedAtMs;
     const timer = setInterval(tick, tickMs).unref();
--- a/src/listeners/intakeLimits.ts
+++ b/src/listeners/intakeLimits.ts
@@ -8,6 +8,8 @@
     readonly maxHeadMs: number;
     /** Time in which the body of a request must arrive completely, in milliseconds. */
     readonly maxBodyMs: number;
+    /** How long a connection is kept whose client reads nothing of an answer, in milliseconds. */
+    readonly maxUnreadMs: number;
     /** How long a connection without a request is kept, in milliseconds. */
     readonly maxIdleMs: number;
 }
@@ -17,5 +19,6 @@
     maxPipelinedRequests: 8,
     maxHeadMs: 10_000,
     maxBodyMs: 10_000,
+    maxUnreadMs: 10_000,
     maxIdleMs: 15_000,
 };
--- a/src/listeners/test/intake.steps.ts
+++ b/src/listeners/test/intake.steps.ts
@@ -50,7 +50,7 @@
 }
 
 Given("limits of {int} ms for each phase", function(this: World, ms: number) {
-    startIntake(this, { maxIdleMs: ms, maxHeadMs: ms, maxBodyMs: ms });
+    startIntake(this, { maxIdleMs: ms, maxHeadMs: ms, maxBodyMs: ms, maxUnreadMs: ms });
 });
 
 Given("connection {string} is in phase {string}", function(this: World, name: string, phase: ConnectionPhase) {
--- a/src/settings/settingSpecs.ts
+++ b/src/settings/settingSpecs.ts
@@ -126,6 +126,11 @@
         "requests of one connection that may be open at once; further ones are not read",
         "8",
     ),
+    maxUnreadMs: setting(
+        durationMs.default(defaultIntakeLimits.maxUnreadMs),
+        "time after which a connection is closed whose client reads nothing of an answer, in milliseconds",
+        "10000",
+    ),
     maxIdleMs: setting(
         durationMs.default(defaultIntakeLimits.maxIdleMs),
         "time after which a connection without a request is closed, in milliseconds",
