fix(listeners): what clients make a process hold is bounded for all connections together

Callers saw an entry end, or take more memory than its instance has, while other clients sent bodies that never ended, or many bodies of small values at a time.

Cause: limits held for each body and none for all of them. 1,200 bodies that lacked their last byte took 417 to 435 MB on an instance of 350 MB.

Change: createIntake keeps an estimate of what is held for all clients, a quarter of the heap limit at the most by default (maxHeldBytes). Connections that hold most in unfinished requests and unsent answers are closed first. A request is admitted before its last bytes are parsed; one that doesn't fit is refused with 503 OVERLOADED and Retry-After, and was not carried out. One that is alone always fits.

--- a/src/errors/problem.ts
+++ b/src/errors/problem.ts
@@ -73,6 +73,11 @@
         hint: "Ask the entry that took the task, or let the task answer with less.",
     },
     BODY_TOO_SLOW: { status: 408, title: "The body did not arrive in time", hint: "Send the whole body at once." },
+    OVERLOADED: {
+        status: 503,
+        title: "This entry holds too much for its clients",
+        hint: "Come back after Retry-After, or send the request to another entry.",
+    },
     TASK_FAILED: { status: 502, title: "The worker ran the task and it failed", hint: "Read the detail." },
 } as const satisfies Record<string, ProblemKind>;
 
--- a/src/listeners/PacedSocket.ts
+++ b/src/listeners/PacedSocket.ts
@@ -107,6 +107,11 @@
         });
     }
 
+    /** Whether there is memory to carry out the latest request. One with a body is checked again before its last bytes. */
+    isAdmittedWithoutBody(): boolean {
+        return this.latest === undefined || this.slicer.isInBody() || this.admits(this.latest);
+    }
+
     /** Responds to a request that is not carried out. The response closes the connection. */
     refuse(response: ServerResponse, refusal: RequestRefusal): void {
         const open = this.openRequests.get(response);
@@ -261,20 +266,28 @@
 
     /** Returns false if nothing may be passed on now. */
     private pushNext(): boolean {
-        const { turns } = this.opts;
+        const { intake, turns } = this.opts;
         const gate = this.gate();
         const next = this.slicer.next(gate);
         switch (next) {
             case "none":
                 return false;
+            case "last":
+                if (!this.isAdmitted()) {
+                    return false;
+                }
+                break;
             case "begin":
+                // Where bodies end unannounced, their requests wait until others have ended.
+                if (this.slicer.isWindowed() && intake.isFull()) {
+                    return false;
+                }
                 if (!turns.tryTake()) {
                     this.defer();
                     return false;
                 }
                 break;
             case "rest":
-            case "last":
                 break;
         }
         this.pass(this.slicer.take());
@@ -291,6 +304,20 @@
         this.push(slice);
     }
 
+    private admits({ receivedBytes }: OpenRequest): boolean {
+        return this.opts.intake.admit(this, estimateRequestBytes(receivedBytes));
+    }
+
+    /** Refuses the request whose last bytes are waiting, if it can't be carried out for want of memory. */
+    private isAdmitted(): boolean {
+        const { latest } = this;
+        if (latest === undefined || latest.response.headersSent || this.admits(latest)) {
+            return true;
+        }
+        this.refuse(latest.response, RequestRefusals.overloaded);
+        return false;
+    }
+
     private defer(): void {
         if (!this.isDeferred) {
             this.isDeferred = true;
--- a/src/listeners/connectionLoad.ts
+++ b/src/listeners/connectionLoad.ts
@@ -28,6 +28,7 @@
     BodyTime: "bodyTime",
     UnreadTime: "unreadTime",
     IdleTime: "idleTime",
+    HeldBytes: "heldBytes",
     BodyBytes: "bodyBytes",
 } as const;
 export type IntakeLimit = typeof IntakeLimit[keyof typeof IntakeLimit];
@@ -36,7 +37,7 @@
 const requestObjectBytes = 16 * 1024;
 
 /** Bytes that the objects of a parsed body take for each of its bytes, for a body of many small values. */
-const parsedBytesPerByte = 16;
+const parsedBytesPerByte = 24;
 
 /** Estimated memory of a complete request. */
 export function estimateRequestBytes(receivedBytes: number): number {
--- a/src/listeners/createIntake.ts
+++ b/src/listeners/createIntake.ts
@@ -1,5 +1,4 @@
-import type { IntakeLimit } from "./connectionLoad";
-import { type ConnectionLoad, type ConnectionPhase, findPhaseLimit } from "./connectionLoad";
+import { type ConnectionLoad, type ConnectionPhase, findPhaseLimit, IntakeLimit } from "./connectionLoad";
 import type { IntakeLimits } from "./intakeLimits";
 
 /** A connection as the intake sees it. */
@@ -15,9 +14,16 @@
 export interface Intake {
     readonly limits: IntakeLimits;
     connect(listener: string, connection: IntakeConnection): void;
-    /** Reads the load of a connection again. */
+    /** Reads the load of a connection again, and closes connections if too much is held. */
     update(connection: IntakeConnection): void;
     disconnect(connection: IntakeConnection): void;
+    /**
+     * Whether a request of this estimated memory may be carried out. Connections that hold more than that are closed for it
+     * if need be. A request that is alone is always carried out.
+     */
+    admit(connection: IntakeConnection, requestBytes: number): boolean;
+    /** Whether no request may be carried out before another has ended. */
+    isFull(): boolean;
     /** Closes the connections that are beyond a time limit. */
     tick(elapsedMs: number): void;
     /** Counts a limit that a listener applies by itself. */
@@ -43,14 +49,19 @@
     phaseMs: number;
 }
 
+/** A connection that holds less is not closed to free memory, in bytes. */
+const minDroppedBytes = 16 * 1024;
+
 export function createIntake({ limits, onLimit }: IntakeOptions): Intake {
     const accounts = new Map<IntakeConnection, Account>();
     const connections = new Map<string, number>();
     let heldBytes = 0;
+    let requestBytes = 0;
 
     function readLoad(account: Account): void {
         const load = account.connection.load();
         heldBytes += load.droppableBytes + load.requestBytes - account.droppableBytes - account.requestBytes;
+        requestBytes += load.requestBytes - account.requestBytes;
         account.droppableBytes = load.droppableBytes;
         account.requestBytes = load.requestBytes;
         if (load.phase !== account.phase || load.progress !== account.progress) {
@@ -63,6 +74,7 @@
     function remove(account: Account): void {
         if (accounts.delete(account.connection)) {
             heldBytes -= account.droppableBytes + account.requestBytes;
+            requestBytes -= account.requestBytes;
             connections.set(account.listener, (connections.get(account.listener) ?? 1) - 1);
         }
     }
@@ -72,6 +84,19 @@
         account.connection.closeFor(limit);
     }
 
+    /** Closes connections, those that hold most first, until `neededBytes` more may be held. */
+    function free(neededBytes: number, minBytes: number): void {
+        while (heldBytes + neededBytes > limits.maxHeldBytes) {
+            const largest = findGreatest(accounts.values(), ({ droppableBytes }) => droppableBytes);
+            if (largest === undefined || largest.droppableBytes < minBytes) {
+                return;
+            }
+            // Removed at once: its connection may close later.
+            remove(largest);
+            end(largest, IntakeLimit.HeldBytes);
+        }
+    }
+
     return {
         limits,
         connect(listener, connection) {
@@ -91,6 +116,7 @@
             const account = accounts.get(connection);
             if (account !== undefined) {
                 readLoad(account);
+                free(0, minDroppedBytes);
             }
         },
         disconnect(connection) {
@@ -99,6 +125,16 @@
                 remove(account);
             }
         },
+        admit(connection, neededBytes) {
+            free(neededBytes, Math.max(neededBytes, minDroppedBytes));
+            const isAdmitted = requestBytes === 0 || heldBytes + neededBytes <= limits.maxHeldBytes;
+            const account = accounts.get(connection);
+            if (!isAdmitted && account !== undefined) {
+                onLimit(account.listener, IntakeLimit.HeldBytes);
+            }
+            return isAdmitted;
+        },
+        isFull: () => requestBytes >= limits.maxHeldBytes,
         tick(elapsedMs) {
             for (const account of [...accounts.values()]) {
                 account.phaseMs += elapsedMs;
@@ -118,3 +154,16 @@
         connections: () => connections,
     };
 }
+
+function findGreatest<T>(items: Iterable<T>, measure: (item: T) => number): T | undefined {
+    let found: T | undefined;
+    let greatest = -1;
+    for (const item of items) {
+        const value = measure(item);
+        if (value > greatest) {
+            found = item;
+            greatest = value;
+        }
+    }
+    return found;
+}
--- a/src/listeners/createListener.ts
+++ b/src/listeners/createListener.ts
@@ -99,7 +99,7 @@
             intake.countLimit(name, IntakeLimit.BodyBytes);
             return RequestRefusals.bodyTooLarge;
         }
-        return undefined;
+        return socketOf(request).isAdmittedWithoutBody() ? undefined : RequestRefusals.overloaded;
     }
 
     return {
--- a/src/listeners/intakeLimits.ts
+++ b/src/listeners/intakeLimits.ts
@@ -1,9 +1,13 @@
+import { getHeapStatistics } from "node:v8";
+
 /** Limits on what clients can make the process hold; all listeners of the process share them. */
 export interface IntakeLimits {
     /** Longest request line and header fields, in bytes. */
     readonly maxHeadBytes: number;
     /** Requests of one connection that may be open at once; further ones are not read. */
     readonly maxPipelinedRequests: number;
+    /** Most that the process holds for all clients, by estimate, in bytes. */
+    readonly maxHeldBytes: number;
     /** Time in which the head of a request must arrive completely, in milliseconds. */
     readonly maxHeadMs: number;
     /** Time in which the body of a request must arrive completely, in milliseconds. */
@@ -14,9 +18,13 @@
     readonly maxIdleMs: number;
 }
 
+/** Part of the heap that may be held for clients. */
+const heldShareOfHeap = 1 / 4;
+
 export const defaultIntakeLimits: IntakeLimits = {
     maxHeadBytes: 16 * 1024,
     maxPipelinedRequests: 8,
+    maxHeldBytes: Math.floor(getHeapStatistics().heap_size_limit * heldShareOfHeap),
     maxHeadMs: 10_000,
     maxBodyMs: 10_000,
     maxUnreadMs: 10_000,
--- a/src/listeners/test/intake.feature
+++ b/src/listeners/test/intake.feature
@@ -26,3 +26,36 @@
         And connection "a" makes progress
         And 2 ticks of 40 ms pass
         Then the closed connections are ""
+
+    Scenario: more is held than the limit
+        Guards against a process that runs out of memory by many connections, each of which holds little.
+
+        Given a limit of 1000 kB
+        And connections hold "a 400, b 500, c 200" kB that can be dropped
+        Then the closed connections are "b heldBytes"
+
+    Scenario: an ordinary request while clients hold all
+        Guards against a crowd that keeps ordinary clients out.
+
+        Given a limit of 1000 kB
+        And connections hold "a 400, b 590" kB that can be dropped
+        And connection "c" carries out requests of 1 kB
+        When connection "d" asks for 50 kB to carry out a request
+        Then it is admitted
+        And the closed connections are "b heldBytes"
+
+    Scenario: more requests than there is memory for
+        Guards against requests that are carried out together and need more memory than there is.
+
+        Given a limit of 1000 kB
+        And connection "a" carries out requests of 980 kB
+        When connection "b" asks for 50 kB to carry out a request
+        Then it is refused
+        And the closed connections are ""
+
+    Scenario: a large request alone
+        Guards against a request inside the limits on requests that is never carried out.
+
+        Given a limit of 1000 kB
+        When connection "a" asks for 4000 kB to carry out a request
+        Then it is admitted
--- a/src/listeners/test/intake.steps.ts
+++ b/src/listeners/test/intake.steps.ts
@@ -9,9 +9,11 @@
     loads: Map<string, ConnectionLoad>;
     connections: Map<string, IntakeConnection>;
     closed: string[];
+    isAdmitted: boolean;
 }
 
 const listener = "clients";
+const kB = 1000;
 const idle: ConnectionLoad = { droppableBytes: 0, requestBytes: 0, phase: "idle", progress: 0 };
 
 Before(function(this: World) {
@@ -53,10 +55,25 @@
     startIntake(this, { maxIdleMs: ms, maxHeadMs: ms, maxBodyMs: ms, maxUnreadMs: ms });
 });
 
+Given("a limit of {int} kB", function(this: World, limitKb: number) {
+    startIntake(this, { maxHeldBytes: limitKb * kB });
+});
+
 Given("connection {string} is in phase {string}", function(this: World, name: string, phase: ConnectionPhase) {
     setLoad(this, name, { phase });
 });
 
+Given("connections hold {string} kB that can be dropped", function(this: World, list: string) {
+    for (const each of list.split(", ")) {
+        const [name = "", held = ""] = each.split(" ");
+        setLoad(this, name, { droppableBytes: Number(held) * kB });
+    }
+});
+
+Given("connection {string} carries out requests of {int} kB", function(this: World, name: string, heldKb: number) {
+    setLoad(this, name, { requestBytes: heldKb * kB, phase: "busy" });
+});
+
 When("{int} ticks of {int} ms pass", function(this: World, ticks: number, ms: number) {
     for (let tick = 0; tick < ticks; tick++) {
         this.intake.tick(ms);
@@ -67,6 +84,18 @@
     setLoad(this, name, { progress: 1 });
 });
 
+When("connection {string} asks for {int} kB to carry out a request", function(this: World, name: string, kb: number) {
+    this.isAdmitted = this.intake.admit(open(this, name), kb * kB);
+});
+
+Then("it is admitted", function(this: World) {
+    assert.equal(this.isAdmitted, true);
+});
+
+Then("it is refused", function(this: World) {
+    assert.equal(this.isAdmitted, false);
+});
+
 Then("the closed connections are {string}", function(this: World, closed: string) {
     assert.equal(this.closed.join(", "), closed);
 });
--- a/src/metrics/createEventMetrics.ts
+++ b/src/metrics/createEventMetrics.ts
@@ -143,7 +143,7 @@
     gauge("open_requests", "Clients' requests under way", readings.openRequests);
     gauge(
         "held_bytes",
-        "Estimated memory held for clients and peers",
+        "Estimated memory held for clients and peers, by which connections are closed",
         readings.heldBytes,
     );
     new Gauge({
--- a/src/metrics/createMetrics.ts
+++ b/src/metrics/createMetrics.ts
@@ -104,7 +104,7 @@
         }),
         heldBytes: new Gauge({
             name: "samphirepin_held_bytes",
-            help: "Estimated memory held for clients and peers",
+            help: "Estimated memory held for clients and peers, by which connections are closed",
             registers,
         }),
         platformCalls: new Counter({
--- a/src/settings/settingSpecs.ts
+++ b/src/settings/settingSpecs.ts
@@ -126,6 +126,11 @@
         "requests of one connection that may be open at once; further ones are not read",
         "8",
     ),
+    maxHeldBytes: setting(
+        limit.default(defaultIntakeLimits.maxHeldBytes),
+        "memory that may be held for all clients and peers, by estimate, in bytes; by default a quarter of the heap limit",
+        "67108864",
+    ),
     maxUnreadMs: setting(
         durationMs.default(defaultIntakeLimits.maxUnreadMs),
         "time after which a connection is closed whose client reads nothing of an answer, in milliseconds",
