fix(listeners): connections without a request leave descriptors for others

Callers saw an entry that could neither take clients nor call the store while other clients held connections without sending anything.

Cause: the number of connections had no limit at any listener but that of links. 500 connections took 532 descriptors where 400 may be taken.

Change: each listener has a limit on its connections, derived from the descriptors of the process where it isn't set. At the limit the connection is closed that has waited longest for a request; one with an open request is not closed for another.

--- a/src/callers/test/callers.steps.ts
+++ b/src/callers/test/callers.steps.ts
@@ -92,6 +92,7 @@
         port: world.port,
         maxBodyBytes,
         listeners: world.listeners,
+        maxConnections: 100,
         metricsText: () => Promise.resolve(""),
         isReady: () => true,
         aliases: {
--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -341,6 +341,7 @@
             name: "clients",
             listen: settings.clientAddress,
             listeners,
+            maxConnections: settings.connectionLimits.maxConnections,
             maxBodyBytes,
             handle: createClientApiHandler(submissionApi),
             isClosing: () => isStopping,
@@ -351,6 +352,7 @@
             name: "readiness",
             listen: settings.readinessAddress,
             listeners,
+            maxConnections: settings.connectionLimits.maxProbeConnections,
             maxBodyBytes,
             handle: () => isReady() ? { status: 200, text: "ready\n" } : { status: 503, text: "not ready\n" },
         }));
@@ -358,6 +360,7 @@
             name: "metrics",
             listen: settings.metricsAddress,
             listeners,
+            maxConnections: settings.connectionLimits.maxProbeConnections,
             maxBodyBytes,
             handle: async () => ({ status: 200, text: await metrics.text() }),
         }));
--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -96,6 +96,7 @@
         host,
         port: settings.port,
         listeners,
+        maxConnections: settings.maxConnections,
         maxBodyBytes: settings.maxBodyBytes,
         ...settings.httpCertFile === undefined || settings.httpKeyFile === undefined
             ? {}
--- a/src/http/createGateway.ts
+++ b/src/http/createGateway.ts
@@ -9,6 +9,8 @@
     readonly host: string;
     readonly port: number;
     readonly listeners: Listeners;
+    /** Connections that may be open at once. */
+    readonly maxConnections: number;
     readonly maxBodyBytes: number;
     /** Certificate and key in PEM format; if present, the gateway serves HTTPS. */
     readonly certificates?: { readonly cert: string; readonly key: string; };
@@ -50,6 +52,7 @@
             createServer(this: GatewayService) {
                 this.server = opts.listeners.create({
                     name: "gateway",
+                    maxConnections: opts.maxConnections,
                     maxBodyBytes: opts.maxBodyBytes,
                     ...opts.certificates === undefined ? {} : { tls: opts.certificates },
                     onRequest: (request, response) => void this.httpHandler(request, response),
--- a/src/listeners/connectionLoad.ts
+++ b/src/listeners/connectionLoad.ts
@@ -29,6 +29,7 @@
     UnreadTime: "unreadTime",
     IdleTime: "idleTime",
     HeldBytes: "heldBytes",
+    Connections: "connections",
     BodyBytes: "bodyBytes",
 } as const;
 export type IntakeLimit = typeof IntakeLimit[keyof typeof IntakeLimit];
--- a/src/listeners/createIntake.ts
+++ b/src/listeners/createIntake.ts
@@ -13,7 +13,11 @@
 /** What all listeners of a process hold for their clients. It uses neither the network nor a clock. */
 export interface Intake {
     readonly limits: IntakeLimits;
-    connect(listener: string, connection: IntakeConnection): void;
+    /**
+     * Takes a new connection. At the most connections of a listener, the one is closed that has waited longest for a
+     * request; if there is none, the new one is refused and `false` returned.
+     */
+    connect(listener: string, connection: IntakeConnection, maxConnections: number): boolean;
     /** Reads the load of a connection again, and closes connections if too much is held. */
     update(connection: IntakeConnection): void;
     disconnect(connection: IntakeConnection): void;
@@ -99,7 +103,19 @@
 
     return {
         limits,
-        connect(listener, connection) {
+        connect(listener, connection, maxConnections) {
+            if ((connections.get(listener) ?? 0) >= maxConnections) {
+                const candidates = [...accounts.values()].filter((account) =>
+                    account.listener === listener && (account.phase === "idle" || account.phase === "head")
+                );
+                const oldest = findGreatest(candidates, ({ phaseMs }) => phaseMs);
+                if (oldest === undefined) {
+                    onLimit(listener, IntakeLimit.Connections);
+                    return false;
+                }
+                remove(oldest);
+                end(oldest, IntakeLimit.Connections);
+            }
             const account: Account = {
                 listener,
                 connection,
@@ -111,6 +127,7 @@
             };
             accounts.set(connection, account);
             connections.set(listener, (connections.get(listener) ?? 0) + 1);
+            return true;
         },
         update(connection) {
             const account = accounts.get(connection);
--- a/src/listeners/createListener.ts
+++ b/src/listeners/createListener.ts
@@ -11,6 +11,8 @@
 export interface ListenerOptions {
     /** Name in log lines and metrics. */
     readonly name: string;
+    /** Connections that may be open at once. */
+    readonly maxConnections: number;
     /** Larger bodies are refused, in bytes. */
     readonly maxBodyBytes: number;
     /** Certificates and their options; if present, the listener takes TLS connections only. */
@@ -40,9 +42,12 @@
     close(onClosed: (error?: Error) => void): void;
 }
 
+/** Connections beyond `maxConnections` that are accepted so that idle ones can be closed instead. */
+const replacedConnections = 16;
+
 /** Creates an HTTP server whose connections are paced; every listener of a process is created here. */
 export function createListener(opts: ListenerOptions & SharedOptions): Listener {
-    const { intake, turns, name, writeRefusal } = opts;
+    const { intake, turns, name, maxConnections, writeRefusal } = opts;
     const { maxHeadBytes, maxHeadMs, maxIdleMs } = intake.limits;
     const sockets = new Set<PacedSocket>();
     let isClosing = false;
@@ -71,10 +76,15 @@
     const server = opts.tls === undefined
         ? createTcpServer({ noDelay: true, allowHalfOpen: true }, accept)
         : createTlsServer({ ...opts.tls, handshakeTimeout: maxHeadMs, noDelay: true }, accept);
+    server.maxConnections = maxConnections + replacedConnections;
+    server.on("drop", () => intake.countLimit(name, IntakeLimit.Connections));
 
     function accept(socket: Socket): void {
         const paced = new PacedSocket({ socket, intake, turns, writeRefusal });
-        intake.connect(name, paced);
+        if (!intake.connect(name, paced, maxConnections)) {
+            paced.destroy();
+            return;
+        }
         sockets.add(paced);
         paced.once("close", () => sockets.delete(paced));
         http.emit("connection", paced);
--- a/src/listeners/index.ts
+++ b/src/listeners/index.ts
@@ -2,5 +2,5 @@
 export type { IntakeLimit } from "./connectionLoad";
 export type { Listener, ListenerOptions } from "./createListener";
 export { createListeners, type Listeners } from "./createListeners";
-export { defaultIntakeLimits, type IntakeLimits } from "./intakeLimits";
+export { type ConnectionLimits, defaultIntakeLimits, deriveConnectionLimits, type IntakeLimits } from "./intakeLimits";
 export type { RequestRefusal } from "./requestRefusals";
--- a/src/listeners/intakeLimits.ts
+++ b/src/listeners/intakeLimits.ts
@@ -30,3 +30,32 @@
     maxUnreadMs: 10_000,
     maxIdleMs: 15_000,
 };
+
+/** Connections that each kind of listener may have open at once. */
+export interface ConnectionLimits {
+    /** Connections of clients, and of callers and operators. */
+    readonly maxConnections: number;
+    /** Connections of the load balancer's probes and of readers of metrics, each. */
+    readonly maxProbeConnections: number;
+}
+
+/** Most connections of one kind, however many descriptors there are. */
+const mostConnections = 1024;
+
+const probeConnections = 64;
+
+/** Descriptors that files and pipes may take. */
+const fileDescriptors = 200;
+
+/** Part of the other descriptors for clients; the rest is for links between entries, and for calls to the store and to workers. */
+const connectionShare = 1 / 5;
+
+/** Derives the limits from the number of descriptors that the process may open. */
+export function deriveConnectionLimits(maxDescriptors: number): ConnectionLimits {
+    const shared = Math.floor((maxDescriptors - fileDescriptors) * connectionShare);
+    const connections = Math.max(1, Math.min(mostConnections, shared));
+    return {
+        maxConnections: connections,
+        maxProbeConnections: Math.min(probeConnections, connections),
+    };
+}
--- a/src/listeners/test/intake.feature
+++ b/src/listeners/test/intake.feature
@@ -59,3 +59,23 @@
         Given a limit of 1000 kB
         When connection "a" asks for 4000 kB to carry out a request
         Then it is admitted
+
+    Scenario: all connections are taken
+        Guards against clients that hold connections without a request, and so keep all others out.
+
+        Given a listener for 2 connections
+        And connection "a" is in phase "idle"
+        And 1 ticks of 40 ms pass
+        And connection "b" is in phase "idle"
+        When connection "c" is opened
+        Then it is admitted
+        And the closed connections are "a connections"
+
+    Scenario: all connections are busy
+        Guards against a connection that is closed while its request is carried out.
+
+        Given a listener for 1 connections
+        And connection "a" is in phase "busy"
+        When connection "b" is opened
+        Then it is refused
+        And the closed connections are ""
--- a/src/listeners/test/intake.steps.ts
+++ b/src/listeners/test/intake.steps.ts
@@ -6,6 +6,7 @@
 
 interface World {
     intake: Intake;
+    maxConnections: number;
     loads: Map<string, ConnectionLoad>;
     connections: Map<string, IntakeConnection>;
     closed: string[];
@@ -20,6 +21,7 @@
     this.loads = new Map();
     this.connections = new Map();
     this.closed = [];
+    this.maxConnections = 100;
     startIntake(this, {});
 });
 
@@ -47,7 +49,7 @@
         proceed: () => {},
     };
     world.connections.set(name, connection);
-    world.intake.connect(listener, connection);
+    world.isAdmitted = world.intake.connect(listener, connection, world.maxConnections);
     return connection;
 }
 
@@ -59,6 +61,10 @@
     startIntake(this, { maxHeldBytes: limitKb * kB });
 });
 
+Given("a listener for {int} connections", function(this: World, count: number) {
+    this.maxConnections = count;
+});
+
 Given("connection {string} is in phase {string}", function(this: World, name: string, phase: ConnectionPhase) {
     setLoad(this, name, { phase });
 });
@@ -88,6 +94,10 @@
     this.isAdmitted = this.intake.admit(open(this, name), kb * kB);
 });
 
+When("connection {string} is opened", function(this: World, name: string) {
+    open(this, name);
+});
+
 Then("it is admitted", function(this: World) {
     assert.equal(this.isAdmitted, true);
 });
--- a/src/listeners/test/listener.steps.ts
+++ b/src/listeners/test/listener.steps.ts
@@ -50,6 +50,7 @@
     world.listeners = createListeners(defaultIntakeLimits, () => {});
     world.listener = world.listeners.create({
         name: "test",
+        maxConnections: 10,
         maxBodyBytes,
         onRequest: (request, response) => void serve(request, response),
         writeRefusal(response, { status }) {
--- a/src/settings/settingSpecs.ts
+++ b/src/settings/settingSpecs.ts
@@ -141,6 +141,11 @@
         "time after which a connection without a request is closed, in milliseconds",
         "15000",
     ),
+    maxConnections: setting(
+        limit.default(1024),
+        "maximum number of connections of callers and operators",
+        "1024",
+    ),
     logLevel: setting(
         z.enum(["error", "warn", "info", "debug"]).default("info"),
         "lowest level that is logged",
