fix(peers): a link is not read while its peer leaves frames unread, and opens a bounded number of requests

Callers saw an entry end while processes that had connected to the port for links sent requests and left the answers unread.

Cause: a link kept up to 8 MiB of answers for a peer that doesn't read, and counted their bytes alone. The number of a peer's requests that are being handled had no limit.

Change: links come in through the common listener, so that their connections, heads, unread time and held bytes are limited like those of clients. A link is not read while 1,024 frames wait for its peer (maxLinkRequests); when as many of its requests are being handled, further ones fail at once.

--- a/bench/configuration/measureMesh.ts
+++ b/bench/configuration/measureMesh.ts
@@ -1,5 +1,6 @@
 import { createHistogram, performance } from "node:perf_hooks";
 import { type Configuration, createConfiguration } from "../../src/configuration";
+import { createListeners, defaultIntakeLimits, deriveConnectionLimits } from "../../src/listeners";
 import { createMembers } from "../../src/members";
 import { createPeers } from "../../src/peers";
 import { createKeyWatcher } from "../../src/platform";
@@ -11,6 +12,9 @@
 const observeMs = 8000;
 const changes = 40;
 
+const maxDescriptors = 4096;
+const listeners = createListeners(defaultIntakeLimits, () => {});
+
 /** Entries with real links in one process, over a fake platform: traffic, processor time, and time to be in force. */
 export async function measureMesh(entryCount: number) {
     const platform = createFakePlatform();
@@ -28,6 +32,8 @@
             port,
             heartbeatMs: 1000,
             silenceMs: 4000,
+            listeners,
+            limits: deriveConnectionLimits(maxDescriptors),
         });
         const client = platform.connect(`boot-${at}`);
         const watcher = createKeyWatcher({ platform: client, watchMs: 20_000, retryMs: 200 });
--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -133,6 +133,8 @@
         heartbeatMs: peerHeartbeatMs,
         silenceMs: peerSilenceMs,
         report,
+        listeners,
+        limits: settings.connectionLimits,
     });
     const storeAccess = createStoreAccess({
         address: settings.storeAddress,
--- a/src/entry/createEntry.ts
+++ b/src/entry/createEntry.ts
@@ -64,6 +64,8 @@
         port: settings.peerPort,
         heartbeatMs: settings.heartbeatMs,
         silenceMs: settings.silenceMs,
+        listeners,
+        limits: settings,
     });
     const core = createCore({ settings, platform, peers, workers, report, metrics });
     const { configuration, tasks } = core;
--- a/src/listeners/index.ts
+++ b/src/listeners/index.ts
@@ -2,5 +2,11 @@
 export type { IntakeLimit } from "./connectionLoad";
 export type { Listener, ListenerOptions } from "./createListener";
 export { createListeners, type Listeners } from "./createListeners";
-export { type ConnectionLimits, defaultIntakeLimits, deriveConnectionLimits, type IntakeLimits } from "./intakeLimits";
+export {
+    type ConnectionLimits,
+    defaultIntakeLimits,
+    defaultMaxLinkRequests,
+    deriveConnectionLimits,
+    type IntakeLimits,
+} from "./intakeLimits";
 export type { RequestRefusal } from "./requestRefusals";
--- a/src/listeners/intakeLimits.ts
+++ b/src/listeners/intakeLimits.ts
@@ -37,6 +37,10 @@
     readonly maxConnections: number;
     /** Connections of the load balancer's probes and of readers of metrics, each. */
     readonly maxProbeConnections: number;
+    /** Links that other entries have opened. */
+    readonly maxLinks: number;
+    /** Requests of one link that may be open at once, and frames that may wait for its peer to read them. */
+    readonly maxLinkRequests: number;
 }
 
 /** Most connections of one kind, however many descriptors there are. */
@@ -44,10 +48,12 @@
 
 const probeConnections = 64;
 
+export const defaultMaxLinkRequests = 1024;
+
 /** Descriptors that files and pipes may take. */
 const fileDescriptors = 200;
 
-/** Part of the other descriptors for clients; the rest is for links between entries, and for calls to the store and to workers. */
+/** Part of the other descriptors for clients, and for links; the rest is for calls to the store and to workers. */
 const connectionShare = 1 / 5;
 
 /** Derives the limits from the number of descriptors that the process may open. */
@@ -57,5 +63,7 @@
     return {
         maxConnections: connections,
         maxProbeConnections: Math.min(probeConnections, connections),
+        maxLinks: connections,
+        maxLinkRequests: defaultMaxLinkRequests,
     };
 }
--- a/src/peers/createLink.ts
+++ b/src/peers/createLink.ts
@@ -23,6 +23,8 @@
     peer: Peer | undefined;
     /** This time and the two below are in milliseconds since the epoch. */
     readonly openedAtMs: number;
+    /** Requests of the peer that are being handled. */
+    openRequests: number;
     lastReceivedAtMs: number;
     lastSentAtMs: number;
     /** Returns false if the frame was not sent: the link is not open, or its peer reads too slowly. */
@@ -31,12 +33,26 @@
     parse(data: RawData): Frame | undefined;
 }
 
-export function createLink(socket: WebSocket, traffic: Traffic): Link {
+/**
+ * @param maxUnsentFrames while this many frames wait to be sent, nothing is read: each answer that a peer doesn't read would
+ * be followed by others
+ */
+export function createLink(socket: WebSocket, traffic: Traffic, maxUnsentFrames: number): Link {
     const packr = new Packr({ useRecords: false });
+    let unsentFrames = 0;
+
+    function onSent(): void {
+        unsentFrames--;
+        if (socket.isPaused && unsentFrames <= maxUnsentFrames / 2) {
+            socket.resume();
+        }
+    }
+
     const link: Link = {
         socket,
         peer: undefined,
         openedAtMs: Date.now(),
+        openRequests: 0,
         lastReceivedAtMs: Date.now(),
         lastSentAtMs: 0,
         write(frame) {
@@ -51,7 +67,11 @@
             link.lastSentAtMs = Date.now();
             traffic.sentBytes += bytes.length;
             traffic.sentFrames++;
-            socket.send(bytes, () => {});
+            unsentFrames++;
+            socket.send(bytes, onSent);
+            if (unsentFrames >= maxUnsentFrames) {
+                socket.pause();
+            }
             return true;
         },
         parse(data) {
--- a/src/peers/createPeers.ts
+++ b/src/peers/createPeers.ts
@@ -1,6 +1,7 @@
-import { createServer, type Server } from "node:https";
+import type { ServerResponse } from "node:http";
 import { type Either, Left, Right } from "purify-ts";
 import { WebSocket, WebSocketServer } from "ws";
+import type { ConnectionLimits, Listener, Listeners } from "../listeners";
 import type { Reporter } from "../logging";
 import { createLink, type Link, maxFrameBytes, type Traffic } from "./createLink";
 import type { Frame } from "./frameSchema";
@@ -24,11 +25,10 @@
     /** With certificates, links use mutual TLS; without, they are plain text. */
     readonly certificates?: PeerCertificates;
     readonly report?: Reporter;
+    readonly listeners: Listeners;
+    readonly limits: Pick<ConnectionLimits, "maxLinks" | "maxLinkRequests">;
 }
 
-/** Most open links; further connections are refused. */
-const maxLinks = 1024;
-
 /** Most requests waiting for an answer. */
 const maxPendingRequests = 10_000;
 
@@ -40,6 +40,8 @@
 /** How long links may take to close at a clean shutdown before they are terminated, in milliseconds. */
 const closeTimeoutMs = 500;
 
+const upgradeRequiredStatus = 426;
+
 interface PendingRequest {
     readonly link: Link;
     settle(answer: Either<PeerFailure, unknown>): void;
@@ -60,7 +62,7 @@
     let addresses: readonly string[] = [];
     let nextId = 1;
     let server: WebSocketServer | undefined;
-    let secureServer: Server | undefined;
+    let listener: Listener | undefined;
     let timer: NodeJS.Timeout | undefined;
 
     function isAlive(link: Link): boolean {
@@ -72,7 +74,7 @@
     }
 
     function registerSocket(socket: WebSocket): Link {
-        const link = createLink(socket, traffic);
+        const link = createLink(socket, traffic, opts.limits.maxLinkRequests);
         links.add(link);
         socket.on("message", (data) => {
             const frame = link.parse(data);
@@ -168,6 +170,11 @@
             link.write({ kind: "failure", id, detail: `there is no handler of ${topic.slice(0, 64)}` });
             return;
         }
+        if (link.openRequests >= opts.limits.maxLinkRequests) {
+            link.write({ kind: "failure", id, detail: "too many requests of this link are open" });
+            return;
+        }
+        link.openRequests++;
         try {
             const given = await handler(link.peer, body);
             link.write({ kind: "answer", id, body: given });
@@ -176,6 +183,9 @@
             reportNote(`the handler of topic ${topic} failed on a request`, link, String(error));
             link.write({ kind: "failure", id, detail: "the handler failed" });
         }
+        finally {
+            link.openRequests--;
+        }
     }
 
     function dial(url: string): void {
@@ -245,26 +255,31 @@
     }
 
     function accept(socket: WebSocket): void {
-        if (links.size >= maxLinks) {
-            socket.terminate();
-            return;
-        }
         registerSocket(socket).write({ kind: "hello", peer: self });
     }
 
     async function listen(): Promise<void> {
-        const { certificates, host, port } = opts;
-        secureServer = certificates === undefined
-            ? undefined
-            : createServer({ ...certificates, requestCert: true, rejectUnauthorized: true });
-        const listenOptions = secureServer === undefined ? { host, port } : { server: secureServer };
-        const listening = new WebSocketServer({ ...listenOptions, maxPayload: maxFrameBytes });
-        server = listening;
-        listening.on("connection", accept);
+        const { certificates, host, port, listeners, limits } = opts;
+        const upgrading = new WebSocketServer({ noServer: true, maxPayload: maxFrameBytes });
+        const listening = listeners.create({
+            name: "peers",
+            maxConnections: limits.maxLinks,
+            maxBodyBytes: 0,
+            ...certificates === undefined
+                ? {}
+                : { tls: { ...certificates, requestCert: true, rejectUnauthorized: true } },
+            onRequest: (_request, response) => closeWith(response, upgradeRequiredStatus),
+            onUpgrade: (request, socket, head) => upgrading.handleUpgrade(request, socket, head, accept),
+            writeRefusal: (response, { status }) => closeWith(response, status),
+        });
+        server = upgrading;
+        listener = listening;
         await new Promise<void>((resolve, reject) => {
-            listening.once("listening", resolve);
-            listening.once("error", reject);
-            secureServer?.listen(port, host);
+            listening.on("error", reject);
+            listening.listen(port, host, () => {
+                listening.off("error", reject);
+                resolve();
+            });
         });
         listening.on("error", (error) => opts.report?.({ kind: "note", slice: "peers", message: String(error) }));
     }
@@ -323,11 +338,14 @@
             links.forEach((link) => link.socket.close(1001));
             const closing = setTimeout(() => links.forEach((link) => link.socket.terminate()), closeTimeoutMs);
             await new Promise((resolve) => server === undefined ? resolve(undefined) : server.close(resolve));
-            await new Promise((resolve) =>
-                secureServer === undefined ? resolve(undefined) : secureServer.close(resolve)
-            );
+            await new Promise((resolve) => listener === undefined ? resolve(undefined) : listener.close(resolve));
             clearTimeout(closing);
             links.forEach((link) => link.socket.terminate());
         },
     };
 }
+
+function closeWith(response: ServerResponse, status: number): void {
+    response.writeHead(status, { connection: "close" });
+    response.end();
+}
--- a/src/peers/test/peers.steps.ts
+++ b/src/peers/test/peers.steps.ts
@@ -8,6 +8,7 @@
 import { WebSocket } from "ws";
 import { findFreePort } from "../../../standins/processes";
 import { createRandom } from "../../../standins/random";
+import { createListeners, defaultIntakeLimits, deriveConnectionLimits } from "../../listeners";
 import { chooseLinks, createPeers, type Peer, type PeerFailure, type Peers } from "../index";
 
 interface World {
@@ -22,6 +23,9 @@
 
 setDefaultTimeout(20_000);
 
+const maxDescriptors = 4096;
+const listeners = createListeners(defaultIntakeLimits, () => {});
+
 const packr = new Packr({ useRecords: false });
 
 After(async function(this: World) {
@@ -37,6 +41,8 @@
         port,
         heartbeatMs: 50,
         silenceMs: 2000,
+        listeners,
+        limits: deriveConnectionLimits(maxDescriptors),
         ...certificate === undefined ? {} : { certificates: readCertificates(certificate) },
     });
     await peers.start();
--- a/src/settings/settingSpecs.ts
+++ b/src/settings/settingSpecs.ts
@@ -1,5 +1,5 @@
 import { z } from "zod";
-import { defaultIntakeLimits } from "../listeners";
+import { defaultIntakeLimits, defaultMaxLinkRequests } from "../listeners";
 
 /** A setting. Its flag is its name in kebab case, its environment variable SAMPHIREPIN_ and its name in capitals. */
 export interface SettingSpec<T = unknown> {
@@ -146,6 +146,12 @@
         "maximum number of connections of callers and operators",
         "1024",
     ),
+    maxLinks: setting(limit.default(1024), "maximum number of connections from other entries", "1024"),
+    maxLinkRequests: setting(
+        limit.default(defaultMaxLinkRequests),
+        "requests of one link that may be open at once, and frames that may wait for its peer to read them",
+        "1024",
+    ),
     logLevel: setting(
         z.enum(["error", "warn", "info", "debug"]).default("info"),
         "lowest level that is logged",
