fix(listeners): requests that wait behind another end with their connection

Callers saw an entry take its whole grace period to stop, and operators saw samphirepin_open_requests stay above 0, after clients had sent requests ahead and closed their connections.

Cause: the runtime emits "close" only for the response that is being sent when a connection ends. Those that wait behind it never end, and their requests count as open for good.

Change: the connection tells them.

--- a/src/listeners/PacedSocket.ts
+++ b/src/listeners/PacedSocket.ts
@@ -81,6 +81,11 @@
         socket.on("close", () => this.destroy());
         this.on("resume", () => this.pump());
         this.on("drain", () => this.pump());
+        // The runtime tells only the response that is being sent of the end of its connection, not those that wait behind it.
+        this.once(
+            "close",
+            () => process.nextTick(() => this.openRequests.forEach((_, response) => response.emit("close"))),
+        );
         // While no parser is attached, an error would end the process; whoever needs to know listens for "close".
         this.on("error", () => {});
     }
