fix(listeners): the estimate of unsent frames has a limit for their objects

A trusted peer on a slow path may leave frames of up to 2 MiB unsent for a moment. Eight bytes for each of theirs would have counted as half of what may be held for all clients, and closed the link. The number of unsent frames of a link is limited, and with it the memory of their objects.

--- a/src/listeners/PacedSocket.ts
+++ b/src/listeners/PacedSocket.ts
@@ -30,8 +30,11 @@
 /** Larger writes are divided, so that a client that reads slowly can be told from one that doesn't read, in bytes. */
 const maxWriteBytes = 16 * 1024;
 
-/** Memory that frames wait in until they are sent, for each of their bytes: most frames are shorter than their objects. */
-const bytesPerFrameByte = 8;
+/** Objects of unsent frames, for each of their bytes: most frames are short. The number of frames of a link is limited. */
+const objectBytesPerFrameByte = 7;
+
+/** Most that the objects of one connection's unsent frames take, in bytes. */
+const maxFrameObjectBytes = 1024 * 1024;
 
 /** Response to a head that is not complete in time; no request exists yet that could be answered. */
 const headTimeoutResponse = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
@@ -132,6 +135,7 @@
     /** The connection carries frames from now on; requests on it are no longer counted here. */
     beginFrames(): void {
         this.isUpgraded = true;
+        this.headBytes = 0;
         this.slicer.beginFrames();
     }
 
@@ -141,8 +145,9 @@
     }
 
     load(): ConnectionLoad {
-        let droppableBytes = this.slicer.waitingBytes() + this.headBytes
-            + this.writableLength * (this.isUpgraded ? bytesPerFrameByte : 1);
+        const frameObjectBytes = Math.min(this.writableLength * objectBytesPerFrameByte, maxFrameObjectBytes);
+        let droppableBytes = this.slicer.waitingBytes() + this.headBytes + this.writableLength
+            + (this.isUpgraded ? frameObjectBytes : 0);
         let requestBytes = 0;
         for (const { request, receivedBytes, isRefused } of this.openRequests.values()) {
             if (request.complete && !isRefused) {
