fix(listeners): an idle connection doesn't keep its last request

Found by reading: a connection referred to its latest request until the next one, with its header fields and body. It lets go of it once the answer has left. Not measured.

--- a/src/listeners/PacedSocket.ts
+++ b/src/listeners/PacedSocket.ts
@@ -111,6 +111,10 @@
         this.openRequests.set(response, open);
         response.once("close", () => {
             this.openRequests.delete(response);
+            if (this.latest === open && request.complete) {
+                // An idle connection must not keep its last request in memory.
+                this.latest = undefined;
+            }
             this.pump();
         });
     }
