feat(logs, scheduler): tell what was served by the size of submissions

The log line at a submission's end had its age alone, so that an order of starts that passes over large submissions, tasks without room, lost workers and limits of accounts could not be told apart. It now has the declared work, whether the end was in time, and when tasks were first, last and again started; `samphirepin served` sums them up by queue and size.

--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -10,6 +10,7 @@
 import { machineTime } from "./machineTime";
 import { plan } from "./plan";
 import { planCancel, planPause, planResume } from "./planControl";
+import { served } from "./served";
 import { settings } from "./settings";
 import { show } from "./show";
 
@@ -29,5 +30,6 @@
     credentialNew,
     explain,
     machineTime,
+    served,
     day,
 ];
--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -172,6 +172,16 @@
         readonly sinceAcceptedMs: number;
         /** Of a submission that is taken: whether its client account was within its rate. */
         readonly class?: "conforming" | "excess";
+        /** Declared work of a submission that is taken or ends, in core-milliseconds; not of long-running or repeated ones. */
+        readonly workCoreMs?: number | undefined;
+        /** Of a submission that is complete and has a size. */
+        readonly timeliness?: "inTime" | "late" | "tooLate";
+        /** Of one that ends, from its acceptance to its first start. */
+        readonly firstStartMs?: number | undefined;
+        /** Of one that ends, from its first start to its last one. */
+        readonly startSpanMs?: number | undefined;
+        /** Of one that ends: tasks that were started again, except speculatively. */
+        readonly restarts?: number;
     }
     | {
         readonly kind: "order";
--- a/src/logs/test/logs.feature
+++ b/src/logs/test/logs.feature
@@ -21,6 +21,11 @@
         And its events are "duty gained, evacuation begun, duty lost, duty gained"
         And it can be rendered
 
+    Scenario: what was served by size
+        Given the log of a leader that took 10 submissions and completed the smallest 8, the last of them too late
+        Then the served shares are "all 0.7, smaller 1, next largest fifth 0, largest tenth 0"
+        And the smaller ones waited 100 ms for their first start
+
     Scenario: lines that cannot be parsed
         Guards against an analysis that stops at a truncated line.
 
--- a/src/logs/test/logs.steps.ts
+++ b/src/logs/test/logs.steps.ts
@@ -6,8 +6,10 @@
 import {
     type DaySummary,
     explainSubmission,
+    listSizedSubmissions,
     type LogLine,
     type MachineTime,
+    measureServedBySize,
     readLogLines,
     renderDaySvg,
     type SubmissionTimeline,
@@ -76,6 +78,28 @@
     assert.deepEqual(times, [...times].sort());
 });
 
+Given("the log of a leader that took 10 submissions and completed the smallest 8, the last of them too late", function(
+    this: World,
+) {
+    const fieldsOf = (at: number) => ({ submission: `s-${at}`, route: "r-1", workCoreMs: 100 * (at + 1) });
+    this.lines = Array.from({ length: 10 }, (_, at) => {
+        const taken = line(at, "submission", { ...fieldsOf(at), change: "taken" });
+        const timeliness = at === 7 ? "tooLate" : "inTime";
+        const end = { ...fieldsOf(at), change: "complete", timeliness, firstStartMs: 100, startSpanMs: 0, restarts: 0 };
+        return at < 8 ? [taken, line(at + 20, "submission", end)] : [taken];
+    }).flat();
+});
+
+const measureSizes = ({ lines }: World) => measureServedBySize(listSizedSubmissions(lines));
+
+Then("the served shares are {string}", function(this: World, expected: string) {
+    assert.equal(measureSizes(this).map(({ size, servedShare }) => `${size} ${servedShare}`).join(", "), expected);
+});
+
+Then("the smaller ones waited {int} ms for their first start", function(this: World, firstStartMs: number) {
+    assert.equal(measureSizes(this).find(({ size }) => size === "smaller")?.firstStartMs, firstStartMs);
+});
+
 When("machine time is summed up", function(this: World) {
     this.time = sumMachineTime(this.lines);
 });
--- a/src/schedule/index.ts
+++ b/src/schedule/index.ts
@@ -30,6 +30,7 @@
 export { hasProgressRoom, recordProgressBytes } from "./progressBounds";
 export { findMaxAttempts, queueOf, type SubmissionQueue } from "./queueOf";
 export { type PlacementUnit, type RankedEntry, rankSubmissions } from "./rankSubmissions";
+export { recordStart } from "./recordStart";
 export { addRun, moveRun, removeRun } from "./runs";
 export * from "./schedulerState";
 export {
@@ -56,6 +57,7 @@
     occurrenceCount,
     startedTasksOf,
 } from "./submissionEntries";
+export { findTimeliness, maxUsefulTargets, Timeliness } from "./timeliness";
 export { isSuspect, quarantine, recordFailure, recordSuccess } from "./workerHealth";
 export {
     ensureIncarnation,
--- a/src/schedule/schedulerState.ts
+++ b/src/schedule/schedulerState.ts
@@ -1,6 +1,7 @@
 import type { Resources } from "../resources";
 import type { Step, Submission } from "../submissions";
 import type { IndexRanges } from "./createIndexRanges";
+import type { StartHistory } from "./recordStart";
 import type { StepTasks } from "./stepTasks";
 
 /**
@@ -103,6 +104,7 @@
     /** Its account was beyond its rate. Set once, when the submission is classified. */
     isExcess: boolean;
     hasStarted: boolean;
+    readonly starts: StartHistory;
     /** Occurrences that have been added and have tasks that are not done, by number. */
     readonly occurrences: Map<number, Occurrence>;
     /** Numbers of the occurrences whose tasks are all done. */
--- a/src/schedule/submissionEntries.ts
+++ b/src/schedule/submissionEntries.ts
@@ -1,5 +1,6 @@
 import type { Submission } from "../submissions";
 import { createIndexRanges } from "./createIndexRanges";
+import { createStartHistory } from "./recordStart";
 import type { Occurrence, SchedulerState, SubmissionEntry, Task } from "./schedulerState";
 import { countUnstarted, createStepTasks, isStepDone, type StepTasks, taskAt } from "./stepTasks";
 
@@ -19,6 +20,7 @@
         maxAttempts: submission.terms?.maxAttempts,
         isExcess: false,
         hasStarted: false,
+        starts: createStartHistory(),
         occurrences: new Map(),
         doneOccurrences: createIndexRanges(),
         addedOccurrences: 0,
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -15,6 +15,7 @@
     createAccountLimits,
     createDurationEstimates,
     createSchedulerState,
+    recordStart,
     removeRun,
     removeWorker,
     type Run,
@@ -245,6 +246,7 @@
         }
         for (const run of group) {
             if (run.worker.runs.has(run)) {
+                recordStart(entry, run, clocks.monotonicMs());
                 entry.hasStarted = true;
                 firstStart.recordStart();
                 void runControl.start(run);
--- a/src/scheduler/createSubmissionClassifier.ts
+++ b/src/scheduler/createSubmissionClassifier.ts
@@ -2,6 +2,7 @@
 import type { Reporter } from "../logging";
 import type { Policy } from "../policy";
 import type { SubmissionEntry } from "../schedule";
+import { sizeCoreMs } from "../submissions";
 
 export interface SubmissionClassifierOptions {
     readonly rates: AccountRates;
@@ -67,8 +68,15 @@
             count(account, acceptedAtMs, result);
         }
         const { id, route } = entry.submission;
-        const sinceAcceptedMs = Date.now() - acceptedAtMs;
-        report({ kind: "submission", submission: id, change: "taken", route, sinceAcceptedMs, class: result });
+        report({
+            kind: "submission",
+            submission: id,
+            change: "taken",
+            route,
+            sinceAcceptedMs: Date.now() - acceptedAtMs,
+            class: result,
+            workCoreMs: sizeCoreMs(entry.submission),
+        });
     }
 
     function count(account: string, acceptedAtMs: number, result: SubmissionClass): void {
--- a/src/scheduler/createSubmissionTracker.ts
+++ b/src/scheduler/createSubmissionTracker.ts
@@ -29,6 +29,7 @@
 } from "../submissions";
 import type { EndedSubmission } from "./createRecordRemover";
 import type { SubmissionClassifier } from "./createSubmissionClassifier";
+import { describeEnd } from "./describeEnd";
 import { restoreProgress } from "./restoreProgress";
 import { restoreRemaining } from "./restoreRemaining";
 
@@ -208,6 +209,20 @@
         report({ kind: "submission", submission: id, change, route, sinceAcceptedMs: Date.now() - acceptedAtMs });
     }
 
+    function reportEnd(entry: SubmissionEntry, finalState: FinalState): void {
+        const { id, route, acceptedAtMs } = entry.submission;
+        const sinceAcceptedMs = Date.now() - acceptedAtMs;
+        const context = { policy: opts.policy(), estimates: opts.estimates, nowMs: steadyMs(), ageMs: sinceAcceptedMs };
+        report({
+            kind: "submission",
+            submission: id,
+            change: finalState,
+            route,
+            sinceAcceptedMs,
+            ...describeEnd(entry, context),
+        });
+    }
+
     function cancel(entry: SubmissionEntry): void {
         entry.isCancelled = true;
         settle(entry);
@@ -251,7 +266,7 @@
             if (entry.finalState !== undefined) {
                 const { finalState: state, revision } = entry;
                 finalStates.set(entry.submission.id, { state, atMs: Date.now(), revision });
-                reportChange(entry, entry.finalState);
+                reportEnd(entry, state);
             }
             forgetIfOver(entry);
         },
--- a/src/submissions/index.ts
+++ b/src/submissions/index.ts
@@ -18,6 +18,7 @@
     submissionPrefix,
     type SubmissionRecord,
 } from "./record";
+export { sizeCoreMs } from "./sizeCoreMs";
 export {
     type FinalState,
     type Schedule,
