--- a/bench/model/drawFleet.ts
+++ b/bench/model/drawFleet.ts
@@ -38,6 +38,8 @@
     /** Tasks of one submission that last and may share a machine. */
     readonly lastingPerMachine: number;
     readonly durationMs: number;
+    /** Machines that are lost for good, as a share of all, and when, in milliseconds; left out: none. */
+    readonly loss?: { readonly share: number; readonly atMs: number; };
 }
 
 /** Everything between two times is equally likely on a logarithmic scale. */
--- a/bench/model/scoreDay.ts
+++ b/bench/model/scoreDay.ts
@@ -1,3 +1,4 @@
+import { measureServedBySize, type ServedSize } from "../../src/logs";
 import type { ModelSubmission } from "./createArrivals";
 import type { ModelFleet } from "./drawFleet";
 
@@ -14,6 +15,8 @@
     readonly moves: number;
     /** Busy part of the processors of machines in pools. */
     readonly busyShare: number;
+    /** What was served in each pool, by the size of submissions. */
+    readonly served: readonly ServedSize[];
 }
 
 export interface DayLog {
@@ -74,6 +77,11 @@
         machineSeconds: machineMs / 1000,
         moves,
         busyShare: workedCoreMs / (machineMs * fleet.cores),
+        served: measureServedBySize(counted.map((arrival) => {
+            const part = earnedPart(arrival, log.completedAtMs.get(arrival.submission.id));
+            const { workCoreMs, submission: { route: queue } } = arrival;
+            return { queue, workCoreMs, isServed: part > 0, isInTime: part === 1 };
+        })),
     };
 }
 
--- a/bench/model/simulateFleet.ts
+++ b/bench/model/simulateFleet.ts
@@ -115,7 +115,7 @@
 
     function end({ run }: Ending, nowMs: number): void {
         const { task } = run;
-        if (findTask(state, task.name) !== task) {
+        if (findTask(state, task.name) !== task || !task.runs.includes(run)) {
             return;
         }
         if (run.phase === "stopping") {
@@ -218,6 +218,18 @@
         Object.assign(machine, { pool, worker: undefined, joinsAtMs: nowMs + joinMs - decideMs / 2 });
     }
 
+    /** Their runs are started again, as after a lease. */
+    function loseMachines({ share }: { readonly share: number; }): void {
+        for (const machine of machines.splice(0, Math.round(share * machines.length))) {
+            const { worker } = machine;
+            if (worker !== undefined) {
+                [...worker.runs].forEach((run) => removeRun(state, run, nowMs));
+                removeWorker(state, worker);
+                state.workers.delete(worker.id);
+            }
+        }
+    }
+
     const lastMs = fleet.durationMs + settleMs;
     for (; nowMs < lastMs; nowMs += stepMs) {
         for (let arrival = arrivals[next]; arrival !== undefined && arrival.atMs <= nowMs; arrival = arrivals[next]) {
@@ -236,6 +248,9 @@
                 isDue = true;
             }
         }
+        if (fleet.loss?.atMs === nowMs) {
+            loseMachines(fleet.loss);
+        }
         if (isDue) {
             const options = { state, policy, estimates, nowMs, timeOfDayMs: nowMs, maxStarts: 200 };
             planStarts({ ...options, allowedWorkers: () => undefined }).forEach((run) => begin(run, nowMs));
