fix(schedule): serve each size of a full queue like the queue

Cause: waiting work that can be in time is ranked by its remaining work, least first. While smaller submissions arrive fast enough to fill the pool, a larger one waits until it is late and ranks behind all that are not; the guard against starving begins after 30 s and ranks by work again. Evidence: the model of the fleet shows it with no machine lost and no limit of an account met; what is served falls with size alone.

Change: submissions are classified by size among the latest of their queue (largest tenth, fifth below it, smaller). Arrived and served ones are counted by class. Where a class has been served less than its queue, submissions of it are promoted, as many as are missing: they rank first within their queue's priority until they end, or can't end in a useful time any more. Excess, repeated and long-running submissions are neither counted nor promoted. Size class and promotion are in the line at a submission's end and in a counter.

--- a/bench/decide/decisions.ts
+++ b/bench/decide/decisions.ts
@@ -27,6 +27,14 @@
             patched("least-slack", "those that can be in time, by the time that they have left"),
         ],
     },
+    {
+        name: "sizes",
+        question: "what the large submissions of a full queue get",
+        variants: [
+            stands("share-of-queue", "the share of their queue, for the largest tenth and the fifth below it"),
+            patched("none", "what smaller ones leave"),
+        ],
+    },
     {
         name: "demand",
         question: "what a pool needs machines for",
--- a/bench/model/simulateFleet.ts
+++ b/bench/model/simulateFleet.ts
@@ -9,13 +9,16 @@
     createWorker,
     estimateRemaining,
     findTask,
+    findTimeliness,
     isComplete,
     markDone,
     planStarts,
+    queueOf,
     removeRun,
     removeWorker,
     type Run,
     type SubmissionEntry,
+    Timeliness,
     type Worker,
 } from "../../src/schedule";
 import { createCompetition, createConsolidator, measureDemand } from "../../src/scheduler";
@@ -91,6 +94,7 @@
     function take(arrival: ModelSubmission, nowMs: number): void {
         const entry = addSubmission(state, arrival.submission, 1, false, nowMs);
         known.set(arrival.submission.id, arrival);
+        state.serviceShares.recordArrival(entry);
         addOccurrence(entry, nowMs);
         const { workCoreMs, criticalPathMs: chainMs } = estimateRemaining(entry, estimates, nowMs);
         if (workCoreMs > 0) {
@@ -131,10 +135,19 @@
     function finish(entry: SubmissionEntry, nowMs: number): void {
         if (isComplete(entry)) {
             completedAtMs.set(entry.submission.id, nowMs);
+            if (isUseful(entry)) {
+                state.serviceShares.recordServed(entry);
+            }
             state.submissions.delete(entry.submission.id);
         }
     }
 
+    function isUseful(entry: SubmissionEntry): boolean {
+        const ageMs = nowMs - entry.submission.acceptedAtMs;
+        const estimate = estimateRemaining(entry, estimates, nowMs);
+        return findTimeliness(ageMs, queueOf(policy, entry.submission), estimate) !== Timeliness.tooLate;
+    }
+
     function join(machine: ModelMachine, nowMs: number): void {
         machine.joinsAtMs = Number.POSITIVE_INFINITY;
         if (machine.pool !== standbyPool) {
--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -176,6 +176,9 @@
         readonly workCoreMs?: number | undefined;
         /** Of a submission that is complete and has a size. */
         readonly timeliness?: "inTime" | "late" | "tooLate";
+        /** Of one that ends: its size class, and whether it was promoted because that class had been served too little. */
+        readonly size?: "smaller" | "large" | "largest" | undefined;
+        readonly isPromoted?: boolean;
         /** Of one that ends, from its acceptance to its first start. */
         readonly firstStartMs?: number | undefined;
         /** Of one that ends, from its first start to its last one. */
--- a/src/metrics/createEventMetrics.ts
+++ b/src/metrics/createEventMetrics.ts
@@ -79,6 +79,13 @@
         buckets: waitBucketsSeconds,
         registers,
     });
+    const submissionSizes = counter(
+        "submissions_by_size",
+        "Complete submissions by queue, size class and timeliness",
+        "queue",
+        "size",
+        "timeliness",
+    );
     const submissionTime = new Histogram({
         name: "samphirepin_submission_seconds",
         help: "From accepting a submission to its end",
@@ -235,6 +242,9 @@
                     if (event.class !== undefined) {
                         submissionClasses.inc({ class: event.class });
                     }
+                    if (event.size !== undefined && event.timeliness !== undefined) {
+                        submissionSizes.inc({ queue: event.route, size: event.size, timeliness: event.timeliness });
+                    }
                     if (event.change !== "taken" && event.change !== "stillStopping") {
                         submissionTime.observe({ change: event.change }, event.sinceAcceptedMs / 1000);
                     }
--- a/src/schedule/index.ts
+++ b/src/schedule/index.ts
@@ -3,6 +3,8 @@
 export { type AccountLimits, createAccountLimits } from "./createAccountLimits";
 export { createAccountShares } from "./createAccountShares";
 export { createIndexRanges, type IndexRange, type IndexRanges } from "./createIndexRanges";
+export { createServiceShares, type ServiceShares } from "./createServiceShares";
+export { createSizeClassifier, SizeClass } from "./createSizeClassifier";
 export { createStartGate, type StartGate } from "./createStartGate";
 export { createWorker } from "./createWorker";
 export { desiredCpuMillis } from "./desiredCpuMillis";
--- a/src/schedule/planStarts.ts
+++ b/src/schedule/planStarts.ts
@@ -1,5 +1,5 @@
 import type { Policy } from "../policy";
-import type { Step } from "../submissions";
+import type { Step, Submission } from "../submissions";
 import { createAccountLimits } from "./createAccountLimits";
 import { createAccountShares } from "./createAccountShares";
 import { createStartGate, type StartGate } from "./createStartGate";
@@ -8,6 +8,7 @@
 import { fitsStep, type MaxFree } from "./findMaxFree";
 import { isEligible } from "./placeTask";
 import type { PlaceUnitOptions } from "./placeUnit";
+import { promoteUnderserved } from "./promoteUnderserved";
 import { queueOf } from "./queueOf";
 import {
     countStartable,
@@ -51,16 +52,21 @@
     const gate = opts.gate ?? createConfiguredGate(opts);
     const mayRunMore = ({ submission: { tenant } }: SubmissionEntry, { size }: Step) =>
         gate.isWithinLimit(tenant, size, 1);
-    const ranked = rankSubmissions({
-        entries: listPlaceable(
-            state,
-            (entry) => pools.get(queueOf(policy, entry.submission).service)?.maxFree,
-            mayRunMore,
-        ),
-        queueOf: (submission) => queueOf(policy, submission),
+    const entries = [...listPlaceable(
+        state,
+        (entry) => pools.get(queueOf(policy, entry.submission).service)?.maxFree,
+        mayRunMore,
+    )];
+    const rankOptions = {
+        entries,
+        queueOf: (submission: Submission) => queueOf(policy, submission),
         estimates,
         nowMs,
         timeOfDayMs: opts.timeOfDayMs,
+    };
+    promoteUnderserved({ ...rankOptions, shares: state.serviceShares });
+    const ranked = rankSubmissions({
+        ...rankOptions,
         shareOf: createAccountShares(state, policy),
     });
     const quotas = divideStarts({
--- a/src/schedule/rankSubmissions.ts
+++ b/src/schedule/rankSubmissions.ts
@@ -55,7 +55,8 @@
  * submissions have to wait. A submission has nearly all of its value if it ends by its target (stretch times its
  * critical path, plus the queue's latency target) and a fraction of it later. Small submissions have more value per
  * core-second. So those that can still meet their target come first, by priority of the queue and then least remaining
- * work first. Late ones follow, unless they have waited so long that they rank with the first.
+ * work first. Late ones follow, unless they have waited so long that they rank with the first. Promoted ones
+ * (`promoteUnderserved`) rank as in time, before the others of their queue's priority.
  *
  * Submissions beyond the rate of their client account follow all others, so that they delay no account within its rate.
  * Among them, those of the account with the smallest weighted dominant share come first, which divides the capacity that
@@ -69,7 +70,8 @@
         }
     }
     return ranked.sort((a, b) =>
-        a.group - b.group || compareShares(a, b) || a.queue.priority - b.queue.priority || a.workCoreMs - b.workCoreMs
+        a.group - b.group || compareShares(a, b) || a.queue.priority - b.queue.priority
+        || Number(b.entry.isPromoted) - Number(a.entry.isPromoted) || a.workCoreMs - b.workCoreMs
     );
 }
 
@@ -89,7 +91,7 @@
     return {
         entry,
         queue,
-        group: findGroup(isExcess, isInTime || ageMs > starvationAgeMs),
+        group: findGroup(isExcess, isInTime || entry.isPromoted || ageMs > starvationAgeMs),
         share: isExcess ? opts.shareOf(submission.tenant) : 0,
         workCoreMs: remaining.workCoreMs,
     };
@@ -102,7 +104,7 @@
     return isInTime ? RankGroup.conformingInTime : RankGroup.conformingLate;
 }
 
-function hasStartable({ occurrences }: SubmissionEntry, nowMs: number): boolean {
+export function hasStartable({ occurrences }: SubmissionEntry, nowMs: number): boolean {
     for (const occurrence of occurrences.values()) {
         for (const tasks of occurrence.steps) {
             const isAnyStartable = countUnstarted(tasks) > 0
--- a/src/schedule/schedulerState.ts
+++ b/src/schedule/schedulerState.ts
@@ -1,6 +1,8 @@
 import type { Resources } from "../resources";
 import type { Step, Submission } from "../submissions";
 import type { IndexRanges } from "./createIndexRanges";
+import { createServiceShares, type ServiceShares } from "./createServiceShares";
+import type { SizeClass } from "./createSizeClassifier";
 import type { StartHistory } from "./recordStart";
 import type { StepTasks } from "./stepTasks";
 
@@ -105,6 +107,12 @@
     isExcess: boolean;
     hasStarted: boolean;
     readonly starts: StartHistory;
+    /** `undefined`: not classified. Long-running, repeated and excess submissions never are. */
+    sizeClass: SizeClass | undefined;
+    /** Ranks before other submissions of its queue's priority, because its size class has been served too little. */
+    isPromoted: boolean;
+    /** Is counted among the submissions of its size class that are served. */
+    countsAsServed: boolean;
     /** Occurrences that have been added and have tasks that are not done, by number. */
     readonly occurrences: Map<number, Occurrence>;
     /** Numbers of the occurrences whose tasks are all done. */
@@ -232,9 +240,10 @@
     readonly submissions: Map<string, SubmissionEntry>;
     readonly workers: Map<string, Worker>;
     /** Resources of each tenant's runs, including those that may be running. */
+    readonly serviceShares: ServiceShares;
     readonly tenantUse: Map<string, { cpuMillis: number; memoryMb: number; accelerators: number; }>;
 }
 
 export function createSchedulerState(): SchedulerState {
-    return { submissions: new Map(), workers: new Map(), tenantUse: new Map() };
+    return { submissions: new Map(), workers: new Map(), tenantUse: new Map(), serviceShares: createServiceShares() };
 }
--- a/src/scheduler/createScheduler.ts
+++ b/src/scheduler/createScheduler.ts
@@ -164,7 +164,13 @@
     });
     const rates = createAccountRates();
     const limits = createAccountLimits();
-    const classifier = createSubmissionClassifier({ rates, policy: opts.policy, report, steadyMs: clocks.monotonicMs });
+    const classifier = createSubmissionClassifier({
+        rates,
+        serviceShares: state.serviceShares,
+        policy: opts.policy,
+        report,
+        steadyMs: clocks.monotonicMs,
+    });
     const submissionTracker = createSubmissionTracker({
         state,
         estimates,
--- a/src/scheduler/createSubmissionClassifier.ts
+++ b/src/scheduler/createSubmissionClassifier.ts
@@ -1,11 +1,12 @@
 import type { AccountRates, SubmissionClass } from "../fairness";
 import type { Reporter } from "../logging";
 import type { Policy } from "../policy";
-import type { SubmissionEntry } from "../schedule";
+import type { ServiceShares, SubmissionEntry } from "../schedule";
 import { sizeCoreMs } from "../submissions";
 
 export interface SubmissionClassifierOptions {
     readonly rates: AccountRates;
+    readonly serviceShares: Pick<ServiceShares, "recordArrival">;
     readonly policy: () => Policy | undefined;
     readonly report: Reporter;
     readonly steadyMs: () => number;
@@ -64,6 +65,7 @@
             return;
         }
         entry.isExcess = result === "excess";
+        opts.serviceShares.recordArrival(entry);
         if (account !== undefined) {
             count(account, acceptedAtMs, result);
         }
--- a/src/scheduler/createSubmissionTracker.ts
+++ b/src/scheduler/createSubmissionTracker.ts
@@ -9,13 +9,16 @@
     type DurationEstimates,
     estimateRemaining,
     findMaxAttempts,
+    findTimeliness,
     isComplete,
+    queueOf,
     recordProgressBytes,
     type Run,
     type SchedulerState,
     setMaxAttempts,
     startedTasksOf,
     type SubmissionEntry,
+    Timeliness,
     type Worker,
 } from "../schedule";
 import type { StoreItem } from "../store";
@@ -240,6 +243,7 @@
         }
         else if (isComplete(entry)) {
             entry.finalState = "complete";
+            countServed(entry);
         }
         else {
             return;
@@ -248,6 +252,21 @@
         opts.save(entry);
     }
 
+    function countServed(entry: SubmissionEntry): void {
+        const policy = opts.policy();
+        const ageMs = Date.now() - entry.submission.acceptedAtMs;
+        const isUseful = policy !== undefined
+            && findTimeliness(
+                    ageMs,
+                    queueOf(policy, entry.submission),
+                    estimateRemaining(entry, opts.estimates, steadyMs()),
+                )
+                !== Timeliness.tooLate;
+        if (isUseful) {
+            schedulerState.serviceShares.recordServed(entry);
+        }
+    }
+
     function forgetIfOver(entry: SubmissionEntry): void {
         // Runs that are still being stopped are found through their submission.
         const isFinal = finalStates.has(entry.submission.id) && entry.finalState !== undefined;
--- a/src/scheduler/describeEnd.ts
+++ b/src/scheduler/describeEnd.ts
@@ -19,20 +19,19 @@
 export function describeEnd(
     entry: SubmissionEntry,
     { policy, estimates, nowMs, ageMs }: EndContext,
-): Pick<SubmissionEvent, "workCoreMs" | "timeliness" | "firstStartMs" | "startSpanMs" | "restarts"> {
-    const { submission, starts: { firstAtMs, lastAtMs, restarts }, finalState } = entry;
+): Pick<
+    SubmissionEvent,
+    "workCoreMs" | "timeliness" | "size" | "isPromoted" | "firstStartMs" | "startSpanMs" | "restarts"
+> {
+    const { submission, starts: { firstAtMs, lastAtMs, restarts }, sizeClass: size, isPromoted, finalState } = entry;
     const workCoreMs = sizeCoreMs(submission);
     const started = firstAtMs === undefined || lastAtMs === undefined
         ? {}
         : { firstStartMs: Math.round(ageMs - (nowMs - firstAtMs)), startSpanMs: Math.round(lastAtMs - firstAtMs) };
+    const fields = { workCoreMs, size, isPromoted, restarts };
     if (finalState !== "complete" || workCoreMs === undefined || policy === undefined) {
-        return { workCoreMs, restarts, ...started };
+        return { ...fields, ...started };
     }
     const estimate = estimateRemaining(entry, estimates, nowMs);
-    return {
-        workCoreMs,
-        restarts,
-        ...started,
-        timeliness: findTimeliness(ageMs, queueOf(policy, submission), estimate),
-    };
+    return { ...fields, ...started, timeliness: findTimeliness(ageMs, queueOf(policy, submission), estimate) };
 }
--- a/src/scheduler/test/classifier.steps.ts
+++ b/src/scheduler/test/classifier.steps.ts
@@ -37,6 +37,7 @@
     const steadyMs = () => performance.now();
     this.classifier = createSubmissionClassifier({
         rates: createAccountRates(),
+        serviceShares: this.trackedState.serviceShares,
         policy: () => this.appliedPolicy,
         report,
         steadyMs,
