fix(duties): ignore records among those of the entries that can't be read

Found by looking for the same cause elsewhere: an unreadable record under the entries' own keys threw in the watch of every entry, so that all of them end (\`SyntaxError\` in \`createPresence\`, the new scenario failed with it). A peer address that is no WebSocket URL would throw where the link is opened. Records are checked and the others are logged as \`valueRefused\`; an unreadable record of the leader counts as none, so that the next leader overwrites it.

--- a/src/daemon/createDaemon.ts
+++ b/src/daemon/createDaemon.ts
@@ -198,6 +198,7 @@
         store,
         clocks,
         self: candidate,
+        report,
         election: leaderElection,
         failover,
         onPeers(others) {
--- a/src/duties/createLeaderElection.ts
+++ b/src/duties/createLeaderElection.ts
@@ -1,5 +1,6 @@
 import { pause } from "../clock";
 import type { LeaderTerm } from "./createLeaderObservation";
+import { decodeLeader } from "./decodeRecords";
 import type { LeaderElection, LeaderElectionOptions, LeaderRecord, TakeoverOutcome, Tenure } from "./leaderElection";
 
 export const leaderKey = "samphirepin/live/duty/all";
@@ -311,7 +312,7 @@
             }
             const former = holder;
             knowsHolder = true;
-            holder = item === undefined ? undefined : JSON.parse(item.text) as LeaderRecord;
+            holder = item === undefined ? undefined : decodeLeader(item.text);
             holderRevision = item?.revision ?? 0;
             isHolderUncertain = false;
             if (former !== undefined && holder !== undefined && former.instance !== holder.instance) {
--- a/src/duties/createPresence.ts
+++ b/src/duties/createPresence.ts
@@ -1,7 +1,9 @@
 import type { Clocks } from "../clock";
+import type { Reporter } from "../logging";
 import { createPrefixWatcher, type Store, type StoreItem } from "../store";
 import type { Failover } from "./createFailover";
 import { leaderKey } from "./createLeaderElection";
+import { decodeCandidate, decodeLeader } from "./decodeRecords";
 import type { LeaderElection } from "./leaderElection";
 import { type Candidate, rankCandidates } from "./rankCandidates";
 
@@ -13,6 +15,7 @@
     readonly store: Store;
     readonly clocks: Clocks;
     readonly self: Candidate;
+    readonly report: Reporter;
     readonly election: LeaderElection;
     readonly failover: Pick<Failover, "updateFleet" | "standbys">;
     /** Called with the other entries that are up, according to the store. */
@@ -48,13 +51,18 @@
 
     function updateItem(key: string, item: StoreItem | undefined): void {
         if (key === leaderKey) {
-            leaderBoot = item === undefined ? undefined : (JSON.parse(item.text) as { boot: string; }).boot;
+            leaderBoot = item === undefined ? undefined : decodeLeader(item.text)?.boot;
+            return;
         }
-        else if (item === undefined) {
+        const candidate = item === undefined ? undefined : decodeCandidate(item.text);
+        if (candidate === undefined) {
             peers.delete(key);
         }
         else {
-            peers.set(key, JSON.parse(item.text) as Candidate);
+            peers.set(key, candidate);
+        }
+        if (item !== undefined && candidate === undefined) {
+            opts.report({ kind: "valueRefused", key, detail: "the record describes no entry that can be reached" });
         }
     }
 
--- a/test/failover/failover.feature
+++ b/test/failover/failover.feature
@@ -25,6 +25,14 @@
         And b1 counts on requests of its predecessor for as long as it may send them
         And b1 leads
 
+    Scenario: records among those of the entries that can't be read
+        Guards against entries that end, all of them, because of one record.
+
+        Given two entries in each of three zones, led by a1
+        When another writer leaves records among those of the entries
+        And the leader is killed
+        Then b1 leads after 400 to 700 ms
+
     Scenario: the links of the leader's zone are silent without a reset
         Guards against an entry that waits long for answers of standbys that it still counts as connected.
 
--- a/test/failover/failover.steps.ts
+++ b/test/failover/failover.steps.ts
@@ -76,6 +76,25 @@
     assert.deepEqual(this.answer, JSON.parse(answer));
 });
 
+When("another writer leaves records among those of the entries", async function(this: World) {
+    const plain = { boot: "x1", instance: "x1", region: "north", zone: "x", peerUrl: "ws://x1", strength: 1 };
+    const texts = [
+        "no JSON",
+        "null",
+        "7",
+        "[".repeat(100_000),
+        JSON.stringify({ ...plain, zone: 7 }),
+        JSON.stringify({ ...plain, peerUrl: "ws://10.1.2.3:70000" }),
+        JSON.stringify(plain).replace(/"strength":1/, "\"strength\":1e400"),
+    ];
+    const puts = texts.map((text, at) => ({ key: `samphirepin/live/peer/odd-${at}`, text }));
+    void this.store.connect("other").commit({ conditions: [], puts, deletes: [] });
+    await pass(this, 100);
+    for (const { failover } of this.entries.values()) {
+        assert.ok(failover.standbys().every((boot) => this.entries.has(boot)));
+    }
+});
+
 When("the leader is killed", function(this: World) {
     this.former.kill();
 });
--- a/test/failover/world.ts
+++ b/test/failover/world.ts
@@ -97,7 +97,7 @@
         onLost: () => failover.endTenure(),
     });
     const failover = createFailover({ self, peers, clocks, election, report });
-    const presence = createPresence({ store, clocks, self, election, failover, onPeers() {} });
+    const presence = createPresence({ store, clocks, self, report, election, failover, onPeers() {} });
     presence.start();
     election.start();
     const entry: Entry = {
