fix(schedule): rank long-running tasks that end at once behind other work

The same class as sizes that a full queue did not serve: an order in which some work is passed over for as long as the load lasts.

A submission whose long-running task is done within a second of its start ranks behind all other conforming work for two seconds. Runs that fail change nothing: on a worker that fails all it starts, long-running tasks must go on elsewhere at once.

--- a/src/runs/applyEnd.ts
+++ b/src/runs/applyEnd.ts
@@ -29,6 +29,15 @@
 /** Delay before a failed task is retried, in milliseconds. */
 const failedRetryMs = 100;
 
+/** A run of a long-running task that is done sooner than this, in milliseconds, was not meant to last. */
+const shortRunMs = 1000;
+
+/**
+ * How long a submission ranks behind other work after such a run, in milliseconds. Its tasks are started again at once and
+ * would otherwise take every start.
+ */
+const demotionMs = 2000;
+
 /** Applies the end of a run as listed by a worker; returns the entry of the submission that it changed, if any. */
 export function applyEnd(worker: Worker, end: ListedEnd, context: EndContext): SubmissionEntry | undefined {
     const task = findTask(context.state, end.task);
@@ -71,6 +80,9 @@
         );
     }
     if (task.step.isLongRunning) {
+        if (run !== undefined && context.nowMs - run.plannedAtMs < shortRunMs) {
+            task.entry.demotedUntilMs = context.nowMs + demotionMs;
+        }
         return;
     }
     // The end of one member ends its whole gang. Outside a gang, other runs of the task are no longer needed.
--- a/src/schedule/rankSubmissions.ts
+++ b/src/schedule/rankSubmissions.ts
@@ -83,6 +83,9 @@
 function rank(entry: SubmissionEntry, queue: SubmissionQueue, opts: RankOptions): Ranked {
     const { submission, isExcess } = entry;
     if (submission.steps.some(({ isLongRunning }) => isLongRunning)) {
+        if (entry.demotedUntilMs > opts.nowMs) {
+            return { entry, queue, group: RankGroup.conformingLate, share: 0, workCoreMs: Number.MAX_VALUE };
+        }
         return { entry, queue, group: RankGroup.longRunning, share: 0, workCoreMs: 0 };
     }
     const remaining = estimateRemaining(entry, opts.estimates, opts.nowMs);
--- a/src/schedule/schedulerState.ts
+++ b/src/schedule/schedulerState.ts
@@ -107,6 +107,8 @@
     isExcess: boolean;
     hasStarted: boolean;
     readonly starts: StartHistory;
+    /** Until when its long-running tasks rank behind other work, on the monotonic clock; 0: they rank first. */
+    demotedUntilMs: number;
     /** `undefined`: not classified. Long-running, repeated and excess submissions never are. */
     sizeClass: SizeClass | undefined;
     /** Ranks before other submissions of its queue's priority, because its size class has been served too little. */
--- a/src/schedule/submissionEntries.ts
+++ b/src/schedule/submissionEntries.ts
@@ -21,6 +21,7 @@
         isExcess: false,
         hasStarted: false,
         starts: createStartHistory(),
+        demotedUntilMs: 0,
         sizeClass: undefined,
         isPromoted: false,
         countsAsServed: false,
