refactor(schedule, scheduler): one place for timeliness at an end; cancelled submissions aren't owed

A cancelled submission counted as one that had arrived and was not served, so that a class whose clients cancel more was promoted; it is taken back, and one that fails counts as served. Size classes that aren't short are skipped before anything is computed for their submissions. The new scenario fails without the change.

--- a/src/logging/logEvent.ts
+++ b/src/logging/logEvent.ts
@@ -175,7 +175,7 @@
         /** Declared work of a submission that is taken or ends, in core-milliseconds; not of long-running or repeated ones. */
         readonly workCoreMs?: number | undefined;
         /** Of a submission that is complete and has a size. */
-        readonly timeliness?: "inTime" | "late" | "tooLate";
+        readonly timeliness?: "inTime" | "late" | "tooLate" | undefined;
         /** Of one that ends: its size class, and whether it was promoted because that class had been served too little. */
         readonly size?: "smaller" | "large" | "largest" | undefined;
         readonly isPromoted?: boolean;
--- a/src/schedule/createServiceShares.ts
+++ b/src/schedule/createServiceShares.ts
@@ -6,10 +6,12 @@
 export interface ServiceShares {
     /** Classifies a submission within the rate of its account by its size and counts it. */
     recordArrival(entry: SubmissionEntry): void;
-    /** Counts a submission as served: it is complete, or is promoted and so expected to be. Counts each once. */
+    /** Counts a submission as served: it is complete, has failed, or is promoted and so expected to end. Counts each once. */
     recordServed(entry: SubmissionEntry): void;
     /** Takes back that a submission counts as served. */
     recordMissed(entry: SubmissionEntry): void;
+    /** Takes back that a submission arrived: its client has cancelled it. */
+    recordCancelled(entry: SubmissionEntry): void;
     /** How many more of a submission's size class have to be served for the same share as of its queue; 0 if it has that. */
     shortfall(entry: SubmissionEntry): number;
 }
@@ -44,6 +46,13 @@
         }
     }
 
+    function recordMissed(entry: SubmissionEntry): void {
+        if (entry.countsAsServed) {
+            entry.countsAsServed = false;
+            addServed(entry, -1);
+        }
+    }
+
     return {
         recordArrival(entry) {
             const workCoreMs = sizeCoreMs(entry.submission);
@@ -62,10 +71,13 @@
                 addServed(entry, 1);
             }
         },
-        recordMissed(entry) {
-            if (entry.countsAsServed) {
-                entry.countsAsServed = false;
-                addServed(entry, -1);
+        recordMissed,
+        recordCancelled(entry) {
+            const { submission: { route }, sizeClass } = entry;
+            recordMissed(entry);
+            if (sizeClass !== undefined) {
+                const { arrived } = countsOf(route);
+                arrived[sizeClass] = Math.max(0, arrived[sizeClass] - 1);
             }
         },
         shortfall({ submission: { route }, sizeClass }) {
--- a/src/schedule/promoteUnderserved.ts
+++ b/src/schedule/promoteUnderserved.ts
@@ -34,28 +34,41 @@
     const { shares } = opts;
     const candidates: Candidate[] = [];
     for (const entry of opts.entries) {
-        if (entry.sizeClass === undefined || entry.finalState !== undefined || entry.isCancelled) {
-            continue;
-        }
-        const remaining = estimateRemaining(entry, opts.estimates, opts.nowMs);
-        const endAgeMs = opts.timeOfDayMs - entry.submission.acceptedAtMs + remaining.criticalPathMs;
-        const timeliness = findTimeliness(endAgeMs, opts.queueOf(entry.submission), remaining);
         if (entry.isPromoted) {
-            if (timeliness === Timeliness.tooLate) {
+            if (findBestTimeliness(entry, opts) === Timeliness.tooLate) {
                 entry.isPromoted = false;
                 shares.recordMissed(entry);
             }
         }
-        else if (timeliness !== Timeliness.tooLate && hasStartable(entry, opts.nowMs)) {
-            const isInTime = timeliness === Timeliness.inTime;
-            candidates.push({ entry, isInTime, workCoreMs: remaining.workCoreMs });
+        else if (isUnderserved(entry, shares) && isOpen(entry) && hasStartable(entry, opts.nowMs)) {
+            const timeliness = findBestTimeliness(entry, opts);
+            if (timeliness !== Timeliness.tooLate) {
+                const { workCoreMs } = estimateRemaining(entry, opts.estimates, opts.nowMs);
+                candidates.push({ entry, isInTime: timeliness === Timeliness.inTime, workCoreMs });
+            }
         }
     }
     candidates.sort((a, b) => Number(b.isInTime) - Number(a.isInTime) || a.workCoreMs - b.workCoreMs);
     for (const { entry } of candidates) {
-        if (shares.shortfall(entry) >= 1) {
+        if (isUnderserved(entry, shares)) {
             entry.isPromoted = true;
             shares.recordServed(entry);
         }
     }
 }
+
+/** Whether the size class of a submission is short of at least one. */
+function isUnderserved(entry: SubmissionEntry, shares: ServiceShares): boolean {
+    return shares.shortfall(entry) >= 1;
+}
+
+function isOpen({ finalState, isCancelled }: SubmissionEntry): boolean {
+    return finalState === undefined && !isCancelled;
+}
+
+/** Timeliness of a submission if it never waits from now on. */
+function findBestTimeliness(entry: SubmissionEntry, opts: PromoteOptions): Timeliness {
+    const remaining = estimateRemaining(entry, opts.estimates, opts.nowMs);
+    const endAgeMs = opts.timeOfDayMs - entry.submission.acceptedAtMs + remaining.criticalPathMs;
+    return findTimeliness(endAgeMs, opts.queueOf(entry.submission), remaining);
+}
--- a/src/schedule/test/sizes.feature
+++ b/src/schedule/test/sizes.feature
@@ -41,6 +41,14 @@
         And a small and a largest submission of "calls" wait
         Then the new "largest" one ranks first, and the old one isn't promoted
 
+    Scenario: cancelled submissions
+        Guards against a class that counts as served too little because its clients have cancelled.
+
+        Given queue "calls" has completed its smaller submissions, and the largest were cancelled
+        And queue "calls" has completed all of its submissions
+        When a small and a largest submission of "calls" wait
+        Then the "small" one ranks first
+
     Scenario: submissions beyond the rate of their account
         Guards against an account that sends far too much and is promoted before others.
 
--- a/src/schedule/test/sizes.steps.ts
+++ b/src/schedule/test/sizes.steps.ts
@@ -96,6 +96,16 @@
     complete(this, queue, ({ sizeClass }) => sizeClass !== "largest");
 });
 
+Given("queue {string} has completed its smaller submissions, and the largest were cancelled", function(
+    this: World,
+    queue: string,
+) {
+    const { serviceShares } = this.state;
+    submitMany(this, queue, 100).forEach((entry) =>
+        entry.sizeClass === "largest" ? serviceShares.recordCancelled(entry) : serviceShares.recordServed(entry)
+    );
+});
+
 When("queue {string} has completed all of its submissions", function(this: World, queue: string) {
     complete(this, queue, () => true);
 });
--- a/src/scheduler/createSubmissionTracker.ts
+++ b/src/scheduler/createSubmissionTracker.ts
@@ -9,9 +9,7 @@
     type DurationEstimates,
     estimateRemaining,
     findMaxAttempts,
-    findTimeliness,
     isComplete,
-    queueOf,
     recordProgressBytes,
     type Run,
     type SchedulerState,
@@ -32,7 +30,7 @@
 } from "../submissions";
 import type { EndedSubmission } from "./createRecordRemover";
 import type { SubmissionClassifier } from "./createSubmissionClassifier";
-import { describeEnd } from "./describeEnd";
+import { describeEnd, type EndContext, findEndTimeliness } from "./describeEnd";
 import { restoreProgress } from "./restoreProgress";
 import { restoreRemaining } from "./restoreRemaining";
 
@@ -212,18 +210,11 @@
         report({ kind: "submission", submission: id, change, route, sinceAcceptedMs: Date.now() - acceptedAtMs });
     }
 
-    function reportEnd(entry: SubmissionEntry, finalState: FinalState): void {
-        const { id, route, acceptedAtMs } = entry.submission;
-        const sinceAcceptedMs = Date.now() - acceptedAtMs;
-        const context = { policy: opts.policy(), estimates: opts.estimates, nowMs: steadyMs(), ageMs: sinceAcceptedMs };
-        report({
-            kind: "submission",
-            submission: id,
-            change: finalState,
-            route,
-            sinceAcceptedMs,
-            ...describeEnd(entry, context),
-        });
+    function reportEnd(entry: SubmissionEntry, change: FinalState): void {
+        const { id: submission, route } = entry.submission;
+        const context = contextOf(entry);
+        const details = describeEnd(entry, context);
+        report({ kind: "submission", submission, change, route, sinceAcceptedMs: context.ageMs, ...details });
     }
 
     function cancel(entry: SubmissionEntry): void {
@@ -237,9 +228,11 @@
         }
         if (entry.isCancelled) {
             entry.finalState = "cancelled";
+            schedulerState.serviceShares.recordCancelled(entry);
         }
         else if (entry.failedCount > 0) {
             entry.finalState = "failed";
+            schedulerState.serviceShares.recordServed(entry);
         }
         else if (isComplete(entry)) {
             entry.finalState = "complete";
@@ -252,17 +245,14 @@
         opts.save(entry);
     }
 
+    function contextOf({ submission }: SubmissionEntry): EndContext {
+        const ageMs = Date.now() - submission.acceptedAtMs;
+        return { policy: opts.policy(), estimates: opts.estimates, nowMs: steadyMs(), ageMs };
+    }
+
     function countServed(entry: SubmissionEntry): void {
-        const policy = opts.policy();
-        const ageMs = Date.now() - entry.submission.acceptedAtMs;
-        const isUseful = policy !== undefined
-            && findTimeliness(
-                    ageMs,
-                    queueOf(policy, entry.submission),
-                    estimateRemaining(entry, opts.estimates, steadyMs()),
-                )
-                !== Timeliness.tooLate;
-        if (isUseful) {
+        const timeliness = findEndTimeliness(entry, contextOf(entry));
+        if (timeliness !== undefined && timeliness !== Timeliness.tooLate) {
             schedulerState.serviceShares.recordServed(entry);
         }
     }
--- a/src/scheduler/describeEnd.ts
+++ b/src/scheduler/describeEnd.ts
@@ -1,6 +1,13 @@
 import type { LogEvent } from "../logging";
 import type { Policy } from "../policy";
-import { type DurationEstimates, estimateRemaining, findTimeliness, queueOf, type SubmissionEntry } from "../schedule";
+import {
+    type DurationEstimates,
+    estimateRemaining,
+    findTimeliness,
+    queueOf,
+    type SubmissionEntry,
+    type Timeliness,
+} from "../schedule";
 import { sizeCoreMs } from "../submissions";
 
 type SubmissionEvent = Extract<LogEvent, { kind: "submission"; }>;
@@ -15,23 +22,36 @@
     readonly ageMs: number;
 }
 
+/** Timeliness of a submission that is complete now; `undefined` while its target is not known. */
+export function findEndTimeliness(
+    entry: SubmissionEntry,
+    { policy, estimates, nowMs, ageMs }: EndContext,
+): Timeliness | undefined {
+    return policy === undefined
+        ? undefined
+        : findTimeliness(ageMs, queueOf(policy, entry.submission), estimateRemaining(entry, estimates, nowMs));
+}
+
 /** Fields of the log line on a submission's end that tell why it took as long as it did. */
 export function describeEnd(
     entry: SubmissionEntry,
-    { policy, estimates, nowMs, ageMs }: EndContext,
+    context: EndContext,
 ): Pick<
     SubmissionEvent,
     "workCoreMs" | "timeliness" | "size" | "isPromoted" | "firstStartMs" | "startSpanMs" | "restarts"
 > {
     const { submission, starts: { firstAtMs, lastAtMs, restarts }, sizeClass: size, isPromoted, finalState } = entry;
+    const { nowMs, ageMs } = context;
     const workCoreMs = sizeCoreMs(submission);
-    const started = firstAtMs === undefined || lastAtMs === undefined
-        ? {}
-        : { firstStartMs: Math.round(ageMs - (nowMs - firstAtMs)), startSpanMs: Math.round(lastAtMs - firstAtMs) };
-    const fields = { workCoreMs, size, isPromoted, restarts };
-    if (finalState !== "complete" || workCoreMs === undefined || policy === undefined) {
-        return { ...fields, ...started };
-    }
-    const estimate = estimateRemaining(entry, estimates, nowMs);
-    return { ...fields, ...started, timeliness: findTimeliness(ageMs, queueOf(policy, submission), estimate) };
+    const isJudged = finalState === "complete" && workCoreMs !== undefined;
+    return {
+        workCoreMs,
+        size,
+        isPromoted,
+        restarts,
+        timeliness: isJudged ? findEndTimeliness(entry, context) : undefined,
+        ...firstAtMs === undefined || lastAtMs === undefined
+            ? {}
+            : { firstStartMs: Math.round(ageMs - (nowMs - firstAtMs)), startSpanMs: Math.round(lastAtMs - firstAtMs) },
+    };
 }
