test(soak): odd entries among those of the workers and of the daemons, with real processes

On the platform and duties code as landed before, the odd entries ended all three daemons within 5 s: with those among the daemons' own records by a SyntaxError in \`createPresence\`; with those among the workers alone too, one leader after the other, by the registration that leads to a server of another kind. On this code no process ends, and a submission that comes afterwards is complete.

--- a/test/soak/soak.feature
+++ b/test/soak/soak.feature
@@ -18,6 +18,14 @@
         Then no promise was broken
         And at least 20 submissions were accepted
 
+    Scenario: other writers' entries among those of the workers and of the daemons
+        Guards against daemons that end again and again, or stop following the list, because of one entry.
+
+        Given the daemon is built
+        When other writers leave odd entries for 5 s
+        Then no entry has ended
+        And a submission that comes now is complete within 10 s
+
     Scenario: the judge sees nothing wrong in a sound run
         Given a submission of 1 task that was accepted, run and shown as "complete"
         Then the judge finds nothing
--- a/test/soak/soak.steps.ts
+++ b/test/soak/soak.steps.ts
@@ -1,12 +1,17 @@
-import { Before, Given, setDefaultTimeout, Then, When } from "@cucumber/cucumber";
+import { After, Before, Given, setDefaultTimeout, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { execFileSync } from "node:child_process";
-import type { SubmissionStory } from "../../soak/createClients";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { createClients, type SubmissionStory } from "../../soak/createClients";
 import type { Disturbance } from "../../soak/createFaults";
 import type { RouteAnswer } from "../../soak/createRouteChecks";
-import { keptKey, revokedKey } from "../../soak/createWorld";
+import { createWorld, keptKey, revokedKey, type World as SoakWorld } from "../../soak/createWorld";
 import { judge } from "../../soak/judge";
 import { runSoak, type SoakResult } from "../../soak/runSoak";
+import { pause } from "../../src/clock";
+import { leaderKey } from "../../src/duties";
+import { createRandom } from "../../standins/random";
 import type { WorkerEvent } from "../../standins/scheduling";
 
 interface World {
@@ -16,6 +21,10 @@
     revokedAtMs: number | undefined;
     routeAnswers: RouteAnswer[];
     disturbances: Disturbance[];
+    soakWorld: SoakWorld | undefined;
+    server: Server | undefined;
+    /** Processes of the entries before the trouble. */
+    pids: (number | undefined)[];
 }
 
 setDefaultTimeout(90_000);
@@ -25,6 +34,8 @@
     this.revokedAtMs = undefined;
     this.routeAnswers = [];
     this.disturbances = [];
+    this.soakWorld = undefined;
+    this.server = undefined;
 });
 
 Given("the daemon is built", function() {
@@ -35,6 +46,71 @@
     this.result = await runSoak({ seed, faultsForMs: seconds * 1000, entries: 4, workers: 5 });
 });
 
+/** What another writer may leave; `address` leads to a server of another kind. */
+function listOddTexts(address: string): readonly string[] {
+    const entry = {
+        service: "stalls",
+        address,
+        zone: "zone-a",
+        state: "ready",
+        born: 1_700_000_000_000,
+        capacity: { cpu: 4000, memMb: 16_000, gpu: 0 },
+        labels: ["a"],
+    };
+    const plain = JSON.stringify(entry);
+    return [
+        "no JSON",
+        "null",
+        "[".repeat(100_000) + "]".repeat(100_000),
+        plain,
+        JSON.stringify({ ...entry, address: "127.0.0.1:70000" }),
+        plain.replace("\"cpu\":4000", "\"cpu\":1e400"),
+        plain.replace("\"gpu\":0", "\"gpu\":\"many\""),
+        plain.replace("\"born\":1700000000000", "\"born\":1e300"),
+    ];
+}
+
+When("other writers leave odd entries for {int} s", async function(this: World, seconds: number) {
+    this.server = createServer((_request, response) =>
+        response.end("{\"clockMs\":1,\"running\":{},\"finished\":[null]}")
+    );
+    await new Promise<void>((resolve) => this.server?.listen(0, "127.0.0.1", resolve));
+    this.soakWorld = await createWorld({ seed: 11, entries: 3, workers: 3 });
+    const { platform, entries } = this.soakWorld;
+    while (platform.store.get(leaderKey) === undefined) {
+        await pause(50);
+    }
+    this.pids = entries.map((entry) => entry.pid());
+    const { port } = this.server.address() as AddressInfo;
+    listOddTexts(`127.0.0.1:${port}`).forEach((text, at) => {
+        platform.store.put(`servers/odd-${at}`, text);
+        platform.store.put(`samphirepin/live/peer/odd-${at}`, text);
+    });
+    await pause(seconds * 1000);
+});
+
+Then("no entry has ended", function(this: World) {
+    assert.deepEqual(this.soakWorld?.entries.map((entry) => entry.pid()), this.pids, this.soakWorld?.folder);
+});
+
+Then("a submission that comes now is complete within {int} s", async function(this: World, seconds: number) {
+    assert.ok(this.soakWorld);
+    const clients = createClients(this.soakWorld, createRandom(1));
+    await clients.submit({ tasks: 2 });
+    const isComplete = () => [...clients.stories.values()].some(({ shown }) => shown.at(-1)?.state === "complete");
+    const untilMs = Date.now() + seconds * 1000;
+    while (!isComplete() && Date.now() < untilMs) {
+        await pause(50);
+    }
+    await clients.close();
+    assert.ok(isComplete());
+});
+
+After(function(this: World) {
+    this.soakWorld?.stop();
+    this.server?.close();
+});
+
 Then("no promise was broken", function(this: World) {
     assert.deepEqual(this.result.broken, [], `${this.result.faults.join("\n")}\nlogs: ${this.result.folder}`);
 });
