fix(duties): refuse records of entries whose link address has a fragment

Found by reading the change again: such an address passed the check, and opening a WebSocket to it throws ("The URL contains a fragment identifier"), in every entry that reads the record. The example added to test/failover failed before.

--- a/src/duties/decodeRecords.ts
+++ b/src/duties/decodeRecords.ts
@@ -36,5 +36,10 @@
 }
 
 function isSocketUrl(text: string): boolean {
-    return URL.canParse(text) && /^wss?:$/.test(new URL(text).protocol);
+    if (!URL.canParse(text)) {
+        return false;
+    }
+    // Opening a WebSocket throws on an address with a fragment.
+    const { protocol, hash } = new URL(text);
+    return /^wss?:$/.test(protocol) && hash === "";
 }
--- a/test/failover/failover.steps.ts
+++ b/test/failover/failover.steps.ts
@@ -85,6 +85,7 @@
         "[".repeat(100_000),
         JSON.stringify({ ...plain, zone: 7 }),
         JSON.stringify({ ...plain, peerUrl: "ws://10.1.2.3:70000" }),
+        JSON.stringify({ ...plain, peerUrl: "ws://10.1.2.3:7000/#part" }),
         JSON.stringify(plain).replace(/"strength":1/, "\"strength\":1e400"),
     ];
     const puts = texts.map((text, at) => ({ key: `samphirepin/live/peer/odd-${at}`, text }));
